--- /dev/null
+++ b/cmd/nutmeghoistd/main.go
@@ -0,0 +1,4 @@
+// Command nutmeghoistd is the node that runs on each target host.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/membership/record.go
@@ -0,0 +1,57 @@
+// Package membership keeps the records of hosts and their targets, merges what
+// other hosts say, and decides which hosts are suspected or failed.
+package membership
+
+import (
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// Status is the state of a host as the mesh sees it. A higher status wins a
+// merge between records of the same incarnation and sequence.
+type Status uint8
+
+// The states of a host.
+const (
+	StatusAlive Status = iota + 1
+	StatusSuspect
+	StatusLeaving // stops as planned and takes no new work
+	StatusFailed
+	StatusLeft
+)
+
+// TargetState is the state of a target as its own host sees it.
+type TargetState uint8
+
+// The states of a target.
+const (
+	TargetStarting TargetState = iota + 1
+	TargetReady
+	TargetDraining // takes no new work
+)
+
+// Target is one target on a host.
+type Target struct {
+	ID          mesh.TargetID      `cbor:"1,keyasint" json:"id"`
+	Service     mesh.ServiceName   `cbor:"2,keyasint" json:"service"`
+	Version     mesh.TargetVersion `cbor:"3,keyasint" json:"version"`
+	Address     string             `cbor:"4,keyasint" json:"address"` // IP:port on its host
+	Slots       int                `cbor:"5,keyasint" json:"slots"`
+	Connections int                `cbor:"6,keyasint" json:"connections"`
+	State       TargetState        `cbor:"7,keyasint" json:"state"`
+	ReadySince  time.Time          `cbor:"8,keyasint" json:"ready_since"`
+}
+
+// Host is the record of one host. Only the host itself writes its addresses
+// and targets; others may only raise its status within an incarnation.
+type Host struct {
+	ID          mesh.HostID     `cbor:"1,keyasint" json:"id"`
+	DataCentre  mesh.DataCentre `cbor:"2,keyasint" json:"data_centre"`
+	PeerAddress string          `cbor:"3,keyasint" json:"peer_address"` // control links, UDP
+	CallAddress string          `cbor:"4,keyasint" json:"call_address"` // node-to-node calls, TCP
+	Incarnation uint64          `cbor:"5,keyasint" json:"incarnation"`  // rises with each start and each refutation
+	Sequence    uint64          `cbor:"6,keyasint" json:"sequence"`     // rises with each change of the record
+	Status      Status          `cbor:"7,keyasint" json:"status"`
+	Targets     []Target        `cbor:"8,keyasint" json:"targets,omitempty"`
+}
--- /dev/null
+++ b/pkg/source/source.go
@@ -0,0 +1,69 @@
+// Package source accepts rules files at the platform and reads what was
+// accepted: the head, the objects, the vetoes and the reports.
+package source
+
+import (
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// Head is the row that alone orders the accepted configurations.
+type Head struct {
+	Revision   uint64    `json:"revision" cbor:"1,keyasint"`
+	Hash       string    `json:"hash" cbor:"2,keyasint"` // hex SHA-256 of the rules text
+	Base       uint64    `json:"base" cbor:"3,keyasint"` // the revision that was edited
+	Token      string    `json:"token" cbor:"4,keyasint"`
+	Author     string    `json:"author" cbor:"5,keyasint"`
+	AcceptedAt time.Time `json:"accepted_at" cbor:"6,keyasint"`
+}
+
+// Veto takes a version back on every route, for its attempt and all lower ones.
+type Veto struct {
+	Service  mesh.ServiceName   `json:"service" cbor:"1,keyasint"`
+	Version  mesh.TargetVersion `json:"version" cbor:"2,keyasint"`
+	Attempt  int                `json:"attempt" cbor:"3,keyasint"`
+	Route    string             `json:"route" cbor:"4,keyasint"` // where the fault showed
+	Evidence string             `json:"evidence" cbor:"5,keyasint"`
+	Host     mesh.HostID        `json:"host" cbor:"6,keyasint"` // the host that decided
+	At       time.Time          `json:"at" cbor:"7,keyasint"`
+}
+
+// VetoKey identifies a veto. Two vetoes with the same key have the same effect.
+type VetoKey struct {
+	Service mesh.ServiceName
+	Version mesh.TargetVersion
+	Attempt int
+}
+
+// Key returns the key of the veto.
+func (v *Veto) Key() VetoKey { return VetoKey{v.Service, v.Version, v.Attempt} }
+
+// ReportKind is the kind of a report.
+type ReportKind string
+
+// The kinds of reports.
+const (
+	ReportMoving    ReportKind = "moving"
+	ReportWaiting   ReportKind = "waiting"
+	ReportDone      ReportKind = "done"
+	ReportTakenBack ReportKind = "taken-back"
+	ReportLate      ReportKind = "late"
+)
+
+// Report is what operators read about a move. Each kind is written at most
+// once for a move; a waiting report is written at most once for a data centre.
+type Report struct {
+	Move        mesh.MoveID        `json:"move"`
+	Kind        ReportKind         `json:"kind"`
+	Service     mesh.ServiceName   `json:"service"`
+	Version     mesh.TargetVersion `json:"version"`
+	From        mesh.TargetVersion `json:"from"`
+	Route       string             `json:"route"`
+	Revision    uint64             `json:"revision"`
+	At          time.Time          `json:"at"`
+	Text        string             `json:"text"`                  // one sentence for operators, with the numbers
+	WaitingFor  []mesh.DataCentre  `json:"waiting_for,omitempty"` // data centres out of reach
+	Confirmed   int                `json:"confirmed,omitempty"`   // hosts that confirmed the version in force
+	Unconfirmed []mesh.HostID      `json:"unconfirmed,omitempty"`
+}
