--- /dev/null
+++ b/pkg/platform/platformtest/contract_test.go
@@ -0,0 +1,189 @@
+package platformtest_test
+
+import (
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
+)
+
+// service is the platform as one of its implementations shows it.
+type service struct {
+	store   *platformtest.Store // switches faults
+	table   platform.Table
+	objects platform.ObjectStore
+}
+
+// each runs a test on the fake itself and on the HTTP client with the handler,
+// so that the two cannot drift apart.
+func each(t *testing.T, test func(t *testing.T, s service)) {
+	t.Run("fake", func(t *testing.T) {
+		store := platformtest.New()
+		test(t, service{store, store, store.Objects()})
+	})
+	t.Run("http", func(t *testing.T) {
+		store := platformtest.New()
+		server := httptest.NewServer(platformtest.Handler(store))
+		t.Cleanup(server.Close)
+		client := platform.NewClient(server.URL, server.Client())
+		test(t, service{store, client, client.Objects()})
+	})
+}
+
+func put(key, value string, conditions ...platform.Condition) platform.Txn {
+	return platform.Txn{Conditions: conditions, Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
+}
+
+// Guards against a transaction that applies in part, and against a row version
+// that is reused after a delete, which would let a fenced writer back in.
+func TestTransactions(t *testing.T) {
+	each(t, func(t *testing.T, s service) {
+		ctx := t.Context()
+		must := func(err error) {
+			t.Helper()
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		must(s.table.Commit(ctx, put("a/b c/../1%", "one", platform.Condition{Key: "a/b c/../1%"})))
+		row, err := s.table.Get(ctx, "a/b c/../1%")
+		if err != nil || string(row.Value) != "one" || row.Version == 0 {
+			t.Fatalf("got %+v, %v", row, err)
+		}
+		half := platform.Txn{
+			Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}, {Key: "b", Version: 7}},
+			Writes:     []platform.Write{{Key: row.Key, Delete: true}, {Key: "b", Value: []byte("x")}},
+		}
+		if err := s.table.Commit(ctx, half); !errors.Is(err, platform.ErrConflict) {
+			t.Fatalf("got %v, want ErrConflict", err)
+		}
+		if again, err := s.table.Get(ctx, row.Key); err != nil || again.Version != row.Version {
+			t.Fatalf("a refused transaction changed the row: %+v, %v", again, err)
+		}
+		if _, err := s.table.Get(ctx, "b"); !errors.Is(err, platform.ErrNotFound) {
+			t.Fatalf("got %v, want ErrNotFound", err)
+		}
+		must(s.table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: row.Key, Delete: true}}}))
+		must(s.table.Commit(ctx, put(row.Key, "two", platform.Condition{Key: row.Key})))
+		if again, err := s.table.Get(ctx, row.Key); err != nil || again.Version <= row.Version {
+			t.Fatalf("version after delete is %+v, %v; want over %d", again, err, row.Version)
+		}
+	})
+}
+
+// Guards against pages that skip or repeat rows.
+func TestListPages(t *testing.T) {
+	each(t, func(t *testing.T, s service) {
+		ctx := t.Context()
+		for _, k := range []string{"m/3", "m/1", "n/1", "m/2", "m"} {
+			if err := s.table.Commit(ctx, put(k, k)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var got []string
+		after := ""
+		for range 5 {
+			rows, err := s.table.List(ctx, "m/", after, 2)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, r := range rows {
+				got, after = append(got, r.Key), r.Key
+			}
+			if len(rows) < 2 {
+				break
+			}
+		}
+		if len(got) != 3 || got[0] != "m/1" || got[1] != "m/2" || got[2] != "m/3" {
+			t.Fatalf("got %v", got)
+		}
+		if _, err := s.table.List(ctx, "m/", "", platform.MaxListLimit+1); err == nil {
+			t.Fatal("an unbounded list is accepted")
+		}
+	})
+}
+
+// Guards against a text that does not belong to the accepted head.
+func TestObjectsAreChecked(t *testing.T) {
+	each(t, func(t *testing.T, s service) {
+		ctx := t.Context()
+		text := []byte("route GET / to a b # x:")
+		hash := platform.Hash(text)
+		if err := s.objects.Put(ctx, hash, []byte("other")); err == nil {
+			t.Fatal("an object under a wrong name is accepted")
+		}
+		if _, err := s.objects.Get(ctx, hash); !errors.Is(err, platform.ErrNotFound) {
+			t.Fatalf("got %v, want ErrNotFound", err)
+		}
+		for range 2 {
+			if err := s.objects.Put(ctx, hash, text); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got, err := s.objects.Get(ctx, hash); err != nil || string(got) != string(text) {
+			t.Fatalf("got %q, %v", got, err)
+		}
+		s.store.Corrupt(hash, []byte("other"))
+		if _, err := s.objects.Get(ctx, hash); err == nil {
+			t.Fatal("a corrupt object is returned")
+		}
+	})
+}
+
+// Guards against a fault that shows as the wrong error: a caller that takes an
+// unknown outcome for a refusal would write twice.
+func TestFaults(t *testing.T) {
+	limited := func(err error) bool {
+		var e *platform.RateLimitedError
+		return errors.As(err, &e) && e.RetryAfter > 0 && e.RetryAfter <= time.Second
+	}
+	is := func(want error) func(error) bool { return func(err error) bool { return errors.Is(err, want) } }
+	ok := is(nil)
+	for _, c := range []struct {
+		name   string
+		faults platformtest.Faults
+		commit func(error) bool
+		read   func(error) bool // of the row, after the commit
+		value  string           // in the table once the faults end
+	}{
+		{"none", platformtest.Faults{}, ok, ok, "new"},
+		{"down", platformtest.Faults{Down: true}, is(platform.ErrUnavailable), is(platform.ErrUnavailable), "old"},
+		{"lost after the write", platformtest.Faults{LoseAfter: 1}, is(platform.ErrOutcomeUnknown), ok, "new"},
+		{"lost before the write", platformtest.Faults{LoseBefore: 1}, is(platform.ErrOutcomeUnknown), ok, "old"},
+		{"rate limit", platformtest.Faults{WritesPerSecond: 1, ReadsPerSecond: 1}, limited, ok, "old"},
+		{"slow", platformtest.Faults{DelayMS: 20}, ok, ok, "new"},
+		{"stale reads", platformtest.Faults{StaleReads: true}, ok, ok, "new"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			each(t, func(t *testing.T, s service) {
+				ctx := t.Context()
+				if err := s.table.Commit(ctx, put("k", "old")); err != nil {
+					t.Fatal(err)
+				}
+				s.store.SetFaults(c.faults)
+				if c.faults.WritesPerSecond > 0 {
+					if err := s.table.Commit(ctx, put("other", "x")); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if err := s.table.Commit(ctx, put("k", "new")); !c.commit(err) {
+					t.Errorf("commit: got %v", err)
+				}
+				row, err := s.table.Get(ctx, "k")
+				if !c.read(err) {
+					t.Errorf("read: got %v", err)
+				}
+				if c.faults.StaleReads && string(row.Value) != "old" {
+					t.Errorf("read: got %q, want the stale value", row.Value)
+				}
+				s.store.SetFaults(platformtest.Faults{})
+				if row, err := s.table.Get(ctx, "k"); err != nil || string(row.Value) != c.value {
+					t.Errorf("got %q, %v, want %q", row.Value, err, c.value)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/platform/platformtest/store.go
@@ -0,0 +1,208 @@
+// Package platformtest is an in-memory fake of the platform with faults that
+// can be switched, and an HTTP handler that speaks the platform's protocol.
+package platformtest
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+)
+
+// Store is the fake. It implements platform.Table; Objects returns its object
+// store. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	stale    map[string]platform.Row // what reads see while reads are stale
+	objects  map[string][]byte
+	sequence uint64 // last row version given out; never reused
+	faults   Faults
+	table    limits
+	object   limits
+	stats    Stats
+}
+
+var _ platform.Table = (*Store)(nil)
+
+// New returns an empty store without faults and with the default rate limits.
+func New() *Store {
+	s := &Store{
+		rows:    make(map[string]platform.Row),
+		objects: make(map[string][]byte),
+		stats:   newStats(),
+	}
+	s.SetFaults(Faults{})
+	return s
+}
+
+// Get returns a row.
+func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := s.beforeRead(ctx, &s.table, key); err != nil {
+		return platform.Row{}, fmt.Errorf("row %q: %w", key, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, ok := s.visible()[key]
+	if !ok {
+		return platform.Row{}, fmt.Errorf("row %q: %w", key, platform.ErrNotFound)
+	}
+	return copyRow(row), nil
+}
+
+// List returns rows in key order.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	if limit < 1 || limit > platform.MaxListLimit {
+		return nil, fmt.Errorf("rows %q: limit %d is not in 1 to %d", prefix, limit, platform.MaxListLimit)
+	}
+	if err := s.beforeRead(ctx, &s.table, prefix); err != nil {
+		return nil, fmt.Errorf("rows %q: %w", prefix, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	visible := s.visible()
+	var keys []string
+	for k := range visible {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	rows := make([]platform.Row, 0, min(limit, len(keys)))
+	for _, k := range keys[:min(limit, len(keys))] {
+		rows = append(rows, copyRow(visible[k]))
+	}
+	return rows, nil
+}
+
+// Commit applies a transaction whole or not at all.
+func (s *Store) Commit(ctx context.Context, txn platform.Txn) error {
+	keys := make([]string, len(txn.Writes))
+	for i, w := range txn.Writes {
+		keys[i] = w.Key
+	}
+	if len(keys) == 0 {
+		return fmt.Errorf("commit: the transaction has no writes")
+	}
+	err := s.write(ctx, &s.table, keys, func() error { return s.apply(txn) })
+	if err != nil {
+		return fmt.Errorf("commit %s: %w", strings.Join(keys, ","), err)
+	}
+	return nil
+}
+
+// apply runs under the lock.
+func (s *Store) apply(txn platform.Txn) error {
+	for _, c := range txn.Conditions {
+		if s.rows[c.Key].Version != c.Version {
+			return fmt.Errorf("row %q: %w", c.Key, platform.ErrConflict)
+		}
+	}
+	for _, w := range txn.Writes {
+		s.sequence++
+		if w.Delete {
+			delete(s.rows, w.Key)
+			continue
+		}
+		s.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.sequence}
+	}
+	return nil
+}
+
+// visible returns the rows that reads see.
+func (s *Store) visible() map[string]platform.Row {
+	if s.stale != nil {
+		return s.stale
+	}
+	return s.rows
+}
+
+func copyRow(r platform.Row) platform.Row {
+	r.Value = slices.Clone(r.Value)
+	return r
+}
+
+// Objects returns the object store of the fake.
+func (s *Store) Objects() platform.ObjectStore { return objectStore{s} }
+
+type objectStore struct{ s *Store }
+
+// objectPrefix is the key prefix under which objects are counted.
+const objectPrefix = "objects"
+
+// Put stores an object.
+func (o objectStore) Put(ctx context.Context, hash string, data []byte) error {
+	if err := platform.CheckObject(hash, data); err != nil {
+		return err
+	}
+	err := o.s.write(ctx, &o.s.object, []string{objectPrefix}, func() error {
+		o.s.objects[hash] = slices.Clone(data)
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("put object %s: %w", hash, err)
+	}
+	return nil
+}
+
+// Get returns an object whose content has been checked.
+func (o objectStore) Get(ctx context.Context, hash string) ([]byte, error) {
+	data, err := o.s.rawObject(ctx, hash)
+	if err != nil {
+		return nil, err
+	}
+	if err := platform.CheckObject(hash, data); err != nil {
+		return nil, err
+	}
+	return data, nil
+}
+
+// rawObject returns an object without a check, as the HTTP handler sends it.
+func (s *Store) rawObject(ctx context.Context, hash string) ([]byte, error) {
+	if err := s.beforeRead(ctx, &s.object, objectPrefix); err != nil {
+		return nil, fmt.Errorf("object %s: %w", hash, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[hash]
+	if !ok {
+		return nil, fmt.Errorf("object %s: %w", hash, platform.ErrNotFound)
+	}
+	return slices.Clone(data), nil
+}
+
+// Corrupt overwrites the content of an object without a change of its name.
+func (s *Store) Corrupt(hash string, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[hash] = slices.Clone(data)
+}
+
+// freeze makes reads see the rows as they are now, until thaw.
+func (s *Store) freeze() {
+	if s.stale == nil {
+		s.stale = maps.Clone(s.rows)
+	}
+}
+
+func (s *Store) thaw() { s.stale = nil }
+
+// wait sleeps for d or until the context ends.
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/snapshot/build.go
@@ -0,0 +1,103 @@
+package snapshot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// Build compiles a snapshot and checks it. The result depends only on the
+// content of the arguments, not on their order. It keeps rs, which must not be
+// changed afterwards. The error is a finding.List with all findings.
+func Build(head source.Head, rs []rules.Rule, hosts []membership.Host, vetoes []source.Veto, generation uint64, now time.Time) (*Snapshot, error) {
+	s := &Snapshot{
+		Version:    mesh.ConfigVersion{Revision: head.Revision},
+		Generation: generation,
+		Head:       head,
+		Rules:      rs,
+		Targets:    targets(rs, hosts),
+		Vetoed:     vetoed(rs, vetoes),
+		BuiltAt:    now,
+	}
+	s.Version.Epoch = uint64(len(s.Vetoed))
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// targets returns an entry for each service version that a rule names, with the
+// ready targets on hosts that are alive or suspect, in a fixed order.
+func targets(rs []rules.Rule, hosts []membership.Host) map[mesh.ServiceVersion][]Target {
+	m := make(map[mesh.ServiceVersion][]Target)
+	for i := range rs {
+		m[rs[i].Target()] = nil
+		if rs[i].IsMove() {
+			m[rs[i].Previous()] = nil
+		}
+	}
+	for i := range hosts {
+		addHost(m, &hosts[i])
+	}
+	for _, ts := range m {
+		slices.SortFunc(ts, func(a, b Target) int {
+			return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.ID, b.ID))
+		})
+	}
+	return m
+}
+
+func addHost(m map[mesh.ServiceVersion][]Target, h *membership.Host) {
+	if h.Status != membership.StatusAlive && h.Status != membership.StatusSuspect {
+		return
+	}
+	for _, t := range h.Targets {
+		sv := mesh.ServiceVersion{Service: t.Service, Version: t.Version}
+		ts, named := m[sv]
+		if !named || t.State != membership.TargetReady {
+			continue
+		}
+		m[sv] = append(ts, Target{
+			Target:      t,
+			Host:        h.ID,
+			DataCentre:  h.DataCentre,
+			CallAddress: h.CallAddress,
+			Suspect:     h.Status == membership.StatusSuspect,
+		})
+	}
+}
+
+// vetoed returns the veto of each move that was taken back. Of several that
+// cover a move, the one with the highest attempt counts, then the earliest.
+func vetoed(rs []rules.Rule, vetoes []source.Veto) map[mesh.MoveID]source.Veto {
+	best := make(map[mesh.ServiceVersion]source.Veto, len(vetoes))
+	for _, v := range vetoes {
+		sv := mesh.ServiceVersion{Service: v.Service, Version: v.Version}
+		if have, ok := best[sv]; !ok || outranks(&v, &have) {
+			best[sv] = v
+		}
+	}
+	m := make(map[mesh.MoveID]source.Veto)
+	for i := range rs {
+		r := &rs[i]
+		if v, ok := best[r.Target()]; ok && r.IsMove() && r.Attempt <= v.Attempt {
+			m[r.MoveID()] = v
+		}
+	}
+	return m
+}
+
+func outranks(v, w *source.Veto) bool {
+	return cmp.Or(
+		cmp.Compare(v.Attempt, w.Attempt),
+		w.At.Compare(v.At),
+		cmp.Compare(w.Host, v.Host),
+		cmp.Compare(w.Route, v.Route),
+		cmp.Compare(w.Evidence, v.Evidence),
+	) > 0
+}
--- /dev/null
+++ b/pkg/snapshot/check.go
@@ -0,0 +1,62 @@
+package snapshot
+
+import (
+	"fmt"
+
+	"nutmeghoist.example/nutmeghoist/pkg/finding"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+)
+
+// Check reports every inconsistency of the snapshot as a finding.List: a head
+// without revision or hash, a rule whose service version has no target entry,
+// a veto on a move that is not there, and an epoch that is not the number of
+// moves taken back.
+func (s *Snapshot) Check() error {
+	var l finding.List
+	add := func(line int, format string, args ...any) {
+		l.Add(finding.Finding{File: fmt.Sprintf("revision %d", s.Head.Revision), Line: line, Message: fmt.Sprintf(format, args...)})
+	}
+	if s.Head.Revision == 0 || s.Head.Hash == "" {
+		add(0, "the head has no revision or no hash")
+	}
+	if s.Version.Revision != s.Head.Revision {
+		add(0, "version %s is not of the head's revision", s.Version)
+	}
+	if s.Version.Epoch != uint64(len(s.Vetoed)) {
+		add(0, "epoch is %d, but %d moves are taken back", s.Version.Epoch, len(s.Vetoed))
+	}
+	moves := make(map[mesh.MoveID]bool)
+	for i := range s.Rules {
+		r := &s.Rules[i]
+		if r.IsMove() {
+			moves[r.MoveID()] = true
+		}
+		s.checkRule(r, add)
+	}
+	for id := range s.Vetoed {
+		if !moves[id] {
+			add(0, "move %s is taken back, but no rule has it", id)
+		}
+	}
+	return l.Err()
+}
+
+func (s *Snapshot) checkRule(r *rules.Rule, add func(int, string, ...any)) {
+	need := []mesh.ServiceVersion{r.Target()}
+	if r.IsMove() {
+		need = append(need, r.Previous())
+		if r.From == r.Version {
+			add(r.Line, "route %s moves from %s to itself", r.Route(), r.Target())
+		}
+	}
+	for _, sv := range need {
+		if sv.Service == "" || sv.Version == "" {
+			add(r.Line, "route %s names no service or no version", r.Route())
+			continue
+		}
+		if _, ok := s.Targets[sv]; !ok {
+			add(r.Line, "route %s needs %s, which has no target entry", r.Route(), sv)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/snapshot/holder.go
@@ -0,0 +1,81 @@
+package snapshot
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// OlderError says that a snapshot is not newer than the one in force, or that
+// it is below the floor.
+type OlderError struct {
+	Offered           mesh.ConfigVersion
+	OfferedGeneration uint64
+	InForce           mesh.ConfigVersion // zero when none is in force
+	Generation        uint64
+	Floor             mesh.ConfigVersion
+}
+
+func (e *OlderError) Error() string {
+	if e.Offered.Compare(e.Floor) < 0 {
+		return fmt.Sprintf("version %s is below the floor %s", e.Offered, e.Floor)
+	}
+	return fmt.Sprintf("version %s generation %d is not newer than version %s generation %d in force",
+		e.Offered, e.OfferedGeneration, e.InForce, e.Generation)
+}
+
+// Holder holds the snapshot in force. Load takes no lock. The zero value holds
+// none and is ready for use.
+type Holder struct {
+	current atomic.Pointer[Snapshot]
+
+	mu    sync.Mutex // serialises writers
+	floor mesh.ConfigVersion
+}
+
+// Load returns the snapshot in force, or nil before the first Swap.
+func (h *Holder) Load() *Snapshot { return h.current.Load() }
+
+// Swap puts a snapshot in force by one atomic store. It returns *OlderError
+// unless the version is newer, or equal with a higher generation, and at or
+// above the floor.
+func (h *Holder) Swap(s *Snapshot) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := &OlderError{Offered: s.Version, OfferedGeneration: s.Generation, Floor: h.floor}
+	cur := h.current.Load()
+	if cur != nil {
+		e.InForce, e.Generation = cur.Version, cur.Generation
+	}
+	if s.Version.Compare(h.floor) < 0 || cur != nil && !newer(s, cur) {
+		return e
+	}
+	h.current.Store(s)
+	return nil
+}
+
+// SetFloor raises the lowest version that Swap accepts. A lower floor than the
+// present one has no effect. The snapshot in force stays.
+func (h *Holder) SetFloor(v mesh.ConfigVersion) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if v.Compare(h.floor) > 0 {
+		h.floor = v
+	}
+}
+
+// Floor returns the lowest version that Swap accepts.
+func (h *Holder) Floor() mesh.ConfigVersion {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.floor
+}
+
+func newer(s, cur *Snapshot) bool {
+	if c := s.Version.Compare(cur.Version); c != 0 {
+		return c > 0
+	}
+	return s.Generation > cur.Generation
+}
