--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,259 @@
+// Package settings reads the node's settings from flags and environment
+// variables and checks them as a whole.
+package settings
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"nutmeghoist.example/nutmeghoist/pkg/finding"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// options are all strings, so that every wrong value is a finding; go-flags
+// would stop at the first value that it cannot convert.
+type options struct {
+	Host            string `long:"host" env:"NUTMEGHOIST_HOST" description:"name of this host, unique in the mesh"`
+	DataCentre      string `long:"data-centre" env:"NUTMEGHOIST_DATA_CENTRE" description:"data centre of this host"`
+	CallerAddress   string `long:"caller-address" env:"NUTMEGHOIST_CALLER_ADDRESS" default:"127.0.0.1:8080" description:"IP:port for callers (HTTP)"`
+	CallAddress     string `long:"call-address" env:"NUTMEGHOIST_CALL_ADDRESS" default:"127.0.0.1:8443" description:"IP:port for calls from other nodes (TCP, TLS 1.3)"`
+	PeerAddress     string `long:"peer-address" env:"NUTMEGHOIST_PEER_ADDRESS" default:"127.0.0.1:8444" description:"IP:port for control links (UDP, QUIC)"`
+	AnnounceAddress string `long:"announce-address" env:"NUTMEGHOIST_ANNOUNCE_ADDRESS" default:"127.0.0.1:8081" description:"loopback IP:port where local targets announce themselves (HTTP)"`
+	OperatorAddress string `long:"operator-address" env:"NUTMEGHOIST_OPERATOR_ADDRESS" default:"127.0.0.1:8082" description:"loopback IP:port for operators: status, metrics, readiness (HTTP)"`
+	AllowRemote     bool   `long:"allow-remote-admin" env:"NUTMEGHOIST_ALLOW_REMOTE_ADMIN" description:"allow announce and operator addresses that are not loopback; they carry no authentication"`
+	Platform        string `long:"platform" env:"NUTMEGHOIST_PLATFORM" default:"http://127.0.0.1:8500" description:"base URL of the platform's table and object store"`
+	Seeds           string `long:"seeds" env:"NUTMEGHOIST_SEEDS" description:"comma-separated peer addresses to join through while the platform is out"`
+	CAFile          string `long:"ca-file" env:"NUTMEGHOIST_CA_FILE" description:"PEM file with the mesh's CA certificate"`
+	CertFile        string `long:"cert-file" env:"NUTMEGHOIST_CERT_FILE" description:"PEM file with this host's certificate"`
+	KeyFile         string `long:"key-file" env:"NUTMEGHOIST_KEY_FILE" description:"PEM file with this host's private key"`
+	DrainTimeout    string `long:"drain-timeout" env:"NUTMEGHOIST_DRAIN_TIMEOUT" default:"65s" description:"longest time a planned stop waits for calls in flight; longer than the longest route timeout (60s)"`
+	LogLevel        string `long:"log-level" env:"NUTMEGHOIST_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+	MemoryLimit     string `long:"memory-limit-mb" env:"NUTMEGHOIST_MEMORY_LIMIT_MB" default:"256" description:"soft memory limit of the Go runtime in MB"`
+	CheckSettings   bool   `long:"check-settings" description:"check the settings and exit"`
+	Version         bool   `long:"version" description:"print the version and exit"`
+}
+
+// Settings are the checked settings of a node.
+type Settings struct {
+	Host            mesh.HostID
+	DataCentre      mesh.DataCentre
+	CallerAddress   netip.AddrPort
+	CallAddress     netip.AddrPort
+	PeerAddress     netip.AddrPort
+	AnnounceAddress netip.AddrPort
+	OperatorAddress netip.AddrPort
+	Platform        string
+	Seeds           []string
+	CAFile          string
+	CertFile        string
+	KeyFile         string
+	DrainTimeout    time.Duration
+	LogLevel        string
+	MemoryLimit     int64 // bytes
+
+	CheckOnly   bool // --check-settings
+	ShowVersion bool // --version
+}
+
+// ErrHelp means that the help text was asked for; the error's text is the help.
+var ErrHelp = errors.New("help")
+
+// HelpError carries the help text.
+type HelpError struct{ Text string }
+
+func (e *HelpError) Error() string { return e.Text }
+
+// Unwrap makes errors.Is(err, ErrHelp) hold.
+func (e *HelpError) Unwrap() error { return ErrHelp }
+
+// Parse reads the settings from the arguments and the environment. All wrong
+// settings are returned together as a finding.List.
+func Parse(args []string) (*Settings, error) {
+	var o options
+	p := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash|flags.IgnoreUnknown)
+	p.Name = "nutmeghoistd"
+	rest, err := p.ParseArgs(args)
+	if err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return nil, &HelpError{fe.Message}
+		}
+		return nil, finding.List{{Message: err.Error()}}
+	}
+	if o.Version {
+		return &Settings{ShowVersion: true}, nil
+	}
+	c := checker{}
+	for _, a := range rest {
+		c.add(a, "unknown argument", "see --help")
+	}
+	s := c.convert(&o)
+	if err := c.list.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+type checker struct{ list finding.List }
+
+// place names a setting in both of its forms.
+func place(name string) string {
+	return "--" + name + " (NUTMEGHOIST_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_")) + ")"
+}
+
+func (c *checker) add(where, message, suggestion string) {
+	c.list.Add(finding.Finding{File: where, Message: message, Suggestion: suggestion})
+}
+
+func (c *checker) convert(o *options) *Settings {
+	s := &Settings{
+		Host:            mesh.HostID(c.name("host", o.Host)),
+		DataCentre:      mesh.DataCentre(c.name("data-centre", o.DataCentre)),
+		CallerAddress:   c.address("caller-address", o.CallerAddress),
+		CallAddress:     c.address("call-address", o.CallAddress),
+		PeerAddress:     c.address("peer-address", o.PeerAddress),
+		AnnounceAddress: c.admin("announce-address", o.AnnounceAddress, o.AllowRemote),
+		OperatorAddress: c.admin("operator-address", o.OperatorAddress, o.AllowRemote),
+		Platform:        c.url("platform", o.Platform),
+		Seeds:           c.seeds(o.Seeds),
+		CAFile:          c.file("ca-file", o.CAFile),
+		CertFile:        c.file("cert-file", o.CertFile),
+		KeyFile:         c.file("key-file", o.KeyFile),
+		DrainTimeout:    c.duration("drain-timeout", o.DrainTimeout, time.Second, 10*time.Minute),
+		LogLevel:        c.level("log-level", o.LogLevel),
+		MemoryLimit:     c.megabytes("memory-limit-mb", o.MemoryLimit),
+		CheckOnly:       o.CheckSettings,
+	}
+	c.keyPair(s)
+	c.distinct(s)
+	return s
+}
+
+func (c *checker) name(setting, v string) string {
+	if v == "" {
+		c.add(place(setting), "is not set", "a name of letters, digits, '.', '-' and '_'")
+		return v
+	}
+	valid := func(r rune) bool {
+		return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune(".-_", r)
+	}
+	if len(v) > 63 || strings.ContainsFunc(v, func(r rune) bool { return !valid(r) }) {
+		c.add(place(setting), fmt.Sprintf("%q is not a valid name", v), "at most 63 letters, digits, '.', '-' and '_'")
+	}
+	return v
+}
+
+func (c *checker) address(setting, v string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		c.add(place(setting), fmt.Sprintf("%q is not an address", v), "IP:port, for example 127.0.0.1:8080")
+		return a
+	}
+	if a.Port() == 0 || a.Addr().IsUnspecified() {
+		c.add(place(setting), fmt.Sprintf("%q cannot be reached by others", v), "a concrete IP and a port above 0")
+	}
+	return a
+}
+
+// admin is an address without authentication: loopback unless allowed.
+func (c *checker) admin(setting, v string, remote bool) netip.AddrPort {
+	a := c.address(setting, v)
+	if a.IsValid() && !a.Addr().IsLoopback() && !remote {
+		c.add(place(setting), fmt.Sprintf("%q is not a loopback address and carries no authentication", v), "a 127.0.0.0/8 address, or set --allow-remote-admin")
+	}
+	return a
+}
+
+func (c *checker) url(setting, v string) string {
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		c.add(place(setting), fmt.Sprintf("%q is not a base URL", v), "http://IP:port")
+	}
+	return strings.TrimRight(v, "/")
+}
+
+func (c *checker) seeds(v string) []string {
+	var seeds []string
+	for _, s := range strings.Split(v, ",") {
+		if s = strings.TrimSpace(s); s != "" {
+			c.address("seeds", s)
+			seeds = append(seeds, s)
+		}
+	}
+	return seeds
+}
+
+func (c *checker) file(setting, v string) string {
+	if v == "" {
+		c.add(place(setting), "is not set", "a PEM file, see nutmeghoist-keys")
+		return v
+	}
+	if _, err := os.Stat(v); err != nil {
+		c.add(place(setting), err.Error(), "a readable PEM file, see nutmeghoist-keys")
+	}
+	return v
+}
+
+// keyPair reports a certificate that does not belong to the key at start
+// instead of at the first connection.
+func (c *checker) keyPair(s *Settings) {
+	if s.CertFile == "" || s.KeyFile == "" {
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile); err != nil && !os.IsNotExist(err) {
+		c.add(place("cert-file"), err.Error(), "the certificate of the key in "+s.KeyFile)
+	}
+}
+
+func (c *checker) duration(setting, v string, low, high time.Duration) time.Duration {
+	d, err := time.ParseDuration(v)
+	if err != nil || d < low || d > high {
+		c.add(place(setting), fmt.Sprintf("%q is not a duration in range", v), fmt.Sprintf("%s to %s, for example 30s", low, high))
+	}
+	return d
+}
+
+func (c *checker) level(setting, v string) string {
+	switch v {
+	case "debug", "info", "warn", "error":
+	default:
+		c.add(place(setting), fmt.Sprintf("%q is not a log level", v), "debug, info, warn or error")
+	}
+	return v
+}
+
+func (c *checker) megabytes(setting, v string) int64 {
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || n < 32 || n > 65536 {
+		c.add(place(setting), fmt.Sprintf("%q is not a size in range", v), "32 to 65536 (MB)")
+	}
+	return n << 20
+}
+
+// distinct reports two TCP listeners on one address; the UDP listener may share it.
+func (c *checker) distinct(s *Settings) {
+	seen := map[netip.AddrPort]string{}
+	for _, l := range []struct {
+		setting string
+		addr    netip.AddrPort
+	}{
+		{"caller-address", s.CallerAddress},
+		{"call-address", s.CallAddress},
+		{"announce-address", s.AnnounceAddress},
+		{"operator-address", s.OperatorAddress},
+	} {
+		if other, ok := seen[l.addr]; ok && l.addr.IsValid() {
+			c.add(place(l.setting), fmt.Sprintf("%s is also used by --%s", l.addr, other), "an address of its own")
+		}
+		seen[l.addr] = l.setting
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"nutmeghoist.example/nutmeghoist/pkg/finding"
+)
+
+func pemFiles(t *testing.T) []string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "x.pem")
+	if err := os.WriteFile(path, []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return []string{"--ca-file", path, "--cert-file", path}
+}
+
+// Guards against settings that are reported one at a time, so that an operator
+// needs as many starts as there are faults.
+func TestParseReportsAllWrongSettings(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		want int
+	}{
+		{"nothing set", nil, 5}, // host, data centre, three files
+		{"wrong values", append(pemFiles(t), "--host", "a b", "--data-centre", "north", "--key-file", "/nonexistent",
+			"--caller-address", "localhost:80", "--drain-timeout", "soon", "--log-level", "loud", "--platform", "platform"), 6},
+		{"remote admin", append(pemFiles(t), "--host", "h1", "--data-centre", "north", "--key-file", "/nonexistent",
+			"--operator-address", "10.0.0.1:8082"), 2},
+		{"unknown flag", append(pemFiles(t), "--host", "h1", "--data-centre", "north", "--key-file", "/nonexistent", "--colour"), 2},
+		{"shared address", append(pemFiles(t), "--host", "h1", "--data-centre", "north", "--key-file", "/nonexistent",
+			"--caller-address", "127.0.0.1:8443"), 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse(tt.args)
+			var l finding.List
+			if !errors.As(err, &l) || len(l) != tt.want {
+				t.Fatalf("got %d findings, want %d:\n%v", len(l), tt.want, err)
+			}
+		})
+	}
+}
+
+// Guards against a setting that can be given in one form only.
+func TestParseReadsEnvironment(t *testing.T) {
+	t.Setenv("NUTMEGHOIST_HOST", "not a name")
+	_, err := Parse(nil)
+	var l finding.List
+	if !errors.As(err, &l) || l[0].Message != `"not a name" is not a valid name` {
+		t.Fatalf("got %v", err)
+	}
+}
