--- a/pkg/platform/platformtest/faults.go
+++ b/pkg/platform/platformtest/faults.go
@@ -1,6 +1,7 @@
 package platformtest
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -20,7 +21,7 @@
 )
 
 // Faults are the faults of the platform. The zero value is a platform without
-// faults and with the default rate limits.
+// faults and with the store's own rate limits.
 type Faults struct {
 	Down            bool   `json:"down"`              // every request is refused
 	DelayMS         int64  `json:"delay_ms"`          // time each request takes, in milliseconds
@@ -28,8 +29,8 @@
 	LoseBefore      int    `json:"lose_before"`       // so many writes are lost on their way; -1 means all
 	LosePrefix      string `json:"lose_prefix"`       // only writes of keys with this prefix are lost; objects have the key "objects"
 	StaleReads      bool   `json:"stale_reads"`       // reads of the table see the rows as when this was switched on
-	WritesPerSecond int    `json:"writes_per_second"` // 0 means the default, -1 no limit
-	ReadsPerSecond  int    `json:"reads_per_second"`  // 0 means the default, -1 no limit
+	WritesPerSecond int    `json:"writes_per_second"` // 0 means the store's own rate, -1 no limit
+	ReadsPerSecond  int    `json:"reads_per_second"`  // 0 means the store's own rate, -1 no limit
 }
 
 // Stats counts requests that passed the faults and the rate limits. A
@@ -63,16 +64,11 @@
 // limits are the rate limiters of one service.
 type limits struct{ writes, reads *rate.Limiter }
 
-func newLimits(f Faults) limits {
-	return limits{newLimiter(f.WritesPerSecond, DefaultWritesPerSecond), newLimiter(f.ReadsPerSecond, DefaultReadsPerSecond)}
-}
+func newLimits(writes, reads int) limits { return limits{newLimiter(writes), newLimiter(reads)} }
 
-func newLimiter(perSecond, byDefault int) *rate.Limiter {
-	switch {
-	case perSecond < 0:
+func newLimiter(perSecond int) *rate.Limiter {
+	if perSecond < 0 {
 		return rate.NewLimiter(rate.Inf, 0)
-	case perSecond == 0:
-		perSecond = byDefault
 	}
 	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
 }
@@ -98,7 +94,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.table.reads == nil || f.ReadsPerSecond != s.faults.ReadsPerSecond || f.WritesPerSecond != s.faults.WritesPerSecond {
-		s.table, s.object = newLimits(f), newLimits(f)
+		w, r := cmp.Or(f.WritesPerSecond, s.writesPerSecond), cmp.Or(f.ReadsPerSecond, s.readsPerSecond)
+		s.table, s.object = newLimits(w, r), newLimits(w, r)
 	}
 	s.faults = f
 	if f.StaleReads {
--- a/pkg/platform/platformtest/store.go
+++ b/pkg/platform/platformtest/store.go
@@ -26,13 +26,19 @@
 	table    limits
 	object   limits
 	stats    Stats
+
+	writesPerSecond, readsPerSecond int // own rates; -1 means no limit
 }
 
 var _ platform.Table = (*Store)(nil)
 
 // New returns an empty store without faults and with the default rate limits.
-func New() *Store {
+func New() *Store { return NewWithRates(DefaultWritesPerSecond, DefaultReadsPerSecond) }
+
+// NewWithRates is New with other rate limits; -1 means no limit.
+func NewWithRates(writesPerSecond, readsPerSecond int) *Store {
 	s := &Store{
+		writesPerSecond: writesPerSecond, readsPerSecond: readsPerSecond,
 		rows:    make(map[string]platform.Row),
 		objects: make(map[string][]byte),
 		stats:   newStats(),
