Test the platform client's verdicts

Covers each answer that a commit and a read can get, default and given deadlines, and that no commit is sent twice on a broken idle connection or after a redirect.

--- /dev/null
+++ b/pkg/platform/client_test.go
@@ -0,0 +1,197 @@
+package platform_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+)
+
+var txn = platform.Txn{Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
+
+// Guards against an answer that is judged wrongly: "not written" must be true
+// whenever the client says so, and a bad answer must not pass as data.
+func TestAnswers(t *testing.T) {
+	status := func(code int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+	}
+	other := errors.New("any other error")
+	for _, c := range []struct {
+		name         string
+		handler      http.HandlerFunc
+		commit, read error
+	}{
+		{"bad request", status(http.StatusBadRequest), other, other},
+		{"not found", status(http.StatusNotFound), other, platform.ErrNotFound},
+		{"conflict", status(http.StatusConflict), platform.ErrConflict, other},
+		{"internal error", status(http.StatusInternalServerError), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
+		{"bad gateway", status(http.StatusBadGateway), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
+		{"down", status(http.StatusServiceUnavailable), platform.ErrUnavailable, platform.ErrUnavailable},
+		{"connection broken", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
+		{"no answer", func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // the context ends only after the body was read
+			<-r.Context().Done()
+		}, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
+		{"not JSON", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "<html>") }, nil, other},
+		{"another row", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"key":"x","version":1}`) }, nil, other},
+		{"too large", func(w http.ResponseWriter, _ *http.Request) {
+			chunk := strings.Repeat(" ", 1<<20)
+			for range 17 {
+				fmt.Fprint(w, chunk)
+			}
+		}, nil, other},
+		{"cut short", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			fmt.Fprint(w, `{"key":"k"`)
+		}, nil, platform.ErrUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			client := platform.NewClient(server.URL, nil)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if c.name == "no answer" {
+				ctx, cancel = context.WithTimeout(ctx, 50*time.Millisecond)
+				defer cancel()
+			}
+			check := func(what string, err, want error) {
+				t.Helper()
+				typed := false
+				for _, e := range []error{platform.ErrNotFound, platform.ErrConflict, platform.ErrUnavailable, platform.ErrOutcomeUnknown} {
+					typed = typed || errors.Is(err, e)
+				}
+				if want == other && (err == nil || typed) || want != other && !errors.Is(err, want) {
+					t.Errorf("%s: got %v, want %v", what, err, want)
+				}
+			}
+			check("commit", client.Commit(ctx, txn), c.commit)
+			_, err := client.Get(ctx, "k")
+			check("read", err, c.read)
+		})
+	}
+}
+
+// Guards against a commit that is written twice: the transport repeats some
+// requests on a broken idle connection, and a redirect repeats the body.
+func TestCommitIsSentOnce(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	var arrived atomic.Int32
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					if arrived.Add(1) > 1 {
+						return // breaks a connection that has been used before
+					}
+					fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	client := platform.NewClient("http://"+listener.Addr().String(), nil)
+	// The first request leaves an idle connection for the commit to use.
+	if _, err := client.Get(t.Context(), "k"); err == nil {
+		t.Fatal("an empty answer passes as a row")
+	}
+	if err := client.Commit(t.Context(), txn); !errors.Is(err, platform.ErrOutcomeUnknown) {
+		t.Fatalf("got %v, want ErrOutcomeUnknown", err)
+	}
+	if n := arrived.Load(); n != 2 {
+		t.Fatalf("%d requests arrived, want 2", n)
+	}
+
+	var followed atomic.Int32
+	redirect := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		followed.Add(1)
+		http.Redirect(w, r, "/table/commit?again", http.StatusTemporaryRedirect)
+	}))
+	defer redirect.Close()
+	if err := platform.NewClient(redirect.URL, redirect.Client()).Commit(t.Context(), txn); err == nil || followed.Load() != 1 {
+		t.Fatalf("got %v after %d requests, want an error after 1", err, followed.Load())
+	}
+}
+
+// Guards against an outage that shows as an unknown outcome, which would make
+// every caller read back from a platform that is not there.
+func TestRefusedConnectionIsUnavailable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	client := platform.NewClient("http://"+listener.Addr().String(), nil)
+	if err := client.Commit(t.Context(), txn); !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown) {
+		t.Fatalf("got %v, want ErrUnavailable", err)
+	}
+}
+
+type silent struct{}
+
+func (silent) RoundTrip(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// Guards against a request without a deadline that waits for ever, and against
+// a default timeout that overrides the caller's deadline.
+func TestTimeouts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := platform.NewClient("http://platform", &http.Client{Transport: silent{}})
+		for _, c := range []struct{ deadline, want time.Duration }{
+			{0, platform.DefaultTimeout}, {time.Second, time.Second}, {5 * time.Second, 5 * time.Second},
+		} {
+			ctx, cancel := t.Context(), context.CancelFunc(func() {})
+			if c.deadline > 0 {
+				ctx, cancel = context.WithTimeout(ctx, c.deadline)
+			}
+			start := time.Now()
+			if _, err := client.Get(ctx, "k"); !errors.Is(err, platform.ErrUnavailable) || !errors.Is(err, context.DeadlineExceeded) {
+				t.Errorf("got %v", err)
+			}
+			if took := time.Since(start); took != c.want {
+				t.Errorf("deadline %s: took %s, want %s", c.deadline, took, c.want)
+			}
+			cancel()
+		}
+	})
+}
+
+// Guards against a Retry-After that makes callers wait too short or too long.
+func TestRetryAfter(t *testing.T) {
+	for value, want := range map[string]time.Duration{"3": 3 * time.Second, "": time.Second, "-1": time.Second, "soon": time.Second, "99999999": time.Second} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", value)
+			w.WriteHeader(http.StatusTooManyRequests)
+		}))
+		var limited *platform.RateLimitedError
+		if err := platform.NewClient(server.URL, nil).Commit(t.Context(), txn); !errors.As(err, &limited) || limited.RetryAfter != want {
+			t.Errorf("Retry-After %q: got %v, want %s", value, err, want)
+		}
+		server.Close()
+	}
+}
