--- a/pkg/lease/acquire.go
+++ b/pkg/lease/acquire.go
@@ -40,7 +40,6 @@
 // step reads the row and, when the lease can be taken, tries to take it.
 // Otherwise it returns how long to wait for the next step.
 func (a *acquirer) step(ctx context.Context) (Grant, time.Duration, error) {
-	asked := time.Now()
 	r, version, err := read(ctx, a.table, a.grant.Key)
 	if err != nil {
 		return Grant{}, 0, err
@@ -49,7 +48,7 @@
 		return a.grant, 0, nil
 	}
 	own := r.Token == a.grant.Token // adopted too late to be of use
-	if version > 0 && !own && !a.lapsed(version, asked, time.Duration(r.TTLMS)*time.Millisecond) {
+	if version > 0 && !own && !a.lapsed(version, time.Duration(r.TTLMS)*time.Millisecond) {
 		return Grant{}, a.pause(), nil
 	}
 	// Read next: the row that was written, or the one that won.
@@ -60,15 +59,15 @@
 	return Grant{}, 0, err
 }
 
-// lapsed reports whether the row has been at this version for its whole ttl.
-// Time counts from the answer that first showed the version to the request
-// that last did.
-func (a *acquirer) lapsed(version uint64, asked time.Time, ttl time.Duration) bool {
+// lapsed reports whether the row has been at this version for its whole ttl,
+// counted from the answer that first showed the version. Whether it still is
+// when the lease is taken is for the commit's condition to say.
+func (a *acquirer) lapsed(version uint64, ttl time.Duration) bool {
 	if version != a.version {
 		a.version, a.since = version, time.Now()
 		a.lapse = a.since.Add(max(ttl, MinTTL))
 	}
-	return !asked.Before(a.lapse)
+	return !time.Now().Before(a.lapse)
 }
 
 // pause is the time to the next read of a row that is held.
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,251 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"nutmeghoist.example/nutmeghoist/pkg/lease"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
+)
+
+const (
+	key = "lease/reporter"
+	ttl = 3 * time.Second
+)
+
+// paused is a table on which a holder stands still after a commit.
+type paused struct {
+	platform.Table
+	after time.Duration
+}
+
+func (p *paused) Commit(ctx context.Context, txn platform.Txn) error {
+	err := p.Table.Commit(ctx, txn)
+	time.Sleep(p.after)
+	return err
+}
+
+func acquire(t *testing.T, table platform.Table, holder string) lease.Grant {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	g, err := lease.Acquire(ctx, table, key, holder, ttl)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// write commits what only the holder of the lease may commit.
+func write(t *testing.T, table platform.Table, g lease.Grant) error {
+	return table.Commit(t.Context(), platform.Txn{
+		Conditions: []platform.Condition{g.Condition()},
+		Writes:     []platform.Write{{Key: "report/x", Value: []byte(g.Holder)}},
+	})
+}
+
+// Guards against two writers: a holder that was paused past its lease wakes up
+// and goes on to write.
+func TestPausedHolderIsFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		a := acquire(t, store, "a")
+		if err := write(t, store, a); err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		b := acquire(t, store, "b") // while a is paused
+		if waited := time.Since(start); waited < ttl || waited > ttl+ttl/2 {
+			t.Errorf("b waited %s, want a little over %s", waited, ttl)
+		}
+		if a.Valid() {
+			t.Error("a still counts on its grant")
+		}
+		if err := write(t, store, a); !errors.Is(err, platform.ErrConflict) {
+			t.Errorf("write of a: got %v, want ErrConflict", err)
+		}
+		if _, err := lease.Renew(t.Context(), store, a); !errors.Is(err, lease.ErrLost) {
+			t.Errorf("renewal of a: got %v, want ErrLost", err)
+		}
+		if err := lease.Release(t.Context(), store, a); err != nil {
+			t.Errorf("release of a: %v", err)
+		}
+		if err := write(t, store, b); err != nil {
+			t.Errorf("write of b after the release of a: %v", err)
+		}
+	})
+}
+
+// Guards against a lease that nobody holds although its row was written, and
+// against an epoch that does not fence: both follow from a lost answer.
+func TestLostAnswers(t *testing.T) {
+	for name, faults := range map[string]platformtest.Faults{
+		"after the write":  {LoseAfter: 1},
+		"before the write": {LoseBefore: 2},
+		"both":             {LoseBefore: 1, LoseAfter: 1},
+		"stale reads":      {StaleReads: true, LoseAfter: 1},
+		"rate limit":       {WritesPerSecond: 1, ReadsPerSecond: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformtest.New()
+				heal := func(f platformtest.Faults) {
+					store.SetFaults(f)
+					time.AfterFunc(ttl/6, func() { store.SetFaults(platformtest.Faults{}) })
+				}
+				heal(faults)
+				g := acquire(t, store, "a")
+				time.Sleep(ttl / 5) // after the faults end
+				if err := write(t, store, g); err != nil {
+					t.Fatalf("write after acquire: %v", err)
+				}
+				heal(faults)
+				next, err := lease.Renew(t.Context(), store, g)
+				if err != nil {
+					time.Sleep(ttl / 5) // after the faults end
+					next, err = lease.Renew(t.Context(), store, g)
+				}
+				if err != nil || next.Epoch <= g.Epoch {
+					t.Fatalf("renewal of epoch %d: got %d, %v", g.Epoch, next.Epoch, err)
+				}
+				time.Sleep(ttl / 5) // after the faults end
+				if err := write(t, store, next); err != nil {
+					t.Fatalf("write after renewal: %v", err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a waiter that takes a lease which another waiter has just
+// taken: both see the same row lapse at the same time.
+func TestTwoWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		acquire(t, store, "a") // and stops
+		grants := make(chan lease.Grant, 2)
+		for _, holder := range []string{"b", "c"} {
+			go func() { grants <- acquire(t, store, holder) }()
+		}
+		first := <-grants
+		time.Sleep(ttl / 2)
+		if len(grants) != 0 {
+			t.Fatal("both waiters hold the lease")
+		}
+		if err := lease.Release(t.Context(), store, first); err != nil {
+			t.Fatal(err)
+		}
+		released := time.Now()
+		second := <-grants
+		if second.Holder == first.Holder || second.Epoch <= first.Epoch {
+			t.Fatalf("got %+v after %+v", second, first)
+		}
+		if waited := time.Since(released); waited > ttl/2 {
+			t.Errorf("the second waiter took %s after the release", waited)
+		}
+	})
+}
+
+// Guards against a holder that settles a lost answer after its lease has
+// passed on, and then takes the new holder's row for its own.
+func TestPauseWithLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		a := acquire(t, store, "a")
+		store.SetFaults(platformtest.Faults{LoseAfter: 1})
+		renewal := make(chan error, 1)
+		go func() {
+			_, err := lease.Renew(t.Context(), &paused{store, 3 * ttl}, a)
+			renewal <- err
+		}()
+		synctest.Wait() // the renewal has taken effect and its answer is lost
+		b := acquire(t, store, "b")
+		if err := <-renewal; !errors.Is(err, lease.ErrLost) {
+			t.Errorf("renewal of a: got %v, want ErrLost", err)
+		}
+		if err := write(t, store, a); !errors.Is(err, platform.ErrConflict) {
+			t.Errorf("write of a: got %v, want ErrConflict", err)
+		}
+		if b, err := lease.Renew(t.Context(), store, b); err == nil || b.Valid() {
+			t.Errorf("b was idle for longer than its ttl and still holds %+v, %v", b, err)
+		}
+	})
+}
+
+// Guards against a commit that takes effect after its sender gave up: the end
+// of the grant must count from the commit that the row names.
+func TestLateCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		a := acquire(t, store, "a")
+		store.SetFaults(platformtest.Faults{DelayMS: 500})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if _, err := lease.Renew(ctx, store, a); err == nil || errors.Is(err, lease.ErrLost) {
+			t.Fatalf("got %v, want an unsettled renewal", err)
+		}
+		time.Sleep(time.Second)
+		store.SetFaults(platformtest.Faults{})
+		sent := time.Now()
+		next, err := lease.Renew(t.Context(), store, a)
+		if err != nil || next.Until.Before(sent.Add(ttl)) {
+			t.Fatalf("got %+v, %v; want a grant until %s", next, err, sent.Add(ttl))
+		}
+		if err := write(t, store, next); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against two holders at one time under any mix of faults and pauses.
+func TestAtMostOneHolder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) platformtest.Faults {
+			return platformtest.Faults{
+				Down:       rapid.IntRange(0, 4).Draw(t, "down") == 0,
+				DelayMS:    rapid.SampledFrom([]int64{0, 0, 5, 400, 2500}).Draw(t, "delay"),
+				LoseAfter:  rapid.IntRange(0, 3).Draw(t, "lose after"),
+				LoseBefore: rapid.IntRange(0, 2).Draw(t, "lose before"),
+				StaleReads: rapid.IntRange(0, 3).Draw(t, "stale") == 0,
+			}
+		}), 12, 12).Draw(rt, "faults")
+		pauses := rapid.SliceOfN(rapid.Int64Range(0, int64(2*ttl)), 16, 16).Draw(rt, "pauses")
+		var err error
+		synctest.Test(t, func(t *testing.T) { err = contend(t, faults, pauses) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// contend runs three holders against faults that change every second and
+// returns an error when two grants are valid at the same time.
+func contend(t *testing.T, faults []platformtest.Faults, pauses []int64) error {
+	store := platformtest.New()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Duration(len(faults))*time.Second)
+	defer cancel()
+	m := &monitor{grants: make(map[int]lease.Grant)}
+	done := make(chan struct{})
+	for id := range 3 {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for n := id; ctx.Err() == nil; n++ {
+				m.hold(ctx, store, id, func() time.Duration { n++; return time.Duration(pauses[n%len(pauses)]) })
+			}
+		}()
+	}
+	for _, f := range faults {
+		store.SetFaults(f)
+		time.Sleep(time.Second)
+	}
+	for range 3 {
+		<-done
+	}
+	return m.err
+}
--- a/pkg/lease/writer.go
+++ b/pkg/lease/writer.go
@@ -35,7 +35,7 @@
 	maps.DeleteFunc(w.sent, func(_ string, sent time.Time) bool { return now.Sub(sent) > w.grant.TTL })
 	w.sent[nonce] = now
 	value, err := json.Marshal(row{
-		Holder: w.grant.Holder, Token: w.grant.Token, Nonce: nonce, TTLMS: w.grant.TTL.Milliseconds(),
+		Holder: w.grant.Holder, Token: w.grant.Token, Nonce: nonce, TTLMS: ceilMilliseconds(w.grant.TTL),
 	})
 	if err != nil {
 		return err
@@ -49,7 +49,7 @@
 // adopt makes the grant that of a row written by this writer.
 func (w *writer) adopt(r row, version uint64) bool {
 	sent, ok := w.sent[r.Nonce]
-	if !ok || r.Token != w.grant.Token {
+	if !ok {
 		return false
 	}
 	w.grant.Epoch, w.grant.Until = version, sent.Add(w.grant.TTL)
@@ -99,3 +99,9 @@
 	// The row is still the one before, or an earlier renewal took effect late.
 	return version, false, fmt.Errorf("%w: renewal is not in the row", platform.ErrOutcomeUnknown)
 }
+
+// ceilMilliseconds rounds up, so that waiters wait no shorter than the holder
+// counts on.
+func ceilMilliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
