--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -19,10 +19,16 @@
 	ttl = 3 * time.Second
 )
 
-// paused is a table on which a holder stands still after a commit.
+// paused is a table on which a holder stands still after a commit or before
+// the answer of a read.
 type paused struct {
 	platform.Table
-	after time.Duration
+	after, read time.Duration
+}
+
+func (p *paused) Get(ctx context.Context, key string) (platform.Row, error) {
+	time.Sleep(p.read)
+	return p.Table.Get(ctx, key)
 }
 
 func (p *paused) Commit(ctx context.Context, txn platform.Txn) error {
@@ -161,7 +167,7 @@
 		store.SetFaults(platformtest.Faults{LoseAfter: 1})
 		renewal := make(chan error, 1)
 		go func() {
-			_, err := lease.Renew(t.Context(), &paused{store, 3 * ttl}, a)
+			_, err := lease.Renew(t.Context(), &paused{Table: store, after: 3 * ttl}, a)
 			renewal <- err
 		}()
 		synctest.Wait() // the renewal has taken effect and its answer is lost
@@ -178,6 +184,21 @@
 	})
 }
 
+// Guards against two holders at one time when a holder reads late that its
+// commit took effect: a waiter has counted from the commit meanwhile.
+func TestEndCountsFromCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		slow := make(chan lease.Grant, 1)
+		go func() { slow <- acquire(t, &paused{Table: store, read: ttl * 2 / 3}, "a") }()
+		time.Sleep(ttl) // a has committed and now reads
+		b := acquire(t, store, "b")
+		if a := <-slow; a.Valid() && b.Valid() {
+			t.Errorf("%+v and %+v are valid together", a, b)
+		}
+	})
+}
+
 // Guards against a commit that takes effect after its sender gave up: the end
 // of the grant must count from the commit that the row names.
 func TestLateCommit(t *testing.T) {
