--- a/pkg/source/accept.go
+++ b/pkg/source/accept.go
@@ -132,7 +132,13 @@
 // settle finds out who wrote the revision after the base. The history row is
 // written with its head and never again, so it decides.
 func (a *accept) settle(ctx context.Context, current Head) (Head, error) {
-	winner, _, err := a.readHead(ctx, revisionKey(a.head.Revision))
+	var winner Head
+	// Retried by itself: under a rate limit, the read of the head before it
+	// would use up the rate each time.
+	err := a.retry(ctx, func() (err error) {
+		winner, _, err = a.readHead(ctx, revisionKey(a.head.Revision))
+		return err
+	})
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		return Head{}, fmt.Errorf("revision %d: %w", a.head.Revision, errUnsettled)
--- a/pkg/source/report.go
+++ b/pkg/source/report.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 
+	"github.com/google/uuid"
+
 	"nutmeghoist.example/nutmeghoist/pkg/lease"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
@@ -14,12 +16,12 @@
 // ErrAlreadyReported means that the report exists.
 var ErrAlreadyReported = errors.New("already reported")
 
-// reportRow is a report together with the grant it was written under, which
-// settles a lost answer.
+// reportRow is a report together with the epoch of the lease it was written
+// under and a random nonce of the call, which settles a lost answer.
 type reportRow struct {
 	Report
-	GrantToken string `json:"grant_token"`
-	GrantEpoch uint64 `json:"grant_epoch"`
+	Epoch uint64 `json:"epoch"`
+	Nonce string `json:"nonce"`
 }
 
 // Reports returns all reports. With an error that names undecodable rows it
@@ -38,6 +40,10 @@
 // It returns ErrAlreadyReported when every row exists and lease.ErrLost when
 // the grant no longer holds.
 func (s *Source) PutReport(ctx context.Context, holder lease.Grant, r Report) error {
+	if holder.Epoch == 0 {
+		// The condition of a zero grant would hold, since its row is absent.
+		return fmt.Errorf("report of move %s: %w", r.Move, lease.ErrLost)
+	}
 	if r.Kind != ReportWaiting {
 		return s.putReport(ctx, holder, key(reportPrefix, string(r.Move), string(r.Kind)), r)
 	}
@@ -61,20 +67,19 @@
 }
 
 func (s *Source) putReport(ctx context.Context, holder lease.Grant, k string, r Report) error {
-	value, err := json.Marshal(reportRow{Report: r, GrantToken: holder.Token, GrantEpoch: holder.Epoch})
+	nonce := uuid.NewString()
+	value, err := json.Marshal(reportRow{Report: r, Epoch: holder.Epoch, Nonce: nonce})
 	if err != nil {
 		return fmt.Errorf("%s: %w", k, err)
 	}
-	unknown := false
 	err = s.retry(ctx, func() error {
 		err := s.table.Commit(ctx, platform.Txn{
 			Conditions: []platform.Condition{holder.Condition(), {Key: k}},
 			Writes:     []platform.Write{{Key: k, Value: value}},
 		})
 		if errors.Is(err, platform.ErrConflict) {
-			return s.whyRefused(ctx, holder, k, unknown)
+			return s.whyRefused(ctx, k, nonce)
 		}
-		unknown = unknown || errors.Is(err, platform.ErrOutcomeUnknown)
 		return err
 	})
 	if err != nil {
@@ -83,9 +88,9 @@
 	return nil
 }
 
-// whyRefused tells a report that exists from a lease that was lost. After a
-// commit with an unknown outcome, a row of this grant is that commit's.
-func (s *Source) whyRefused(ctx context.Context, holder lease.Grant, k string, unknown bool) error {
+// whyRefused tells a report that exists from a lease that was lost. A row with
+// this call's nonce was written by an earlier attempt whose answer was lost.
+func (s *Source) whyRefused(ctx context.Context, k, nonce string) error {
 	row, err := s.table.Get(ctx, k)
 	if errors.Is(err, platform.ErrNotFound) {
 		return lease.ErrLost
@@ -95,9 +100,9 @@
 	}
 	var have reportRow
 	if err := json.Unmarshal(row.Value, &have); err != nil {
-		return err
+		return fmt.Errorf("decode %s: %w", k, err)
 	}
-	if unknown && have.GrantToken == holder.Token && have.GrantEpoch == holder.Epoch {
+	if have.Nonce == nonce {
 		return nil
 	}
 	return ErrAlreadyReported
