--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -131,8 +131,12 @@
 		http.Redirect(w, r, "/table/commit?again", http.StatusTemporaryRedirect)
 	}))
 	defer redirect.Close()
-	if err := platform.NewClient(redirect.URL, redirect.Client()).Commit(t.Context(), txn); err == nil || followed.Load() != 1 {
-		t.Fatalf("got %v after %d requests, want an error after 1", err, followed.Load())
+	client = platform.NewClient(redirect.URL, redirect.Client())
+	if err := client.Commit(t.Context(), txn); err == nil || followed.Load() != 1 {
+		t.Fatalf("commit: got %v after %d requests, want an error after 1", err, followed.Load())
+	}
+	if _, err := client.Get(t.Context(), "k"); err == nil || followed.Load() != 2 {
+		t.Fatalf("read: got %v after %d requests, want an error after 2", err, followed.Load())
 	}
 }
 
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -170,7 +170,8 @@
 				continue
 			}
 			s, before := &Snapshot{Version: v, Generation: rapid.Uint64Range(0, 2).Draw(t, "generation")}, h.Load()
-			want := v.Compare(floor) >= 0 && (before == nil || newer(s, before))
+			want := v.Compare(floor) >= 0 && (before == nil || v.Compare(before.Version) > 0 ||
+				v == before.Version && s.Generation > before.Generation)
 			if err := h.Swap(s); (err == nil) != want {
 				t.Fatalf("swap to %s above floor %s from %+v: %v", v, floor, before, err)
 			}
--- a/pkg/source/contend_test.go
+++ b/pkg/source/contend_test.go
@@ -183,23 +183,50 @@
 	}
 }
 
-// Guards against a commit of an earlier attempt that takes effect late, after
-// the platform was read back without it.
+// Guards against a verdict that is given up while an outage follows a lost
+// answer, and against a false one when the outage lasts.
 func TestOutageAfterLostAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		outage time.Duration
+		want   error
+	}{{"short", 500 * time.Millisecond, nil}, {"long", time.Hour, platform.ErrOutcomeUnknown}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformtest.New()
+				base := accept(t, source.New(store, store.Objects()), submission(source.Head{}, "base"))
+				table := &faultyTable{Table: store, beforeCommit: func(int) {
+					time.AfterFunc(time.Nanosecond, func() { store.SetFaults(platformtest.Faults{Down: true}) })
+					time.AfterFunc(c.outage, func() { store.SetFaults(platformtest.Faults{}) })
+				}}
+				store.SetFaults(platformtest.Faults{LoseAfter: 1, LosePrefix: "config/"})
+				s := source.New(table, store.Objects())
+				if _, err := s.Accept(t.Context(), submission(base, "mine")); !errors.Is(err, c.want) {
+					t.Fatalf("got %v, want %v", err, c.want)
+				}
+				store.SetFaults(platformtest.Faults{})
+				if h := accept(t, source.New(store, store.Objects()), submission(base, "mine")); h.Revision != 2 {
+					t.Fatalf("got %+v", h)
+				}
+			})
+		})
+	}
+}
+
+// Guards against revisions that are skipped: a base which the platform does not
+// have, or another text at the base's revision.
+func TestForeignBase(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := platformtest.New()
-		base := accept(t, source.New(store, store.Objects()), submission(source.Head{}, "base"))
-		table := &faultyTable{Table: store, beforeCommit: func(int) {
-			time.AfterFunc(time.Nanosecond, func() { store.SetFaults(platformtest.Faults{Down: true}) })
-		}}
-		store.SetFaults(platformtest.Faults{LoseAfter: 1, LosePrefix: "config/"})
-		s := source.New(table, store.Objects())
-		if _, err := s.Accept(t.Context(), submission(base, "mine")); !errors.Is(err, platform.ErrOutcomeUnknown) {
-			t.Fatalf("got %v, want ErrOutcomeUnknown while the platform stays down", err)
+		s := source.New(store, store.Objects())
+		head := accept(t, s, submission(source.Head{}, "base"))
+		for _, base := range []source.Head{{Revision: 9, Hash: "x"}, {Revision: 1, Hash: "x"}} {
+			if h, err := s.Accept(t.Context(), submission(base, "mine")); err == nil || errors.Is(err, platform.ErrOutcomeUnknown) {
+				t.Errorf("base %+v: got %+v, %v; want a refusal", base, h, err)
+			}
 		}
-		store.SetFaults(platformtest.Faults{})
-		if h := accept(t, source.New(store, store.Objects()), submission(base, "mine")); h.Revision != 2 {
-			t.Fatalf("got %+v", h)
+		if got, err := s.Head(t.Context()); err != nil || got != head {
+			t.Errorf("head is %+v, %v", got, err)
 		}
 	})
 }
