Keep the fake's keys in order

A List sorted all keys of the table under the lock, which at 2,200 member rows would load the stand-in rather than the system under measurement.

--- a/pkg/platform/platformtest/store.go
+++ b/pkg/platform/platformtest/store.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -18,8 +17,8 @@
 // store. It is safe for concurrent use.
 type Store struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
-	stale    map[string]platform.Row // what reads see while reads are stale
+	rows     *rows
+	stale    *rows // what reads see while reads are stale
 	objects  map[string][]byte
 	sequence uint64 // last row version given out; never reused
 	faults   Faults
@@ -39,7 +38,7 @@
 func NewWithRates(writesPerSecond, readsPerSecond int) *Store {
 	s := &Store{
 		writesPerSecond: writesPerSecond, readsPerSecond: readsPerSecond,
-		rows:    make(map[string]platform.Row),
+		rows:    newRows(),
 		objects: make(map[string][]byte),
 		stats:   newStats(),
 	}
@@ -54,11 +53,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	row, ok := s.visible()[key]
+	row, ok := s.visible().get(key)
 	if !ok {
 		return platform.Row{}, fmt.Errorf("row %q: %w", key, platform.ErrNotFound)
 	}
-	return copyRow(row), nil
+	return row, nil
 }
 
 // List returns rows in key order.
@@ -71,19 +70,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	visible := s.visible()
-	var keys []string
-	for k := range visible {
-		if strings.HasPrefix(k, prefix) && k > after {
-			keys = append(keys, k)
-		}
-	}
-	slices.Sort(keys)
-	rows := make([]platform.Row, 0, min(limit, len(keys)))
-	for _, k := range keys[:min(limit, len(keys))] {
-		rows = append(rows, copyRow(visible[k]))
-	}
-	return rows, nil
+	return s.visible().page(prefix, after, limit), nil
 }
 
 // Commit applies a transaction whole or not at all.
@@ -105,34 +92,29 @@
 // apply runs under the lock.
 func (s *Store) apply(txn platform.Txn) error {
 	for _, c := range txn.Conditions {
-		if s.rows[c.Key].Version != c.Version {
+		if s.rows.version(c.Key) != c.Version {
 			return fmt.Errorf("row %q: %w", c.Key, platform.ErrConflict)
 		}
 	}
 	for _, w := range txn.Writes {
 		s.sequence++
 		if w.Delete {
-			delete(s.rows, w.Key)
+			s.rows.remove(w.Key)
 			continue
 		}
-		s.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.sequence}
+		s.rows.put(platform.Row{Key: w.Key, Value: w.Value, Version: s.sequence})
 	}
 	return nil
 }
 
 // visible returns the rows that reads see.
-func (s *Store) visible() map[string]platform.Row {
+func (s *Store) visible() *rows {
 	if s.stale != nil {
 		return s.stale
 	}
 	return s.rows
 }
 
-func copyRow(r platform.Row) platform.Row {
-	r.Value = slices.Clone(r.Value)
-	return r
-}
-
 // Objects returns the object store of the fake.
 func (s *Store) Objects() platform.ObjectStore { return objectStore{s} }
 
@@ -192,7 +174,7 @@
 // freeze makes reads see the rows as they are now, until thaw.
 func (s *Store) freeze() {
 	if s.stale == nil {
-		s.stale = maps.Clone(s.rows)
+		s.stale = s.rows.clone()
 	}
 }
 
