--- a/pkg/source/accept_test.go
+++ b/pkg/source/accept_test.go
@@ -1,16 +1,26 @@
 package source_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
 )
 
+// bubble runs a test on a fresh fake under a virtual clock.
+func bubble(t *testing.T, test func(t *testing.T, store *platformtest.Store, s *source.Source)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		test(t, store, source.New(store, store.Objects()))
+	})
+}
+
 func submission(base source.Head, token string) source.Submission {
 	return source.Submission{Text: []byte("text of " + token), Base: base, Author: "Oyuna", Token: token}
 }
@@ -25,92 +35,128 @@
 }
 
 // Guards against the loss of an edit: of two edits of one base exactly one is
-// accepted, and the other learns what won.
+// accepted and the other learns what won, also when a lost answer is settled
+// after later revisions.
 func TestAcceptRace(t *testing.T) {
-	store := platformtest.New()
-	s := source.New(store, store.Objects())
-	if _, err := s.Head(t.Context()); !errors.Is(err, platform.ErrNotFound) {
-		t.Fatalf("got %v, want ErrNotFound", err)
-	}
-	base := accept(t, s, submission(source.Head{}, "t1"))
-	won := accept(t, s, submission(base, "t2"))
-	_, err := s.Accept(t.Context(), submission(base, "t3"))
-	var race *source.RaceError
-	if !errors.As(err, &race) || race.Base != base || race.Current != won || !errors.Is(err, platform.ErrConflict) {
-		t.Fatalf("got %v", err)
-	}
-	if h, err := s.Head(t.Context()); err != nil || h != won {
-		t.Fatalf("head is %+v, %v", h, err)
-	}
-	if text, err := s.Text(t.Context(), won.Hash); err != nil || string(text) != "text of t2" {
-		t.Fatalf("got %q, %v", text, err)
-	}
-	if again := accept(t, s, submission(base, "t2")); again != won {
-		t.Fatalf("repeated submission: got %+v, want %+v", again, won)
-	}
+	bubble(t, func(t *testing.T, _ *platformtest.Store, s *source.Source) {
+		if _, err := s.Head(t.Context()); !errors.Is(err, platform.ErrNotFound) {
+			t.Fatalf("got %v, want ErrNotFound", err)
+		}
+		base := accept(t, s, submission(source.Head{}, "t1"))
+		won := accept(t, s, submission(base, "t2"))
+		_, err := s.Accept(t.Context(), submission(base, "t3"))
+		var race *source.RaceError
+		if !errors.As(err, &race) || race.Base != base || race.Current != won || !errors.Is(err, platform.ErrConflict) {
+			t.Fatalf("got %v", err)
+		}
+		if text, err := s.Text(t.Context(), won.Hash); err != nil || string(text) != "text of t2" {
+			t.Fatalf("got %q, %v", text, err)
+		}
+		head := won
+		for i := range 3 {
+			head = accept(t, s, submission(head, fmt.Sprint("later-", i)))
+		}
+		if again := accept(t, s, submission(base, "t2")); again != won {
+			t.Fatalf("repeated submission: got %+v, want %+v", again, won)
+		}
+		if h, err := s.Head(t.Context()); err != nil || h != head {
+			t.Fatalf("head is %+v, %v", h, err)
+		}
+	})
 }
 
-// Guards against an accept that ends with a false verdict under faults: what
-// it says must match the history.
+// Guards against revisions that are skipped: a base which the platform does not
+// have, or another text at the base's revision.
+func TestForeignBase(t *testing.T) {
+	bubble(t, func(t *testing.T, _ *platformtest.Store, s *source.Source) {
+		head := accept(t, s, submission(source.Head{}, "base"))
+		for _, base := range []source.Head{{Revision: 9, Hash: "x"}, {Revision: 1, Hash: "x"}} {
+			if h, err := s.Accept(t.Context(), submission(base, "mine")); err == nil || errors.Is(err, platform.ErrOutcomeUnknown) {
+				t.Errorf("base %+v: got %+v, %v; want a refusal", base, h, err)
+			}
+		}
+		if got, err := s.Head(t.Context()); err != nil || got != head {
+			t.Errorf("head is %+v, %v", got, err)
+		}
+	})
+}
+
+// hooked runs a hook before each commit, so that an event falls between the
+// read of the head and the commit.
+type hooked struct {
+	platform.Table
+	hook    func(n int)
+	commits int
+}
+
+func (h *hooked) Commit(ctx context.Context, txn platform.Txn) error {
+	h.commits++
+	h.hook(h.commits)
+	return h.Table.Commit(ctx, txn)
+}
+
+// Guards against a verdict that does not match the history, under single faults
+// and under pairs of which each alone leaves the verdict right.
 func TestAcceptUnderFaults(t *testing.T) {
+	type faults = platformtest.Faults
+	const rows = "config/"
+	unknown, conflict := platform.ErrOutcomeUnknown, platform.ErrConflict
 	for _, c := range []struct {
-		name     string
-		faults   platformtest.Faults
-		want     error
-		accepted bool
+		name   string
+		faults faults
+		race   int           // a rival is accepted just before this commit; 0 means never
+		outage time.Duration // outage that follows the first commit
+		want   error
+		winner string // token of the head afterwards
 	}{
-		{"answer of the commit lost", platformtest.Faults{LoseAfter: 1, LosePrefix: "config/"}, nil, true},
-		{"answer of the upload lost", platformtest.Faults{LoseAfter: 1, LosePrefix: "objects"}, nil, true},
-		{"requests lost before the write", platformtest.Faults{LoseBefore: 3, LosePrefix: "config/"}, nil, true},
-		{"all commits lost before the write", platformtest.Faults{LoseBefore: -1, LosePrefix: "config/"}, platform.ErrOutcomeUnknown, false},
-		{"all answers lost", platformtest.Faults{LoseAfter: -1}, platform.ErrOutcomeUnknown, false},
-		{"platform down", platformtest.Faults{Down: true}, platform.ErrUnavailable, false},
-		{"rate limit", platformtest.Faults{WritesPerSecond: 1, ReadsPerSecond: 1}, nil, true},
-		{"stale reads", platformtest.Faults{StaleReads: true}, nil, true},
-		{"stale reads and lost answer", platformtest.Faults{StaleReads: true, LoseAfter: 1, LosePrefix: "config/"}, platform.ErrOutcomeUnknown, true},
+		{"answer of the commit lost", faults{LoseAfter: 1, LosePrefix: rows}, 0, 0, nil, "mine"},
+		{"answer of the upload lost", faults{LoseAfter: 1, LosePrefix: "objects"}, 0, 0, nil, "mine"},
+		{"commits lost before the write", faults{LoseBefore: 3, LosePrefix: rows}, 0, 0, nil, "mine"},
+		{"all commits lost before the write", faults{LoseBefore: -1, LosePrefix: rows}, 0, 0, unknown, "base"},
+		{"all answers lost", faults{LoseAfter: -1}, 0, 0, unknown, "base"},
+		{"platform down", faults{Down: true}, 0, 0, platform.ErrUnavailable, "base"},
+		{"rate limit", faults{WritesPerSecond: 1, ReadsPerSecond: 1}, 0, 0, nil, "mine"},
+		{"stale reads", faults{StaleReads: true}, 0, 0, nil, "mine"},
+		{"stale reads and answer lost", faults{StaleReads: true, LoseAfter: 1, LosePrefix: rows}, 0, 0, unknown, "mine"},
+		{"request lost and race", faults{LoseBefore: 1, LosePrefix: rows}, 2, 0, conflict, "rival"},
+		{"all requests lost and race", faults{LoseBefore: -1, LosePrefix: rows}, 2, 0, conflict, "rival"},
+		{"answer lost and race", faults{LoseAfter: 1, LosePrefix: rows}, 1, 0, conflict, "rival"},
+		{"outage and race", faults{}, 1, 500 * time.Millisecond, platform.ErrUnavailable, "rival"},
+		{"stale reads and race", faults{StaleReads: true}, 1, 0, conflict, "rival"},
+		{"rate limit and race", faults{WritesPerSecond: 2, ReadsPerSecond: 1}, 1, 0, conflict, "rival"},
+		{"rate limit and answer lost", faults{WritesPerSecond: 2, ReadsPerSecond: 1, LoseAfter: 1, LosePrefix: rows}, 0, 0, nil, "mine"},
+		{"slow and answer lost", faults{DelayMS: 1500, LoseAfter: 1, LosePrefix: rows}, 0, 0, nil, "mine"},
+		{"answer lost, then an outage", faults{LoseAfter: 1, LosePrefix: rows}, 0, 500 * time.Millisecond, nil, "mine"},
+		{"answer lost, then a long outage", faults{LoseAfter: 1, LosePrefix: rows}, 0, time.Hour, unknown, "mine"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				store := platformtest.New()
-				s := source.New(store, store.Objects())
-				base := accept(t, s, submission(source.Head{}, "base"))
+			bubble(t, func(t *testing.T, store *platformtest.Store, direct *source.Source) {
+				base := accept(t, direct, submission(source.Head{}, "base"))
+				s := source.New(&hooked{Table: store, hook: func(n int) {
+					if n == c.race {
+						store.SetFaults(faults{})
+						accept(t, direct, submission(base, "rival"))
+						store.SetFaults(c.faults)
+					}
+					if n == 1 && c.outage > 0 {
+						time.AfterFunc(time.Nanosecond, func() { store.SetFaults(faults{Down: true}) })
+						time.AfterFunc(c.outage, func() { store.SetFaults(faults{}) })
+					}
+				}}, store.Objects())
 				store.SetFaults(c.faults)
-				h, err := s.Accept(t.Context(), submission(base, "new"))
-				if !errors.Is(err, c.want) {
+				h, err := s.Accept(t.Context(), submission(base, "mine"))
+				if !errors.Is(err, c.want) || c.want != unknown && errors.Is(err, unknown) {
 					t.Fatalf("got %v, want %v", err, c.want)
 				}
-				store.SetFaults(platformtest.Faults{})
-				got, _ := s.Head(t.Context())
-				if accepted := got.Token == "new"; accepted != c.accepted {
-					t.Fatalf("head is %+v after %v", got, err)
-				}
-				if err == nil && got != h {
-					t.Fatalf("got %+v, head is %+v", h, got)
-				}
-				if c.want == nil {
-					return
+				store.SetFaults(faults{})
+				head, _ := direct.Head(t.Context())
+				if head.Token != c.winner || err == nil && head != h {
+					t.Fatalf("got %+v, head is %+v; want that of %s", h, head, c.winner)
 				}
-				if again := accept(t, s, submission(base, "new")); again.Token != "new" || again.Revision != 2 {
-					t.Fatalf("repeat after the fault: got %+v", again)
+				if again, err := direct.Accept(t.Context(), submission(base, "mine")); (err == nil) != (c.winner != "rival") || err == nil && again.Revision != 2 {
+					t.Fatalf("repeat after the faults: got %+v, %v", again, err)
 				}
 			})
 		})
 	}
 }
-
-// Guards against a lost answer that is taken for a lost race when later
-// revisions were accepted before the writer could read back.
-func TestAcceptSettlesAfterLaterRevisions(t *testing.T) {
-	store := platformtest.New()
-	s := source.New(store, store.Objects())
-	base := accept(t, s, submission(source.Head{}, "base"))
-	mine := submission(base, "mine")
-	first := accept(t, s, mine) // its answer is lost to the caller
-	head := first
-	for i := range 3 {
-		head = accept(t, s, submission(head, fmt.Sprintf("later-%d", i)))
-	}
-	if got := accept(t, s, mine); got != first {
-		t.Fatalf("got %+v, want %+v", got, first)
-	}
-}
--- a/pkg/source/records_test.go
+++ b/pkg/source/records_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/lease"
@@ -54,9 +53,7 @@
 		{"rate limit and answer lost", platformtest.Faults{WritesPerSecond: 1, ReadsPerSecond: 1, LoseAfter: 1}, false, false, nil, "a"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				store := platformtest.New()
-				s := source.New(store, store.Objects())
+			bubble(t, func(t *testing.T, store *platformtest.Store, s *source.Source) {
 				a := grant(t, store, "a")
 				if c.before {
 					first := done
@@ -87,9 +84,7 @@
 // Guards against a data centre that is named in two waiting reports or in none,
 // and against a report by a process that never held the lease.
 func TestPutWaitingReport(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New()
-		s := source.New(store, store.Objects())
+	bubble(t, func(t *testing.T, store *platformtest.Store, s *source.Source) {
 		a := grant(t, store, "a")
 		waiting := func(dcs ...mesh.DataCentre) error {
 			return s.PutReport(t.Context(), a, source.Report{Move: "m1", Kind: source.ReportWaiting, WaitingFor: dcs})
@@ -118,9 +113,7 @@
 // Guards against a veto that is lost or written again, and against names with a
 // slash that share a row.
 func TestVetoes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		store := platformtest.New()
-		s := source.New(store, store.Objects())
+	bubble(t, func(t *testing.T, store *platformtest.Store, s *source.Source) {
 		put := func(service mesh.ServiceName, version mesh.TargetVersion, host mesh.HostID) {
 			t.Helper()
 			if err := s.PutVeto(t.Context(), source.Veto{Service: service, Version: version, Attempt: 1, Host: host}); err != nil {
@@ -153,10 +146,9 @@
 // Guards against hosts that vanish between pages, and against one bad row that
 // hides all other hosts.
 func TestMembers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble(t, func(t *testing.T, store *platformtest.Store, s *source.Source) {
 		const hosts = 1203 // three pages
-		store := platformtest.NewWithRates(-1, -1)
-		s := source.New(store, store.Objects())
+		store.SetFaults(platformtest.Faults{WritesPerSecond: -1})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		for i := range hosts {
