--- /dev/null
+++ b/pkg/rules/check.go
@@ -0,0 +1,197 @@
+package rules
+
+import (
+	"fmt"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/finding"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// MinMoveLength is the shortest time between the acceptance of a move and the
+// time it must be complete. A shorter window leaves its steps too few calls to
+// show a fault.
+const MinMoveLength = 30 * time.Second
+
+// WatchPeriod is how long after its time a move can still be rolled back, so
+// that its old version must still have targets.
+const WatchPeriod = 10 * time.Minute
+
+// CheckOptions say what the rules are checked against. A nil func or an empty
+// list skips its check.
+type CheckOptions struct {
+	// Now is the time of acceptance. A node that checks an accepted file again
+	// passes the accepted time of its head, or it would refuse older moves.
+	Now time.Time
+	// Known reports whether a target of the service version has announced itself.
+	Known func(mesh.ServiceVersion) bool
+	// Vetoed reports whether the version was rolled back at the attempt or a higher one.
+	Vetoed func(mesh.ServiceName, mesh.TargetVersion, int) bool
+	// Previous are the rules in force. What they already say is not reported
+	// again, so that a move that is over, or a service without targets for a
+	// while, does not block an edit of another line.
+	Previous []Rule
+}
+
+// Check reports the rules that cannot be brought into force. Its findings name
+// the line only; Validate adds the columns.
+func Check(name string, rs []Rule, o CheckOptions) finding.List {
+	var findings finding.List
+	for _, f := range check(rs, o) {
+		f.File = name
+		findings.Add(f.Finding)
+	}
+	return findings
+}
+
+// Validate parses a text and checks its rules. All findings of both are
+// returned together, with line and column.
+func Validate(name string, text []byte, o CheckOptions) ([]Rule, finding.List) {
+	rs, findings := Parse(name, text)
+	checked := check(rs, o)
+	if len(checked) == 0 {
+		return rs, findings
+	}
+	columns := columnsOf(text, checked)
+	for i, f := range checked {
+		f.File, f.Column = name, columns[i]
+		findings.Add(f.Finding)
+	}
+	sortFindings(findings)
+	return rs, findings
+}
+
+// part names the word of a rule that a finding is about.
+type part int
+
+const (
+	partVersion part = iota
+	partFrom
+	partBy
+	partAttempt
+)
+
+type checkFinding struct {
+	finding.Finding
+	part part
+}
+
+// checker collects the findings of one file.
+type checker struct {
+	CheckOptions
+	previous *previousRules
+	findings []checkFinding
+}
+
+func check(rs []Rule, o CheckOptions) []checkFinding {
+	c := checker{CheckOptions: o, previous: newPreviousRules(o.Previous)}
+	for i := range rs {
+		c.rule(&rs[i])
+	}
+	return c.findings
+}
+
+func (c *checker) add(r *Rule, at part, message, suggestion string) {
+	f := finding.Finding{Line: r.Line, Message: fmt.Sprintf("route %s: %s", r.Route(), message), Suggestion: suggestion}
+	c.findings = append(c.findings, checkFinding{f, at})
+}
+
+func (c *checker) rule(r *Rule) {
+	continued := r.IsMove() && c.previous.moves[r.MoveID()] != nil
+	unchanged := continued && c.previous.moves[r.MoveID()].By.Equal(r.By)
+	if r.IsMove() && !unchanged {
+		c.time(r)
+	}
+	c.known(r, unchanged)
+	if !continued {
+		c.vetoed(r)
+		c.switched(r)
+	}
+}
+
+func (c *checker) time(r *Rule) {
+	earliest := c.Now.Add(MinMoveLength)
+	if !r.By.Before(earliest) {
+		return
+	}
+	shown := earliest.UTC().Truncate(time.Second)
+	if shown.Before(earliest) {
+		shown = shown.Add(time.Second)
+	}
+	c.add(r, partBy, fmt.Sprintf("move cannot be complete by %s", r.By.Format(time.RFC3339)),
+		fmt.Sprintf("the earliest possible time is %s, %s after acceptance", shown.Format(time.RFC3339), MinMoveLength))
+}
+
+// known checks that both versions have targets. The old version of a move is
+// needed until the move can no longer be rolled back.
+func (c *checker) known(r *Rule, unchanged bool) {
+	if c.Known == nil {
+		return
+	}
+	if !c.previous.names(r) && !c.Known(r.Target()) {
+		c.add(r, partVersion, fmt.Sprintf("no target of %s version %s has announced itself", r.Service, r.Version),
+			"start its targets first, or correct the version")
+	}
+	isOver := unchanged && c.Now.After(r.By.Add(WatchPeriod))
+	if r.IsMove() && !isOver && !c.Known(r.Previous()) {
+		c.add(r, partFrom, fmt.Sprintf("old version %s of %s has no targets to go back to", r.From, r.Service),
+			"name the version that serves the route now, and keep its targets until the move is over")
+	}
+}
+
+func (c *checker) vetoed(r *Rule) {
+	if c.Vetoed == nil || !c.Vetoed(r.Service, r.Version, r.Attempt) {
+		return
+	}
+	if !r.IsMove() {
+		if c.previous.established(r.Target(), c.Vetoed) {
+			return
+		}
+		c.add(r, partVersion, fmt.Sprintf("version %s of %s was rolled back", r.Version, r.Service),
+			"bring it back by a move with a higher attempt")
+		return
+	}
+	c.add(r, partAttempt, fmt.Sprintf("version %s of %s was rolled back at attempt %d or a later one", r.Version, r.Service, r.Attempt),
+		"name another version, or raise the attempt once the fault is removed")
+}
+
+// switched reports a rule that would send all requests of a route to another
+// version at once.
+func (c *checker) switched(r *Rule) {
+	old := c.previous.covering(r)
+	if old == nil || old.Service != r.Service {
+		return
+	}
+	serving := servingVersion(old, c.Now, c.Vetoed)
+	now := r.Version
+	if r.IsMove() {
+		now = r.From
+	}
+	// Going back to the old version of a move is how a move is withdrawn.
+	if now == serving || old.IsMove() && now == old.From {
+		return
+	}
+	if r.IsMove() {
+		c.add(r, partFrom, fmt.Sprintf("move starts from %s, but %s serves the route", r.From, serving),
+			fmt.Sprintf("write from %s", serving))
+		return
+	}
+	message := fmt.Sprintf("switches all requests from %s to %s at once", serving, r.Version)
+	if old.IsMove() && r.Version == old.Version {
+		c.add(r, partVersion, message, fmt.Sprintf("keep from %s by %s until the move is over", old.From, old.By.Format(time.RFC3339)))
+		return
+	}
+	c.add(r, partVersion, message, fmt.Sprintf("write to %s %s from %s by TIME", r.Service, r.Version, serving))
+}
+
+// servingVersion returns the version that serves most of a route's requests:
+// the old one until the time of a move, and for good when it was rolled back.
+func servingVersion(r *Rule, now time.Time, vetoed func(mesh.ServiceName, mesh.TargetVersion, int) bool) mesh.TargetVersion {
+	if !r.IsMove() {
+		return r.Version
+	}
+	if now.Before(r.By) || vetoed != nil && vetoed(r.Service, r.Version, r.Attempt) {
+		return r.From
+	}
+	return r.Version
+}
--- /dev/null
+++ b/pkg/rules/diff.go
@@ -0,0 +1,137 @@
+package rules
+
+import (
+	"slices"
+	"sort"
+)
+
+// ChangeKind says whether a line was added or removed.
+type ChangeKind string
+
+// The kinds of changes.
+const (
+	Added   ChangeKind = "added"
+	Removed ChangeKind = "removed"
+)
+
+// Change is one line that differs between two texts. Line counts from 1, in
+// the first text for a removed line and in the second for an added one.
+type Change struct {
+	Kind ChangeKind `json:"kind"`
+	Line int        `json:"line"`
+	Text string     `json:"text"`
+}
+
+// Diff compares two texts by line, without regard to line ends. It matches the
+// lines that are unique in both texts first and compares what lies between
+// them, which takes O(n log n) and suits rules, since most lines are unique.
+func Diff(a, b []byte) []Change {
+	d := differ{a: lines(a), b: lines(b)}
+	d.compare(0, len(d.a), 0, len(d.b))
+	return d.changes
+}
+
+func lines(text []byte) []string {
+	var all []string
+	for _, line := range splitLines(text) {
+		all = append(all, line)
+	}
+	return all
+}
+
+type differ struct {
+	a, b    []string
+	changes []Change
+}
+
+// compare compares a[a0:a1] with b[b0:b1].
+func (d *differ) compare(a0, a1, b0, b1 int) {
+	for a0 < a1 && b0 < b1 && d.a[a0] == d.b[b0] {
+		a0, b0 = a0+1, b0+1
+	}
+	for a0 < a1 && b0 < b1 && d.a[a1-1] == d.b[b1-1] {
+		a1, b1 = a1-1, b1-1
+	}
+	anchors := d.anchors(a0, a1, b0, b1)
+	if len(anchors) == 0 {
+		d.replace(a0, a1, b0, b1)
+		return
+	}
+	for _, p := range anchors {
+		d.compare(a0, p.a, b0, p.b)
+		a0, b0 = p.a+1, p.b+1
+	}
+	d.compare(a0, a1, b0, b1)
+}
+
+func (d *differ) replace(a0, a1, b0, b1 int) {
+	for i := a0; i < a1; i++ {
+		d.changes = append(d.changes, Change{Removed, i + 1, d.a[i]})
+	}
+	for i := b0; i < b1; i++ {
+		d.changes = append(d.changes, Change{Added, i + 1, d.b[i]})
+	}
+}
+
+// pair is a line of a that equals a line of b.
+type pair struct{ a, b int }
+
+// anchors returns the longest rising sequence of pairs whose lines are unique
+// in both ranges.
+func (d *differ) anchors(a0, a1, b0, b1 int) []pair {
+	if a0 == a1 || b0 == b1 {
+		return nil
+	}
+	inB := uniqueLines(d.b, b0, b1)
+	inA := uniqueLines(d.a, a0, a1)
+	var pairs []pair
+	for i := a0; i < a1; i++ {
+		if inA[d.a[i]] != i {
+			continue
+		}
+		if j, ok := inB[d.a[i]]; ok && j >= 0 {
+			pairs = append(pairs, pair{i, j})
+		}
+	}
+	return longestRising(pairs)
+}
+
+// uniqueLines maps each line of a range to its index, or to -1 when it is repeated.
+func uniqueLines(all []string, from, to int) map[string]int {
+	index := make(map[string]int, to-from)
+	for i := from; i < to; i++ {
+		if _, repeated := index[all[i]]; repeated {
+			index[all[i]] = -1
+			continue
+		}
+		index[all[i]] = i
+	}
+	return index
+}
+
+// longestRising returns the longest subsequence whose b rises, by patience sorting.
+func longestRising(pairs []pair) []pair {
+	var tops []int // index of the last pair of the best sequence of each length
+	previous := make([]int, len(pairs))
+	for i, p := range pairs {
+		n := sort.Search(len(tops), func(k int) bool { return pairs[tops[k]].b >= p.b })
+		previous[i] = -1
+		if n > 0 {
+			previous[i] = tops[n-1]
+		}
+		if n == len(tops) {
+			tops = append(tops, i)
+		} else {
+			tops[n] = i
+		}
+	}
+	if len(tops) == 0 {
+		return nil
+	}
+	var rising []pair
+	for i := tops[len(tops)-1]; i >= 0; i = previous[i] {
+		rising = append(rising, pairs[i])
+	}
+	slices.Reverse(rising)
+	return rising
+}
--- /dev/null
+++ b/pkg/rules/parse.go
@@ -0,0 +1,206 @@
+package rules
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"nutmeghoist.example/nutmeghoist/pkg/finding"
+)
+
+// Limits of a rules file.
+const (
+	MaxFileSize = 1 << 20 // bytes
+	MaxRules    = 10_000
+	MaxLineSize = 4096 // bytes; the longest legitimate lines are a few hundred
+)
+
+const byteOrderMark = "\xef\xbb\xbf"
+
+// Parse reads a rules file; name is used in findings. It reports all findings
+// of the text together. The rules of the lines without findings are returned
+// in any case, so that they can be checked too, but a file with a finding must
+// not be activated, not even in part.
+func Parse(name string, text []byte) ([]Rule, finding.List) {
+	p := parser{name: name, owners: map[methodPrefix]int{}}
+	if len(text) > MaxFileSize {
+		p.add(0, 0, fmt.Sprintf("file has %d bytes", len(text)), fmt.Sprintf("at most %d are allowed", MaxFileSize))
+		return nil, p.findings
+	}
+	count := 0
+	for no, line := range splitLines(text) {
+		if no == 1 && strings.HasPrefix(line, byteOrderMark) {
+			p.add(no, 1, "file starts with a byte order mark", "save it as UTF-8 without one")
+			line = line[len(byteOrderMark):]
+		}
+		if !isRuleLine(line) {
+			p.checkUTF8(no, line)
+			continue
+		}
+		if count++; count > MaxRules {
+			p.add(no, 1, fmt.Sprintf("file has more than %d rules", MaxRules), "remove rules; the rest of the file was not read")
+			break
+		}
+		p.line(no, line)
+	}
+	return p.rules, p.findings
+}
+
+// splitLines yields the lines of a text with their numbers from 1, without the
+// line ends. Both LF and CRLF end a line.
+func splitLines(text []byte) func(yield func(int, string) bool) {
+	return func(yield func(int, string) bool) {
+		no := 0
+		for line := range bytes.Lines(text) {
+			no++
+			line = bytes.TrimSuffix(line, []byte("\n"))
+			line = bytes.TrimSuffix(line, []byte("\r"))
+			if !yield(no, string(line)) {
+				return
+			}
+		}
+	}
+}
+
+// isRuleLine reports whether a line is neither blank nor a whole-line comment.
+func isRuleLine(line string) bool {
+	line = strings.TrimLeft(line, " \t")
+	return line != "" && line[0] != '#'
+}
+
+type methodPrefix struct{ method, prefix string }
+
+// parser collects the rules and the findings of one file.
+type parser struct {
+	name     string
+	rules    []Rule
+	findings finding.List
+	owners   map[methodPrefix]int // line of the first rule for a method and prefix
+}
+
+func (p *parser) add(line, column int, message, suggestion string) {
+	p.findings.Add(finding.Finding{File: p.name, Line: line, Column: column, Message: message, Suggestion: suggestion})
+}
+
+// line parses one rule. The rule is kept when the line has no finding.
+func (p *parser) line(no int, line string) {
+	before := len(p.findings)
+	if len(line) > MaxLineSize {
+		p.add(no, MaxLineSize+1, fmt.Sprintf("line has %d bytes", len(line)), fmt.Sprintf("at most %d are allowed", MaxLineSize))
+		return
+	}
+	if !p.checkUTF8(no, line) {
+		return
+	}
+	body, comment, hasComment := strings.Cut(line, "#")
+	p.checkCharacters(no, body, comment)
+	r := Rule{Line: no}
+	lp := lineParser{parser: p, rule: &r, words: splitWords(body), end: len(strings.TrimRightFunc(body, unicode.IsSpace)) + 1}
+	lp.parse()
+	p.comment(&r, len(body)+1, comment, hasComment)
+	if len(p.findings) > before {
+		return
+	}
+	p.checkDuplicate(&r)
+	if len(p.findings) == before {
+		p.rules = append(p.rules, r)
+	}
+}
+
+// checkUTF8 reports the first invalid byte of a line.
+func (p *parser) checkUTF8(no int, line string) bool {
+	for i, c := range line {
+		if c != utf8.RuneError {
+			continue
+		}
+		if _, size := utf8.DecodeRuneInString(line[i:]); size == 1 {
+			p.add(no, i+1, fmt.Sprintf("byte 0x%02x is not valid UTF-8", line[i]), "save the file as UTF-8")
+			return false
+		}
+	}
+	return true
+}
+
+// checkCharacters reports the first character of each kind that a rule must
+// not contain. Invisible characters are refused in the rule itself, where they
+// would make two names look alike; a comment may use them, because some
+// scripts need them.
+func (p *parser) checkCharacters(no int, body, comment string) {
+	seen := map[rune]bool{}
+	check := func(offset int, text string, isRefused func(rune) bool) {
+		for i, c := range text {
+			if !isRefused(c) || seen[c] {
+				continue
+			}
+			seen[c] = true
+			if c == '\t' {
+				p.add(no, offset+i+1, "tab character", "separate words with spaces")
+				continue
+			}
+			p.add(no, offset+i+1, fmt.Sprintf("character %U is not allowed here", c), "remove it")
+		}
+	}
+	check(0, body, func(c rune) bool { return c != ' ' && !unicode.IsGraphic(c) || c != ' ' && unicode.IsSpace(c) })
+	check(len(body)+1, comment, unicode.IsControl)
+}
+
+// comment reads the trailing comment that names who asked for the rule.
+func (p *parser) comment(r *Rule, column int, comment string, hasComment bool) {
+	const want = "end the line with # NAME: reason"
+	if !hasComment {
+		p.add(r.Line, column, "rule has no trailing comment that names who asked for it", want)
+		return
+	}
+	author, reason, hasColon := strings.Cut(comment, ":")
+	r.Author, r.Reason = strings.TrimSpace(author), strings.TrimSpace(reason)
+	switch {
+	case !hasColon:
+		p.add(r.Line, column, "comment has no colon after a name", want)
+	case r.Author == "":
+		p.add(r.Line, column, "comment has no name before its colon", want)
+	}
+}
+
+// checkDuplicate reports a method and prefix that an earlier rule has already.
+func (p *parser) checkDuplicate(r *Rule) {
+	methods := methodsOf(r)
+	for _, m := range methods {
+		first, taken := p.owners[methodPrefix{m, r.Prefix}]
+		if taken {
+			p.add(r.Line, 1, fmt.Sprintf("route %s: line %d already matches %s %s", r.Route(), first, m, r.Prefix),
+				"keep one rule for a method and prefix")
+			return
+		}
+	}
+	for _, m := range methods {
+		p.owners[methodPrefix{m, r.Prefix}] = r.Line
+	}
+}
+
+// word is a space-separated part of a rule; column is in bytes from 1.
+type word struct {
+	text   string
+	column int
+}
+
+// splitWords splits at any white space, so that a wrong kind of space, which is
+// a finding of its own, hides no other finding.
+func splitWords(body string) []word {
+	var words []word
+	start := -1
+	for i, c := range body {
+		switch isSpace := unicode.IsSpace(c); {
+		case isSpace && start >= 0:
+			words = append(words, word{body[start:i], start + 1})
+			start = -1
+		case !isSpace && start < 0:
+			start = i
+		}
+	}
+	if start >= 0 {
+		words = append(words, word{body[start:], start + 1})
+	}
+	return words
+}
--- /dev/null
+++ b/pkg/rules/value.go
@@ -0,0 +1,162 @@
+package rules
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// knownMethods are the methods a rule may name. CONNECT has no path to match.
+var knownMethods = []string{
+	http.MethodDelete, http.MethodGet, http.MethodHead, http.MethodOptions,
+	http.MethodPatch, http.MethodPost, http.MethodPut, http.MethodTrace,
+}
+
+// maxNameLength bounds names, which become parts of row keys.
+const maxNameLength = 63
+
+// methods returns the sorted methods of a list, or nil for "*".
+func (l *lineParser) methods(w word) []string {
+	if w.text == "*" {
+		return nil
+	}
+	var methods []string
+	column := w.column
+	for m := range strings.SplitSeq(w.text, ",") {
+		switch {
+		case slices.Contains(methods, m):
+			l.add(l.rule.Line, column, fmt.Sprintf("method %s is repeated", m), "name each method once")
+		case !slices.Contains(knownMethods, m):
+			l.add(l.rule.Line, column, fmt.Sprintf("%q is not a method", m), methodHint(m))
+		default:
+			methods = append(methods, m)
+		}
+		column += len(m) + 1
+	}
+	slices.Sort(methods)
+	return methods
+}
+
+func methodHint(m string) string {
+	if upper := strings.ToUpper(m); slices.Contains(knownMethods, upper) {
+		return "write " + upper
+	}
+	return "expected * alone or a comma-separated list of " + strings.Join(knownMethods, ", ")
+}
+
+// checkPrefix allows one spelling for each path, so that equal prefixes are
+// equal strings.
+func (l *lineParser) checkPrefix(w word) {
+	message, suggestion := "", ""
+	switch {
+	case !strings.HasPrefix(w.text, "/"):
+		message, suggestion = "does not start with a slash", "write /"+w.text
+	case w.text != "/" && strings.HasSuffix(w.text, "/"):
+		message, suggestion = "ends with a slash", "leave it out; a prefix matches whole segments"
+	case strings.Contains(w.text, "//"):
+		message, suggestion = "has an empty segment", "write one slash between segments"
+	case strings.ContainsAny(w.text, "?%*\\"):
+		message, suggestion = "has a character that is not part of a decoded path", "write the path without query, escapes and wildcards"
+	case hasDotSegment(w.text):
+		message, suggestion = "has a dot segment", "write the path that it leads to"
+	default:
+		return
+	}
+	l.add(l.rule.Line, w.column, fmt.Sprintf("prefix %q %s", w.text, message), suggestion)
+}
+
+func hasDotSegment(path string) bool {
+	for s := range strings.SplitSeq(path, "/") {
+		if s == "." || s == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// name takes the next word, which has to be the name of a service or version.
+func (l *lineParser) name(what string) (word, bool) {
+	w, ok := l.value(what, "a name of letters, digits, dots, underscores and hyphens")
+	if ok && !isName(w.text) {
+		l.add(l.rule.Line, w.column, fmt.Sprintf("%q is not a name", w.text),
+			fmt.Sprintf("write 1 to %d letters, digits, dots, underscores or hyphens, with a letter or digit first", maxNameLength))
+	}
+	return w, ok
+}
+
+func isName(s string) bool {
+	if s == "" || len(s) > maxNameLength {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		isAlnum := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !isAlnum && (i == 0 || !strings.ContainsRune("._-", rune(c))) {
+			return false
+		}
+	}
+	return true
+}
+
+// Years outside this range have no RFC 3339 form in every zone.
+const minYear, maxYear = 1970, 9998
+
+func (l *lineParser) by(w word) {
+	var t time.Time
+	if err := t.UnmarshalText([]byte(w.text)); err != nil {
+		message, suggestion := fmt.Sprintf("%q is not an RFC 3339 time", w.text), "write a time as 2026-12-05T06:00:00Z"
+		if _, err := time.Parse("2006-01-02T15:04:05", w.text); err == nil {
+			message, suggestion = fmt.Sprintf("time %q has no zone", w.text), "append Z for UTC or an offset as +08:00"
+		}
+		l.add(l.rule.Line, w.column, message, suggestion)
+		return
+	}
+	if t = t.UTC(); t.Year() < minYear || t.Year() > maxYear {
+		l.add(l.rule.Line, w.column, fmt.Sprintf("year of time %q is out of range", w.text), fmt.Sprintf("write a year from %d to %d", minYear, maxYear))
+	}
+	l.rule.By = t
+}
+
+func (l *lineParser) attempt(w word) {
+	n, err := strconv.Atoi(w.text)
+	if err != nil || n < DefaultAttempt || n > MaxAttempt || strconv.Itoa(n) != w.text {
+		l.add(l.rule.Line, w.column, fmt.Sprintf("attempt %q is not a whole number from %d to %d", w.text, DefaultAttempt, MaxAttempt), "write a number as 2")
+		return
+	}
+	l.rule.Attempt = n
+}
+
+func (l *lineParser) class(w word) {
+	class, err := mesh.ParseClass(w.text)
+	if err != nil {
+		l.add(l.rule.Line, w.column, fmt.Sprintf("%q is not a class", w.text), "write urgent, normal or background")
+		return
+	}
+	l.rule.Class = class
+}
+
+func (l *lineParser) timeout(w word) {
+	d, err := time.ParseDuration(w.text)
+	switch {
+	case err != nil:
+		l.add(l.rule.Line, w.column, fmt.Sprintf("timeout %q is not a duration", w.text), "write a duration as 800ms or 3s")
+	case d < MinTimeout || d > MaxTimeout:
+		l.add(l.rule.Line, w.column, fmt.Sprintf("timeout %s is out of range", w.text), fmt.Sprintf("write a duration from %s to %s", MinTimeout, MaxTimeout))
+	default:
+		l.rule.Timeout = d
+	}
+}
+
+func (l *lineParser) idempotent(w word) {
+	yes := w.text == "yes"
+	if !yes && w.text != "no" {
+		l.add(l.rule.Line, w.column, fmt.Sprintf("idempotent %q is neither yes nor no", w.text), "write yes or no")
+		return
+	}
+	l.rule.Idempotent = &yes
+}
--- /dev/null
+++ b/pkg/rules/withdraw.go
@@ -0,0 +1,63 @@
+package rules
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Errors of Withdraw; test for them with errors.Is.
+var (
+	ErrNoRoute = errors.New("no rule has this route")
+	ErrNoMove  = errors.New("rule is not a move")
+)
+
+// Withdraw rewrites the move rule of a route so that all its traffic stays on
+// the old version. The route is named as "GET,POST /pantry"; the order of the
+// methods does not matter. The comment, the other options and all other lines
+// stay as they are.
+func Withdraw(text []byte, route string) ([]byte, error) {
+	all, findings := Parse("", text)
+	if err := findings.Err(); err != nil {
+		return nil, fmt.Errorf("withdraw %q: text has findings: %w", route, err)
+	}
+	want := normalRoute(route)
+	i := slices.IndexFunc(all, func(r Rule) bool { return r.Route() == want })
+	if i < 0 {
+		return nil, fmt.Errorf("withdraw %q: %w", route, ErrNoRoute)
+	}
+	r := all[i]
+	if !r.IsMove() {
+		return nil, fmt.Errorf("withdraw %q in line %d: %w", route, r.Line, ErrNoMove)
+	}
+	parts := slices.Collect(bytes.Lines(text))
+	parts[r.Line-1] = []byte(withoutMove(string(parts[r.Line-1]), string(r.From)))
+	return bytes.Join(parts, nil), nil
+}
+
+// normalRoute brings the name of a route into the form of Rule.Route.
+func normalRoute(route string) string {
+	fields := strings.Fields(route)
+	if len(fields) == 0 {
+		return ""
+	}
+	methods := strings.Split(strings.ToUpper(fields[0]), ",")
+	slices.Sort(methods)
+	return strings.Join(append([]string{strings.Join(methods, ",")}, fields[1:]...), " ")
+}
+
+// withoutMove replaces the version of a move rule's line and removes the words
+// from "from" to the time or the attempt.
+func withoutMove(line, version string) string {
+	body, _, _ := strings.Cut(line, "#")
+	words := splitWords(body)
+	last := wordBy
+	if len(words) > wordAttempt && words[wordAttempt-1].text == "attempt" {
+		last = wordAttempt
+	}
+	target := words[wordVersion]
+	end := words[last].column - 1 + len(words[last].text)
+	return line[:target.column-1] + version + line[end:]
+}
