Add an open-loop load generator

Calls beyond the bound in flight are counted as unsent instead of waiting, which would close the loop. The outcomes of orders can be compared with the runs that the targets counted.

--- /dev/null
+++ b/internal/loadgen/command.go
@@ -0,0 +1,146 @@
+package loadgen
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the command.
+const (
+	exitOK    = 0
+	exitFault = 1 // a promise to callers was broken
+	exitUsage = 2
+)
+
+type settings struct {
+	Nodes       []string      `long:"node" env:"NUTMEGHOIST_LOAD_NODES" env-delim:"," required:"true" description:"base URL of a node for callers; repeat for several"`
+	Rate        float64       `long:"rate" env:"NUTMEGHOIST_LOAD_RATE" default:"100" description:"calls per second over all nodes"`
+	Duration    time.Duration `long:"duration" env:"NUTMEGHOIST_LOAD_DURATION" default:"10s" description:"how long to send calls"`
+	Calls       []string      `long:"call" env:"NUTMEGHOIST_LOAD_CALLS" env-delim:";" default:"GET /" description:"kind of calls: METHOD /path [WEIGHT [BODY-BYTES]]; repeat for a mix"`
+	Arrivals    string        `long:"arrivals" env:"NUTMEGHOIST_LOAD_ARRIVALS" default:"poisson" choice:"poisson" choice:"constant" description:"how the calls are spread over time"`
+	Timeout     time.Duration `long:"timeout" env:"NUTMEGHOIST_LOAD_TIMEOUT" default:"5s" description:"timeout of a call"`
+	SendTimeout bool          `long:"send-timeout" env:"NUTMEGHOIST_LOAD_SEND_TIMEOUT" description:"tell the node the timeout of each call"`
+	InFlight    int           `long:"max-in-flight" env:"NUTMEGHOIST_LOAD_MAX_IN_FLIGHT" default:"10000" description:"most calls in flight; due calls beyond it are not sent"`
+	Connections int           `long:"connections" env:"NUTMEGHOIST_LOAD_CONNECTIONS" description:"most connections to each node; 0 means no bound"`
+	Keys        int           `long:"keys" env:"NUTMEGHOIST_LOAD_KEYS" description:"number of distinct call keys; 0 sends none"`
+	Seed        uint64        `long:"seed" env:"NUTMEGHOIST_LOAD_SEED" default:"1" description:"seed of arrivals and mix"`
+	Order       string        `long:"order-prefix" env:"NUTMEGHOIST_LOAD_ORDER_PREFIX" description:"prefix of the order numbers; the default is random"`
+	Targets     []string      `long:"target" env:"NUTMEGHOIST_LOAD_TARGETS" env-delim:"," description:"base URL of a target stand-in whose runs are compared with the outcomes; repeat for several"`
+}
+
+// Main makes one run, prints its result and returns the exit code.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	var s settings
+	o, err := s.parse(args)
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, help.Message)
+		return exitOK
+	}
+	if err == nil {
+		err = o.check()
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	r, err := Run(ctx, o)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFault
+	}
+	r.Print(stdout)
+	wrong := r.Examples
+	if len(s.Targets) > 0 {
+		runs, err := collectRuns(s.Targets)
+		if err != nil {
+			fmt.Fprintln(stderr, err)
+			return exitFault
+		}
+		contradictions := CheckRuns(r.Orders, runs)
+		fmt.Fprintf(stdout, "contradictions=%d\n", len(contradictions))
+		wrong = append(wrong, contradictions...)
+	}
+	for _, line := range wrong {
+		fmt.Fprintln(stderr, line)
+	}
+	if len(wrong) > 0 {
+		return exitFault
+	}
+	return exitOK
+}
+
+func (s *settings) parse(args []string) (Options, error) {
+	p := flags.NewParser(s, flags.HelpFlag|flags.PassDoubleDash)
+	p.Name = "nutmeghoist-load"
+	rest, err := p.ParseArgs(args)
+	if err != nil {
+		return Options{}, err
+	}
+	if len(rest) > 0 {
+		return Options{}, fmt.Errorf("unknown arguments %q", rest)
+	}
+	o := Options{
+		Nodes: s.Nodes, Rate: s.Rate, Duration: s.Duration, Arrivals: Arrivals(s.Arrivals), Timeout: s.Timeout,
+		SendTimeout: s.SendTimeout, MaxInFlight: s.InFlight, Connections: s.Connections, Keys: s.Keys,
+		Seed: s.Seed, Order: s.Order, KeepOutcomes: len(s.Targets) > 0,
+	}
+	for _, text := range s.Calls {
+		k, err := ParseKind(text)
+		if err != nil {
+			return Options{}, err
+		}
+		o.Mix = append(o.Mix, k)
+	}
+	return o, nil
+}
+
+// ParseKind reads a kind of calls from "METHOD /path [WEIGHT [BODY-BYTES]]".
+func ParseKind(text string) (Kind, error) {
+	fields := strings.Fields(text)
+	if len(fields) < 2 || len(fields) > 4 {
+		return Kind{}, fmt.Errorf("call %q is not METHOD /path [WEIGHT [BODY-BYTES]]", text)
+	}
+	k := Kind{Method: strings.ToUpper(fields[0]), Path: fields[1], Weight: 1}
+	var err error
+	if len(fields) > 2 {
+		if k.Weight, err = strconv.ParseFloat(fields[2], 64); err != nil {
+			return Kind{}, fmt.Errorf("call %q: weight %q is not a number", text, fields[2])
+		}
+	}
+	if len(fields) > 3 {
+		if k.BodySize, err = strconv.Atoi(fields[3]); err != nil || k.BodySize < 0 {
+			return Kind{}, fmt.Errorf("call %q: %q is not a number of bytes", text, fields[3])
+		}
+	}
+	return k, nil
+}
+
+// collectRuns adds up the runs that the targets counted.
+func collectRuns(targets []string) (map[string]int, error) {
+	client := &http.Client{Timeout: 30 * time.Second}
+	total := map[string]int{}
+	for _, target := range targets {
+		var runs map[string]int
+		resp, err := sling.New().Client(client).Base(target).Get("/runs").ReceiveSuccess(&runs)
+		if err != nil {
+			return nil, fmt.Errorf("runs of target %s: %w", target, err)
+		}
+		if resp.StatusCode != http.StatusOK {
+			return nil, fmt.Errorf("runs of target %s: %s", target, resp.Status)
+		}
+		for order, n := range runs {
+			total[order] += n
+		}
+	}
+	return total, nil
+}
