--- /dev/null
+++ b/internal/tlskeys/load.go
@@ -0,0 +1,173 @@
+// Package tlskeys makes and loads the keys of the links between hosts: one CA
+// for the mesh and a certificate for each host.
+package tlskeys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// Keys are the CA and the certificate of one host.
+type Keys struct {
+	pool *x509.CertPool
+	cert tls.Certificate
+	host mesh.HostID
+}
+
+// Load reads the CA, the certificate and the key of a host. Its errors name
+// the file and the fault.
+func Load(caFile, certFile, keyFile string) (*Keys, error) {
+	cas, err := readCertificates(caFile)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	now := time.Now()
+	for _, ca := range cas {
+		if !ca.IsCA {
+			return nil, fmt.Errorf("CA file %s: certificate %q is not a CA", caFile, ca.Subject.CommonName)
+		}
+		if err := checkTime(caFile, ca, now); err != nil {
+			return nil, err
+		}
+		pool.AddCert(ca)
+	}
+	certs, err := readCertificates(certFile)
+	if err != nil {
+		return nil, err
+	}
+	leaf := certs[0]
+	if err := checkTime(certFile, leaf, now); err != nil {
+		return nil, err
+	}
+	if _, err := leaf.Verify(x509.VerifyOptions{Roots: pool, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}); err != nil {
+		return nil, fmt.Errorf("certificate file %s: not signed by the CA in %s: %w", certFile, caFile, err)
+	}
+	host, err := hostOf(leaf)
+	if err != nil {
+		return nil, fmt.Errorf("certificate file %s: %w", certFile, err)
+	}
+	cert, err := loadPair(certFile, keyFile)
+	if err != nil {
+		return nil, err
+	}
+	cert.Leaf = leaf
+	return &Keys{pool: pool, cert: cert, host: host}, nil
+}
+
+func loadPair(certFile, keyFile string) (tls.Certificate, error) {
+	certPEM, err := os.ReadFile(certFile)
+	if err != nil {
+		return tls.Certificate{}, fmt.Errorf("certificate file %s: %w", certFile, err)
+	}
+	keyPEM, err := os.ReadFile(keyFile)
+	if err != nil {
+		return tls.Certificate{}, fmt.Errorf("key file %s: %w", keyFile, err)
+	}
+	cert, err := tls.X509KeyPair(certPEM, keyPEM)
+	if err != nil {
+		return tls.Certificate{}, fmt.Errorf("key file %s: does not fit certificate %s: %w", keyFile, certFile, err)
+	}
+	return cert, nil
+}
+
+func readCertificates(file string) ([]*x509.Certificate, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("certificate file %s: %w", file, err)
+	}
+	var certs []*x509.Certificate
+	for block, rest := pem.Decode(data); block != nil; block, rest = pem.Decode(rest) {
+		if block.Type != "CERTIFICATE" {
+			continue
+		}
+		c, err := x509.ParseCertificate(block.Bytes)
+		if err != nil {
+			return nil, fmt.Errorf("certificate file %s: %w", file, err)
+		}
+		certs = append(certs, c)
+	}
+	if len(certs) == 0 {
+		return nil, fmt.Errorf("certificate file %s: holds no PEM certificate", file)
+	}
+	return certs, nil
+}
+
+func checkTime(file string, c *x509.Certificate, now time.Time) error {
+	if now.After(c.NotAfter) {
+		return fmt.Errorf("certificate file %s: expired at %s", file, c.NotAfter.Format(time.RFC3339))
+	}
+	if now.Before(c.NotBefore) {
+		return fmt.Errorf("certificate file %s: not valid before %s", file, c.NotBefore.Format(time.RFC3339))
+	}
+	return nil
+}
+
+// Host returns the host that the certificate was made for.
+func (k *Keys) Host() mesh.HostID { return k.host }
+
+// Server returns the settings for accepting links: TLS 1.3, and the peer must
+// present a certificate of the mesh.
+func (k *Keys) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{k.cert},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    k.pool,
+		// A resumed session would skip the check of an expired certificate.
+		SessionTicketsDisabled: true,
+	}
+}
+
+// Client returns the settings for opening links. The peer's certificate must
+// be made by the CA for a host of the mesh; its IP addresses are not compared,
+// since hosts are replaced under new addresses.
+func (k *Keys) Client() *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{k.cert},
+		InsecureSkipVerify: true, // VerifyConnection checks the chain without the name
+		VerifyConnection:   k.verifyServer,
+	}
+}
+
+func (k *Keys) verifyServer(cs tls.ConnectionState) error {
+	if len(cs.PeerCertificates) == 0 {
+		return errors.New("peer presented no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range cs.PeerCertificates[1:] {
+		intermediates.AddCert(c)
+	}
+	opts := x509.VerifyOptions{
+		Roots: k.pool, Intermediates: intermediates,
+		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	}
+	if _, err := cs.PeerCertificates[0].Verify(opts); err != nil {
+		return fmt.Errorf("certificate of peer: %w", err)
+	}
+	_, err := hostOf(cs.PeerCertificates[0])
+	return err
+}
+
+// PeerHost returns the host whose certificate the peer presented.
+func PeerHost(cs tls.ConnectionState) (mesh.HostID, error) {
+	if len(cs.PeerCertificates) == 0 {
+		return "", errors.New("peer presented no certificate")
+	}
+	return hostOf(cs.PeerCertificates[0])
+}
+
+func hostOf(c *x509.Certificate) (mesh.HostID, error) {
+	if c.IsCA || len(c.DNSNames) != 1 || c.DNSNames[0] == "" {
+		return "", fmt.Errorf("certificate %q does not name exactly one host", c.Subject.CommonName)
+	}
+	return mesh.HostID(c.DNSNames[0]), nil
+}
--- /dev/null
+++ b/pkg/membership/digest.go
@@ -0,0 +1,60 @@
+package membership
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// Buckets is the number of digest buckets. At 2,200 hosts a bucket holds about
+// 17 records, and all bucket digests take 1 KB.
+const Buckets = 128
+
+// BucketOf returns the bucket of a host.
+func BucketOf(id mesh.HostID) int { return int(xxhash.Sum64String(string(id)) % Buckets) }
+
+// recordHash hashes what orders a record. Failed and left records count as
+// absent, so that hosts that expire them at different times still agree.
+func recordHash(h *Host) uint64 {
+	if h.Status.gone() {
+		return 0
+	}
+	b := make([]byte, 0, 64)
+	b = binary.LittleEndian.AppendUint64(b, h.Incarnation)
+	b = binary.LittleEndian.AppendUint64(b, h.Sequence)
+	b = append(b, byte(h.Status))
+	return xxhash.Sum64(append(b, h.ID...))
+}
+
+// BucketDigests returns the digest of each bucket: the sum of the hashes of
+// its records. Equal sets of records have equal digests.
+func (t *Table) BucketDigests() [Buckets]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digests
+}
+
+// Digest returns one digest over all records.
+func (t *Table) Digest() uint64 {
+	d := t.BucketDigests()
+	return SumDigests(d[:])
+}
+
+// SumDigests combines bucket digests into one. Each position counts, so that
+// equal digests in different buckets do not cancel out.
+func SumDigests(buckets []uint64) uint64 {
+	b := make([]byte, 0, 8*Buckets)
+	for _, d := range buckets {
+		b = binary.LittleEndian.AppendUint64(b, d)
+	}
+	return xxhash.Sum64(b)
+}
+
+// InBuckets returns the records of the given buckets that the digests cover.
+func (t *Table) InBuckets(buckets map[int]bool) []Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.collect(func(e *entry) bool { return !e.host.Status.gone() && buckets[BucketOf(e.host.ID)] })
+}
--- /dev/null
+++ b/pkg/membership/table.go
@@ -0,0 +1,197 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// Defaults of Options.
+const (
+	DefaultSuspectTimeout = 3 * time.Second
+	DefaultHideAfter      = 10 * time.Minute
+	// DefaultRetention exceeds the longest expected partition by far, so that a
+	// healed side cannot bring back the record of a host that failed meanwhile.
+	DefaultRetention = 48 * time.Hour
+)
+
+// maxTakeovers bounds how often a host raises its incarnation over a record
+// with its own ID and another address. A restarted host needs one; two
+// processes with one ID would otherwise outbid each other for ever.
+const maxTakeovers = 3
+
+// Options are the timers of a Table. Zero values mean the defaults.
+type Options struct {
+	SuspectTimeout time.Duration // a suspect that does not refute within it has failed
+	HideAfter      time.Duration // failed and left hosts leave Hosts after it
+	Retention      time.Duration // records of failed and left hosts are kept to reject old copies
+}
+
+// Table holds the records of all known hosts. It is safe for concurrent use.
+type Table struct {
+	opts Options
+	self mesh.HostID
+
+	mu        sync.Mutex
+	hosts     map[mesh.HostID]*entry
+	digests   [Buckets]uint64
+	version   uint64
+	changed   chan struct{}
+	takeovers int
+}
+
+type entry struct {
+	host      Host
+	version   uint64    // of the table when the record last changed
+	since     time.Time // of the present status
+	suspected time.Time // zero unless suspected; also set for leaving hosts
+}
+
+// NewTable returns a table that holds only the record of the host itself. The
+// caller sets the incarnation of self, for example to the start time in
+// milliseconds; the table raises it when an earlier life had a higher one.
+func NewTable(self Host, opts Options) *Table {
+	if opts.SuspectTimeout == 0 {
+		opts.SuspectTimeout = DefaultSuspectTimeout
+	}
+	if opts.HideAfter == 0 {
+		opts.HideAfter = DefaultHideAfter
+	}
+	if opts.Retention == 0 {
+		opts.Retention = DefaultRetention
+	}
+	t := &Table{opts: opts, self: self.ID, hosts: make(map[mesh.HostID]*entry), changed: make(chan struct{})}
+	if self.Status == 0 {
+		self.Status = StatusAlive
+	}
+	t.put(clone(self), time.Now())
+	return t
+}
+
+// Self returns the host's own record.
+func (t *Table) Self() Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return clone(t.hosts[t.self].host)
+}
+
+// UpdateSelf changes the host's own record and raises its sequence. The
+// function must not change ID, Incarnation or Sequence; they are restored.
+func (t *Table) UpdateSelf(change func(*Host)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.hosts[t.self].host
+	h := clone(old)
+	change(&h)
+	h.ID, h.Incarnation, h.Sequence = old.ID, old.Incarnation, old.Sequence+1
+	t.put(h, time.Now())
+	t.notify()
+}
+
+// Hosts returns the known hosts ordered by ID, without those that failed or
+// left longer ago than Options.HideAfter.
+func (t *Table) Hosts() []Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.collect(func(e *entry) bool { return !e.hidden(t.opts.HideAfter) })
+}
+
+// Unreachable returns the failed hosts whose records are still kept. Dialling
+// them finds out that a partition has healed.
+func (t *Table) Unreachable() []Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.collect(func(e *entry) bool { return e.host.Status == StatusFailed })
+}
+
+// Get returns the record of a host.
+func (t *Table) Get(id mesh.HostID) (Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.hosts[id]
+	if !ok || e.hidden(t.opts.HideAfter) {
+		return Host{}, false
+	}
+	return clone(e.host), true
+}
+
+// Changed returns a channel that is closed at the next change. Callers take
+// the channel before they read the state, so that no change is missed.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// ChangedSince returns the records that changed after the given table version,
+// and the present version. Version 0 returns all records.
+func (t *Table) ChangedSince(version uint64) ([]Host, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.collect(func(e *entry) bool { return e.version > version }), t.version
+}
+
+// Duplicate reports whether another process uses this host's ID and has taken
+// its record over. The host must not go on serving under this ID.
+func (t *Table) Duplicate() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.takeovers > maxTakeovers
+}
+
+func (t *Table) collect(keep func(*entry) bool) []Host {
+	hosts := make([]Host, 0, len(t.hosts))
+	for _, e := range t.hosts {
+		if keep(e) {
+			hosts = append(hosts, clone(e.host))
+		}
+	}
+	slices.SortFunc(hosts, func(a, b Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return hosts
+}
+
+// put stores a record and keeps digests, versions and timers in step.
+func (t *Table) put(h Host, now time.Time) {
+	e := t.hosts[h.ID]
+	if e == nil {
+		e = &entry{since: now}
+		t.hosts[h.ID] = e
+	} else {
+		t.digests[BucketOf(h.ID)] -= recordHash(&e.host)
+		if e.host.Status != h.Status {
+			e.since = now
+		}
+	}
+	t.version++
+	e.host, e.version = h, t.version
+	switch h.Status {
+	case StatusSuspect:
+		if e.suspected.IsZero() {
+			e.suspected = now
+		}
+	default:
+		e.suspected = time.Time{}
+	}
+	t.digests[BucketOf(h.ID)] += recordHash(&h)
+}
+
+func (t *Table) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (e *entry) hidden(after time.Duration) bool {
+	return e.host.Status.gone() && time.Since(e.since) > after
+}
+
+// gone reports whether the status is final within its incarnation.
+func (s Status) gone() bool { return s == StatusFailed || s == StatusLeft }
+
+// clone copies the targets, so that no caller shares them with the table.
+func clone(h Host) Host {
+	h.Targets = slices.Clone(h.Targets)
+	return h
+}
