--- /dev/null
+++ b/internal/memnet/memnet.go
@@ -0,0 +1,167 @@
+// Package memnet is an in-memory distribution.Transport with fault injection,
+// for tests and virtual-clock measurements. Its delays use the time package,
+// so that testing/synctest can drive them.
+package memnet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"nutmeghoist.example/nutmeghoist/pkg/distribution"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// acceptsPerSecond is the limit on new links that a node accepts.
+const acceptsPerSecond = 32
+
+// Fate is what happens to one frame, request or dial.
+type Fate struct {
+	Lost  bool
+	Delay time.Duration
+}
+
+// Network connects transports by address.
+type Network struct {
+	mu    sync.Mutex
+	nodes map[string]*Transport
+	fate  func(from, to mesh.HostID) Fate
+	bytes map[mesh.HostID]int64
+}
+
+// New returns a network without faults or delays.
+func New() *Network {
+	return &Network{
+		nodes: make(map[string]*Transport),
+		bytes: make(map[mesh.HostID]int64),
+		fate:  func(_, _ mesh.HostID) Fate { return Fate{} },
+	}
+}
+
+// SetFate sets the function that decides over each frame, request, dial and
+// close. It must be safe for concurrent use.
+func (n *Network) SetFate(fate func(from, to mesh.HostID) Fate) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fate = fate
+}
+
+// Silence makes the open links between two hosts lose everything for good,
+// while new links work.
+func (n *Network) Silence(a, b mesh.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, t := range n.nodes {
+		for l := range t.links {
+			if l.local == a && l.peer == b || l.local == b && l.peer == a {
+				l.silent.Store(true)
+			}
+		}
+	}
+}
+
+// Sent returns the bytes of frames, requests and responses a host has sent.
+func (n *Network) Sent(host mesh.HostID) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes[host]
+}
+
+func (n *Network) decide(from, to mesh.HostID, size int) Fate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bytes[from] += int64(size)
+	return n.fate(from, to)
+}
+
+// Transport is the end of one host in a Network.
+type Transport struct {
+	net     *Network
+	host    mesh.HostID
+	address string
+	limit   *rate.Limiter
+	handler distribution.Handler // set while serving; net.mu guards it
+	links   map[*link]bool       // net.mu guards it
+}
+
+// Transport returns a transport for a host. It accepts links at the address
+// while it serves.
+func (n *Network) Transport(host mesh.HostID, address string) *Transport {
+	return &Transport{
+		net: n, host: host, address: address, links: make(map[*link]bool),
+		limit: rate.NewLimiter(acceptsPerSecond, acceptsPerSecond),
+	}
+}
+
+// Serve implements distribution.Transport.
+func (t *Transport) Serve(ctx context.Context, h distribution.Handler) error {
+	t.net.mu.Lock()
+	if t.net.nodes[t.address] != nil {
+		t.net.mu.Unlock()
+		return fmt.Errorf("address %s is in use", t.address)
+	}
+	t.handler, t.net.nodes[t.address] = h, t
+	t.net.mu.Unlock()
+	<-ctx.Done()
+	t.net.mu.Lock()
+	delete(t.net.nodes, t.address)
+	t.handler = nil
+	var links []*link
+	for l := range t.links {
+		links = append(links, l)
+	}
+	t.net.mu.Unlock()
+	for _, l := range links {
+		l.Close(distribution.CloseShutdown)
+	}
+	return nil
+}
+
+// Dial implements distribution.Transport.
+func (t *Transport) Dial(ctx context.Context, to distribution.Endpoint) (distribution.Link, error) {
+	t.net.mu.Lock()
+	peer := t.net.nodes[to.Address]
+	t.net.mu.Unlock()
+	if peer == nil {
+		<-ctx.Done()
+		return nil, fmt.Errorf("dial %s: %w", to.Address, ctx.Err())
+	}
+	out, back := t.net.decide(t.host, peer.host, 0), t.net.decide(peer.host, t.host, 0)
+	if out.Lost || back.Lost {
+		<-ctx.Done()
+		return nil, fmt.Errorf("dial %s: %w", to.Address, ctx.Err())
+	}
+	select {
+	case <-time.After(out.Delay + back.Delay):
+	case <-ctx.Done():
+		return nil, fmt.Errorf("dial %s: %w", to.Address, ctx.Err())
+	}
+	if to.Host != "" && to.Host != peer.host {
+		return nil, fmt.Errorf("dial %s: is host %s, not %s: %w", to.Address, peer.host, to.Host, distribution.ErrUnauthorized)
+	}
+	if !peer.limit.Allow() {
+		return nil, fmt.Errorf("dial %s: %w", to.Address, distribution.ErrBusy)
+	}
+	near, far, handler := t.connect(peer)
+	if handler == nil {
+		return nil, fmt.Errorf("dial %s: host has stopped", to.Address)
+	}
+	handler.HandleLink(far)
+	return near, nil
+}
+
+func (t *Transport) connect(peer *Transport) (near, far *link, h distribution.Handler) {
+	near = newLink(t, peer.host, true)
+	far = newLink(peer, t.host, false)
+	near.other, far.other = far, near
+	t.net.mu.Lock()
+	defer t.net.mu.Unlock()
+	if peer.handler == nil {
+		return nil, nil, nil
+	}
+	t.links[near], peer.links[far] = true, true
+	return near, far, peer.handler
+}
--- /dev/null
+++ b/pkg/distribution/config.go
@@ -0,0 +1,118 @@
+package distribution
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// Times of the protocol. The failure detector's objective is to replace a
+// silent link within 5 s: one missed heartbeat, a second for delay, and one
+// attempt to open a new link.
+const (
+	HeartbeatPeriod = 2 * time.Second
+	silenceLimit    = 3 * time.Second
+	dialTimeout     = time.Second
+	sendTimeout     = time.Second
+	requestTimeout  = 2 * time.Second
+	fetchTimeout    = 5 * time.Second
+	// pushWait bounds how long the delivery of a head waits until the neighbours
+	// have it; one stuck link must not delay activation.
+	pushWait     = 250 * time.Millisecond
+	tickPeriod   = 500 * time.Millisecond
+	reformJitter = time.Second // full jitter after a change of neighbours
+	maxBackoff   = 8 * time.Second
+)
+
+// Fault names a kind of event that is counted and reported to Config.OnFault.
+type Fault string
+
+// The faults that the engine reports.
+const (
+	FaultHeadConflict  Fault = "head_conflict"  // same revision, another hash
+	FaultBadObject     Fault = "bad_object"     // text does not have the hash of its head
+	FaultBadMessage    Fault = "bad_message"    // a peer sent something invalid
+	FaultSilentLink    Fault = "silent_link"    // a link made no progress and was replaced
+	FaultDialFailed    Fault = "dial_failed"    // a neighbour did not accept a link
+	FaultDuplicateHost Fault = "duplicate_host" // another process uses this host's ID
+	FaultFetchFailed   Fault = "fetch_failed"   // no neighbour and no store had an object
+	FaultVetoLimit     Fault = "veto_limit"     // the set of vetoes is full
+	FaultUnauthorized  Fault = "unauthorized"   // a peer presented a wrong certificate
+)
+
+// Counters receives the counts of the engine. Names are stable.
+type Counters interface {
+	Count(name string, n int64)
+}
+
+type noCounters struct{}
+
+func (noCounters) Count(string, int64) {}
+
+// Config is what a Gossip needs. Members, Transport and Active are required.
+type Config struct {
+	Members   *membership.Table
+	Transport Transport
+	// Seeds are addresses of hosts to join through when no record is known.
+	Seeds []string
+	// Active returns the version that this host has in force.
+	Active func() mesh.ConfigVersion
+	// OnHead is called for each newer head, one at a time and in rising order;
+	// heads that are overtaken meanwhile are skipped. The neighbours have been
+	// sent the head before. The text must not be changed.
+	OnHead func(head source.Head, text []byte)
+	// OnVeto is called once for each new veto, one at a time.
+	OnVeto func(source.Veto)
+	// Fetch reads an object from the object store. It is used only when no
+	// neighbour has the object.
+	Fetch func(ctx context.Context, hash string) ([]byte, error)
+	// OnFault is called for each fault, with the peer if there is one. It must
+	// not block.
+	OnFault  func(f Fault, peer mesh.HostID, err error)
+	Counters Counters
+	Rand     *rand.Rand
+}
+
+func (c *Config) check() error {
+	if c.Members == nil || c.Transport == nil || c.Active == nil {
+		return errors.New("distribution: Members, Transport and Active are required")
+	}
+	if c.OnHead == nil {
+		c.OnHead = func(source.Head, []byte) {}
+	}
+	if c.OnVeto == nil {
+		c.OnVeto = func(source.Veto) {}
+	}
+	if c.OnFault == nil {
+		c.OnFault = func(Fault, mesh.HostID, error) {}
+	}
+	if c.Counters == nil {
+		c.Counters = noCounters{}
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return nil
+}
+
+// Polling of the head by all hosts of a data centre together.
+const (
+	pollsPerSecond = 2
+	minPollMean    = 500 * time.Millisecond
+	// maxPollFactor cuts the tail of the exponential distribution, so that no
+	// host goes unexpectedly long without a poll.
+	maxPollFactor = 5
+)
+
+// PollPeriod returns the time until the next poll of the head. Its mean is the
+// number of live hosts of the data centre divided by two, in seconds, so that
+// the data centre makes about two reads a second whatever its size.
+func PollPeriod(liveHosts int, rng *rand.Rand) time.Duration {
+	mean := max(time.Duration(liveHosts)*time.Second/pollsPerSecond, minPollMean)
+	return time.Duration(min(rng.ExpFloat64(), maxPollFactor) * float64(mean))
+}
--- /dev/null
+++ b/pkg/distribution/floor.go
@@ -0,0 +1,110 @@
+package distribution
+
+import (
+	"context"
+	"errors"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// Floor is what the neighbours know of the versions in force. A restarted
+// host serves nothing older than Version, and nothing older than Head.
+type Floor struct {
+	Version  mesh.ConfigVersion // highest that a neighbour has active or heard from this host
+	Head     source.Head        // newest that a neighbour has heard of; zero if none
+	Asked    int
+	Answered int
+}
+
+// ErrNoNeighbour means that no neighbour answered.
+var ErrNoNeighbour = errors.New("no neighbour answered")
+
+// Floor asks all linked neighbours, waiting for a first link if there is none.
+// It returns when all have answered or the context ends, with an error only if
+// none answered.
+func (g *Gossip) Floor(ctx context.Context) (Floor, error) {
+	links, err := g.awaitLinks(ctx)
+	if err != nil {
+		return Floor{}, err
+	}
+	answers := make(chan *floorAnswer, len(links))
+	for _, l := range links {
+		go func() { answers <- l.askFloor(ctx) }()
+	}
+	f := Floor{Asked: len(links)}
+	for range links {
+		select {
+		case a := <-answers:
+			f.join(a)
+		case <-ctx.Done():
+		}
+	}
+	if f.Answered == 0 {
+		return f, ErrNoNeighbour
+	}
+	return f, nil
+}
+
+func (f *Floor) join(a *floorAnswer) {
+	if a == nil {
+		return
+	}
+	f.Answered++
+	for _, v := range []mesh.ConfigVersion{a.Active, a.LastHeard} {
+		if v.Compare(f.Version) > 0 {
+			f.Version = v
+		}
+	}
+	if a.Head != nil && a.Head.Revision > f.Head.Revision {
+		f.Head = *a.Head
+	}
+}
+
+func (g *Gossip) awaitLinks(ctx context.Context) ([]*link, error) {
+	for {
+		g.mu.Lock()
+		links, up := g.openLinks(), g.linkUp
+		g.mu.Unlock()
+		if len(links) > 0 {
+			return links, nil
+		}
+		select {
+		case <-up:
+		case <-ctx.Done():
+			return nil, errors.Join(ErrNoNeighbour, ctx.Err())
+		}
+	}
+}
+
+// askFloor returns nil when the peer does not answer.
+func (l *link) askFloor(ctx context.Context) *floorAnswer {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	req, err := encMode().Marshal(request{Floor: true})
+	if err != nil {
+		return nil
+	}
+	b, err := l.conn.Request(ctx, req)
+	if err != nil {
+		return nil
+	}
+	var a floorAnswer
+	if err := decMode().Unmarshal(b, &a); err != nil {
+		l.g.fault(FaultBadMessage, l.peer, err)
+		return nil
+	}
+	return &a
+}
+
+func (g *Gossip) floorFor(peer mesh.HostID) floorAnswer {
+	a := floorAnswer{Active: g.cfg.Active()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.LastHeard = g.heard[peer]
+	if g.objects.offer.Revision > 0 {
+		offer := g.objects.offer
+		a.Head = &offer
+	}
+	return a
+}
--- /dev/null
+++ b/pkg/distribution/gossip.go
@@ -0,0 +1,218 @@
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// Gossip is the engine of one host. Its methods are safe for concurrent use.
+type Gossip struct {
+	cfg   Config
+	self  mesh.HostID
+	codec *codec
+
+	randMu sync.Mutex
+
+	mu       sync.Mutex
+	links    map[mesh.HostID]*link
+	linkUp   chan struct{} // closed and replaced when a link opens
+	dialing  map[mesh.HostID]bool
+	wanted   map[mesh.HostID]bool // the neighbours this host links to
+	synced   bool                 // a repair with some peer has completed
+	objects  headState
+	vetoes   map[source.VetoKey]source.Veto
+	vetoSums [membership.Buckets]uint64
+	unsent   []source.Veto // not yet delivered to OnVeto
+	heard    map[mesh.HostID]mesh.ConfigVersion
+	runCtx   context.Context
+
+	deliverHead chan struct{} // capacity 1
+	deliverVeto chan struct{}
+	fetchWake   chan struct{}
+	reform      chan struct{}
+	tasks       sync.WaitGroup
+}
+
+// New returns an engine that is not yet running.
+func New(cfg Config) (*Gossip, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	c, err := newCodec()
+	if err != nil {
+		return nil, err
+	}
+	return &Gossip{
+		codec:       c,
+		cfg:         cfg,
+		self:        cfg.Members.Self().ID,
+		links:       make(map[mesh.HostID]*link),
+		linkUp:      make(chan struct{}),
+		dialing:     make(map[mesh.HostID]bool),
+		vetoes:      make(map[source.VetoKey]source.Veto),
+		heard:       make(map[mesh.HostID]mesh.ConfigVersion),
+		deliverHead: make(chan struct{}, 1),
+		deliverVeto: make(chan struct{}, 1),
+		fetchWake:   make(chan struct{}, 1),
+		reform:      make(chan struct{}, 1),
+	}, nil
+}
+
+// Run operates the engine until the context ends. All links are then closed.
+func (g *Gossip) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	g.mu.Lock()
+	g.runCtx = ctx
+	g.mu.Unlock()
+	group.Go(func() error { return g.cfg.Transport.Serve(ctx, g) })
+	for _, loop := range []func(context.Context){
+		g.spreadRecords, g.formLinks, g.tick, g.rejoin, g.deliverHeads, g.deliverVetoes, g.fetchHeads,
+	} {
+		group.Go(func() error { loop(ctx); return nil })
+	}
+	group.Go(func() error {
+		<-ctx.Done()
+		g.closeLinks()
+		return nil
+	})
+	wake(g.deliverHead) // a head may have been announced before Run
+	wake(g.deliverVeto)
+	err := group.Wait()
+	g.mu.Lock()   // a task that passed the check of spawn is counted now
+	g.mu.Unlock() //nolint:staticcheck // the empty section is the point
+	g.tasks.Wait()
+	if ctx.Err() != nil && context.Cause(ctx) == context.Canceled {
+		return nil
+	}
+	return err
+}
+
+func (g *Gossip) closeLinks() {
+	g.mu.Lock()
+	links := g.openLinks()
+	g.mu.Unlock()
+	for _, l := range links {
+		l.conn.Close(CloseShutdown)
+	}
+}
+
+// openLinks returns the links; g.mu is held.
+func (g *Gossip) openLinks() []*link {
+	links := make([]*link, 0, len(g.links))
+	for _, l := range g.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+// Links returns the number of open links.
+func (g *Gossip) Links() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.links)
+}
+
+// spawn runs a task that Run waits for, unless the engine is stopping.
+func (g *Gossip) spawn(task func(ctx context.Context)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.runCtx == nil || g.runCtx.Err() != nil {
+		return
+	}
+	ctx := g.runCtx
+	g.tasks.Go(func() { task(ctx) })
+}
+
+// jitter returns a random duration below d.
+func (g *Gossip) jitter(d time.Duration) time.Duration {
+	g.randMu.Lock()
+	defer g.randMu.Unlock()
+	return time.Duration(g.cfg.Rand.Int64N(int64(d)))
+}
+
+func (g *Gossip) withRand(f func(*rand.Rand)) {
+	g.randMu.Lock()
+	defer g.randMu.Unlock()
+	f(g.cfg.Rand)
+}
+
+func (g *Gossip) fault(f Fault, peer mesh.HostID, err error) {
+	g.cfg.Counters.Count("distribution_"+string(f), 1)
+	g.cfg.OnFault(f, peer, err)
+}
+
+// spreadRecords queues each changed host record for all neighbours.
+func (g *Gossip) spreadRecords(ctx context.Context) {
+	var version uint64
+	for {
+		changed := g.cfg.Members.Changed()
+		var hosts []membership.Host
+		hosts, version = g.cfg.Members.ChangedSince(version)
+		g.mu.Lock()
+		links := g.openLinks()
+		g.mu.Unlock()
+		for _, l := range links {
+			l.queueHosts(hosts)
+		}
+		if g.cfg.Members.Duplicate() {
+			g.fault(FaultDuplicateHost, g.self, nil)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// tick drives the timers of the membership table.
+func (g *Gossip) tick(ctx context.Context) {
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			g.cfg.Members.Tick(now)
+		}
+	}
+}
+
+// digest covers the host records and the vetoes.
+func (g *Gossip) digest() [membership.Buckets]uint64 {
+	sums := g.cfg.Members.BucketDigests()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, v := range g.vetoSums {
+		sums[i] += v
+	}
+	return sums
+}
+
+// sleep waits and reports whether the context is still live.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -118,6 +118,17 @@
 	return clone(e.host), true
 }
 
+// Lookup returns the record of a host even when Get no longer does.
+func (t *Table) Lookup(id mesh.HostID) (Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.hosts[id]
+	if !ok {
+		return Host{}, false
+	}
+	return clone(e.host), true
+}
+
 // Changed returns a channel that is closed at the next change. Callers take
 // the channel before they read the state, so that no change is missed.
 func (t *Table) Changed() <-chan struct{} {
