Add the call path: routing, plain admission, forwarding

Calls go from the entry node to a target on its host, directly or through the node of the target's host. Whether a call was run is decided by an embedded state chart and by connections that know whether a byte was written for an attempt; the same check stops http.Transport from replaying a request on a second connection. Admission only counts slots so far, and nothing is retried.

--- /dev/null
+++ b/internal/proxy/config.go
@@ -0,0 +1,155 @@
+// Package proxy is the call path of a node: it takes calls from callers and
+// from other nodes, admits them, forwards them to targets and passes the
+// answers back. It says that a call was not run only when that is certain.
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/pkg/admission"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/move"
+	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+)
+
+// Targets finds the targets of this host. Implementations are safe for
+// concurrent use and fast: every call asks them.
+type Targets interface {
+	// Lookup returns a target that runs calls, also while it drains, and its
+	// limiter.
+	Lookup(id mesh.TargetID) (membership.Target, *admission.Limiter, bool)
+}
+
+// Config holds what a proxy needs.
+type Config struct {
+	Self       mesh.HostID
+	DataCentre mesh.DataCentre
+	// Snapshot returns the snapshot in force; nil means that the node is not
+	// ready and refuses calls.
+	Snapshot func() *snapshot.Snapshot
+	Chooser  move.Chooser  // nil gives every call to the rule's version
+	Observer move.Observer // may be nil
+	Targets  Targets
+	PeerTLS  *tls.Config      // client side of node-to-node calls; nil means plain connections
+	Metrics  metrics.Registry // nil means a registry of its own
+	Log      *log.Logger      // nil discards
+}
+
+// Proxy is the call path of one node.
+type Proxy struct {
+	cfg      Config
+	tracker  *routing.Tracker
+	routes   atomic.Pointer[routeTable]
+	routesMu sync.Mutex
+	peers    *http.Transport
+	local    sync.Map // mesh.TargetID to *upstream
+	counters counters
+	rng      *rand.Rand
+	flight   flight
+}
+
+// globalSource draws from the process-wide generator, which is safe for
+// concurrent use.
+type globalSource struct{}
+
+func (globalSource) Uint64() uint64 { return rand.Uint64() }
+
+// New returns a proxy.
+func New(cfg Config) *Proxy {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	if cfg.Log == nil {
+		cfg.Log = &log.Logger{Level: log.PanicLevel + 1}
+	}
+	p := &Proxy{
+		cfg:      cfg,
+		tracker:  routing.NewTracker(),
+		counters: newCounters(cfg.Metrics),
+		rng:      rand.New(globalSource{}),
+		flight:   flight{idle: make(chan struct{}, 1)},
+	}
+	p.peers = newTransport(p.dialPeer, 0, maxIdlePerPeer)
+	return p
+}
+
+// maxIdlePerPeer bounds the warm connections to one other node.
+const maxIdlePerPeer = 64
+
+var dialer = net.Dialer{Timeout: connectTimeout, KeepAlive: 15 * time.Second}
+
+// dialPeer opens a connection to another node, including the TLS handshake, so
+// that the tracked connection counts application bytes only.
+func (p *Proxy) dialPeer(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := dialer.DialContext(ctx, network, addr)
+	if err != nil || p.cfg.PeerTLS == nil {
+		return c, err
+	}
+	conf := p.cfg.PeerTLS.Clone()
+	conf.NextProtos = []string{"http/1.1"}
+	if conf.ServerName == "" {
+		conf.ServerName, _, _ = net.SplitHostPort(addr)
+	}
+	tc := tls.Client(c, conf)
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	if err := tc.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return tc, nil
+}
+
+// Drain refuses new calls as not run and returns when no call is in flight, or
+// with the context's error.
+func (p *Proxy) Drain(ctx context.Context) error { return p.flight.drain(ctx) }
+
+// InFlight returns the number of calls on this node.
+func (p *Proxy) InFlight() int { return int(p.flight.count.Load()) }
+
+// flight counts the calls in flight for the graceful shutdown.
+type flight struct {
+	count    atomic.Int64
+	draining atomic.Bool
+	idle     chan struct{}
+}
+
+// enter counts a call; it reports false when the node drains. leave must be
+// called in both cases.
+func (f *flight) enter() bool {
+	f.count.Add(1)
+	return !f.draining.Load()
+}
+
+func (f *flight) leave() {
+	if f.count.Add(-1) == 0 && f.draining.Load() {
+		select {
+		case f.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (f *flight) drain(ctx context.Context) error {
+	f.draining.Store(true)
+	for f.count.Load() != 0 {
+		select {
+		case <-f.idle:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proxy/conn.go
@@ -0,0 +1,101 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+var (
+	errSealed = errors.New("attempt was given up before anything was written")
+	errReplay = errors.New("request was already written on another connection")
+)
+
+// attempt knows on which connection a request was written, if any. It makes
+// the answer to "was a byte written?" final: once sealed, no connection writes
+// the request any more. It also prevents http.Transport from replaying a
+// request on a second connection.
+type attempt struct {
+	writer atomic.Pointer[trackedConn]
+}
+
+// sealedBy marks an attempt that must not be written.
+var sealedBy = new(trackedConn)
+
+// seal reports whether nothing was written, in which case nothing will be.
+func (a *attempt) seal() bool {
+	return a.writer.CompareAndSwap(nil, sealedBy) || a.writer.Load() == sealedBy
+}
+
+// trace returns a context that binds the attempt to the connection it gets.
+func (a *attempt) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			if c, ok := i.Conn.(*trackedConn); ok {
+				c.current.Store(a)
+			}
+		},
+	})
+}
+
+// trackedConn is a connection that writes only for the attempt it is bound to.
+type trackedConn struct {
+	net.Conn
+	current atomic.Pointer[attempt]
+}
+
+func (c *trackedConn) Write(b []byte) (int, error) {
+	a := c.current.Load()
+	if a == nil {
+		return 0, errSealed
+	}
+	first := a.writer.CompareAndSwap(nil, c)
+	switch w := a.writer.Load(); {
+	case w == sealedBy:
+		return 0, errSealed
+	case w != c:
+		return 0, errReplay
+	}
+	n, err := c.Conn.Write(b)
+	if _, plain := c.Conn.(*net.TCPConn); first && n == 0 && err != nil && plain {
+		// The kernel took nothing, so the attempt provably was not written. A TLS
+		// connection may have sent a part of its record.
+		a.writer.CompareAndSwap(c, sealedBy)
+	}
+	return n, err
+}
+
+type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// newTransport returns an HTTP/1.1 transport whose connections are tracked.
+func newTransport(dial dialFunc, maxConns, maxIdle int) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: c}, nil
+		},
+		DisableCompression:     true,
+		MaxConnsPerHost:        maxConns,
+		MaxIdleConnsPerHost:    maxIdle,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		WriteBufferSize:        bufferSize,
+		ReadBufferSize:         bufferSize,
+	}
+}
+
+const (
+	// connectTimeout leaves time for another target within the default timeout
+	// of 2 s. Opening a connection takes about 1 ms.
+	connectTimeout  = 300 * time.Millisecond
+	idleConnTimeout = 90 * time.Second
+	maxHeaderBytes  = 64 << 10
+	bufferSize      = 16 << 10
+)
--- /dev/null
+++ b/internal/proxy/routes.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+)
+
+// routeTable is a snapshot compiled for the call path.
+type routeTable struct {
+	snap    *snapshot.Snapshot
+	matcher *routing.Matcher
+	names   map[*rules.Rule]string
+	sets    map[mesh.ServiceVersion]*routing.Set
+}
+
+// table returns the compiled snapshot in force, or nil when the node is not
+// ready. A snapshot is compiled by the first call that sees it.
+func (p *Proxy) table(now time.Time) *routeTable {
+	snap := p.cfg.Snapshot()
+	if t := p.routes.Load(); t != nil && t.snap == snap {
+		return t
+	}
+	if snap == nil {
+		return nil
+	}
+	p.routesMu.Lock()
+	defer p.routesMu.Unlock()
+	if t := p.routes.Load(); t != nil && t.snap == snap {
+		return t
+	}
+	t := p.compile(snap, now)
+	p.routes.Store(t)
+	return t
+}
+
+func (p *Proxy) compile(snap *snapshot.Snapshot, now time.Time) *routeTable {
+	t := &routeTable{
+		snap:    snap,
+		matcher: routing.NewMatcher(snap.Rules),
+		names:   make(map[*rules.Rule]string, len(snap.Rules)),
+		sets:    make(map[mesh.ServiceVersion]*routing.Set, len(snap.Targets)),
+	}
+	for i := range snap.Rules {
+		t.names[&snap.Rules[i]] = snap.Rules[i].Route()
+	}
+	known := make(map[routing.Key]bool)
+	for sv, targets := range snap.Targets {
+		t.sets[sv] = p.tracker.NewSet(p.cfg.DataCentre, targets, now)
+		for i := range targets {
+			known[routing.Key{Host: targets[i].Host, ID: targets[i].ID}] = true
+		}
+	}
+	p.tracker.Keep(func(k routing.Key) bool { return known[k] })
+	return t
+}
--- /dev/null
+++ b/internal/proxy/run.go
@@ -0,0 +1,159 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/admission"
+	"nutmeghoist.example/nutmeghoist/pkg/move"
+	"nutmeghoist.example/nutmeghoist/pkg/routing"
+)
+
+// run tries the call at targets until one answers or the call is given up.
+func (c *call) run() {
+	now := time.Now()
+	t := c.set.Pick(now, c.p.rng, &c.tried)
+	if t == nil {
+		c.finish(ReasonNoTarget, 0)
+		return
+	}
+	c.state.on(eventQueue)
+	t.Stat.Begin()
+	res := c.try(t)
+	if res.kind == resultAnswer {
+		c.pass(t, &res)
+		return
+	}
+	t.Stat.End()
+	c.learn(t, &res)
+	c.settle(&res)
+	c.finish(res.reason, res.retryAfter)
+}
+
+// settle tells the call's state how an attempt without an answer ended.
+func (c *call) settle(res *result) {
+	if res.kind == resultNotRun {
+		c.state.on(eventNotRun)
+	} else {
+		c.state.on(eventLost)
+	}
+}
+
+// dispatch reports whether the call may be sent to a target now.
+func (c *call) dispatch() bool {
+	if c.idempotent {
+		return c.state.on(eventDispatchAgain)
+	}
+	return c.state.on(eventDispatch)
+}
+
+// try sends the call to one target, directly or through its host's node.
+func (c *call) try(t *routing.Candidate) result {
+	o := order{
+		r: c.r, body: c.body.open(), length: c.body.length,
+		class: c.class, deadline: c.deadline, depth: c.depth, budget: c.budget, key: c.key,
+	}
+	if t.Host == c.p.cfg.Self {
+		return c.p.tryLocal(c.ctx, &o, t.ID, c.target, c.dispatch)
+	}
+	return c.tryPeer(&o, t)
+}
+
+// tryPeer sends the call to the node of the target's host.
+func (c *call) tryPeer(o *order, t *routing.Candidate) result {
+	req, ok := o.request(c.ctx, t.CallAddress)
+	if !ok || !c.dispatch() {
+		return result{kind: resultNotRun, reason: ReasonDeadline}
+	}
+	req.Header[headerTarget] = []string{string(t.ID)}
+	req.Header[headerVersion] = []string{c.target.String()}
+	started := time.Now()
+	resp, res := roundTrip(c.p.peers, req)
+	res.started = started
+	if resp == nil {
+		return res
+	}
+	if l, wait, ok := parseLoad(resp.Header); ok {
+		t.Stat.ReportLoad(l, time.Now())
+		res.wait = wait
+	}
+	readOutcome(resp, &res)
+	return res
+}
+
+// readOutcome tells a target's answer from what the other node itself says.
+func readOutcome(resp *http.Response, res *result) {
+	outcome := resp.Header.Get(headerOutcome)
+	if outcome == "" {
+		res.kind, res.resp = resultAnswer, resp
+		return
+	}
+	res.kind = resultLost
+	if outcome == outcomeNotRun {
+		res.kind = resultNotRun
+	}
+	res.reason, res.retryAfter = Reason(resp.Header.Get(headerReason)), retryAfterOf(resp.Header)
+	discard(resp)
+}
+
+// pass gives the target's answer to the caller.
+func (c *call) pass(t *routing.Candidate, res *result) {
+	c.state.on(eventAnswer)
+	err := passAnswer(c.w, res.resp)
+	_ = res.resp.Body.Close()
+	res.done(admission.Done{Answer: err == nil})
+	t.Stat.End()
+	now := time.Now()
+	kind := move.OutcomeOK
+	switch {
+	case err == errCallerGone || (err != nil && c.r.Context().Err() != nil):
+		kind = move.OutcomeCancelled
+	case err != nil:
+		kind = move.OutcomeEarlyEnd
+		t.Stat.Signal(routing.SignalNoAnswer, 0, now)
+	case res.resp.StatusCode >= http.StatusInternalServerError:
+		kind = move.OutcomeFailed
+		t.Stat.Signal(routing.SignalServerError, 0, now)
+	default:
+		t.Stat.Signal(routing.SignalAnswer, 0, now)
+	}
+	c.observe(t, kind, now.Sub(res.started)-res.wait)
+	if err != nil {
+		c.p.counters.inc(kindAborted, abortReason(kind))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func abortReason(k move.OutcomeKind) Reason {
+	if k == move.OutcomeCancelled {
+		return ReasonCancelled
+	}
+	return "early_end"
+}
+
+// learn takes what an attempt without an answer shows about the target.
+func (c *call) learn(t *routing.Candidate, res *result) {
+	now := time.Now()
+	switch {
+	case res.reason == ReasonCancelled:
+		c.observe(t, move.OutcomeCancelled, now.Sub(res.started))
+	case res.kind == resultLost:
+		t.Stat.Signal(routing.SignalNoAnswer, 0, now)
+		c.observe(t, move.OutcomeNoAnswer, now.Sub(res.started))
+	case res.reason.isLoad():
+		t.Stat.Signal(routing.SignalShed, res.retryAfter, now)
+		c.observe(t, move.OutcomeShed, 0)
+	default:
+		t.Stat.Signal(routing.SignalUnreachable, 0, now)
+	}
+}
+
+func (c *call) observe(t *routing.Candidate, kind move.OutcomeKind, latency time.Duration) {
+	if c.p.cfg.Observer == nil {
+		return
+	}
+	c.p.cfg.Observer.Observe(move.Outcome{
+		Service: t.Service, Version: t.Version, Route: c.route, Host: t.Host, DataCentre: t.DataCentre,
+		Kind: kind, Latency: max(0, latency), Cold: t.Cold(time.Now()),
+	})
+}
--- /dev/null
+++ b/pkg/routing/params.go
@@ -0,0 +1,46 @@
+package routing
+
+import "time"
+
+const (
+	// loadAge is how long a reported load is trusted. At 12 slots and calls of
+	// some 10 ms a target turns over its whole load several times in it.
+	loadAge = time.Second
+
+	// slowStart is the ramp of a target that became ready; coldWeight is the
+	// weight it starts with.
+	slowStart  = 10 * time.Second
+	coldWeight = 0.1
+
+	// maxSilences calls in a row without an answer eject a target; 2 would eject
+	// it for one connection that went silent with two calls queued behind it.
+	maxSilences     = 3
+	maxServerErrors = 5
+
+	// maxRefusals failed connects in a row take a target out for downTime.
+	maxRefusals = 2
+	downTime    = time.Second
+
+	// ejectionTime doubles with each ejection in a row, up to 32 times.
+	ejectionTime         = time.Second
+	maxEjectionDoublings = 5
+
+	// A target that refused for load is avoided for the time it asked for,
+	// within these bounds. shedScore, in units of its limit, is added to its
+	// load meanwhile.
+	minShedPause = 5 * time.Millisecond
+	maxShedPause = 200 * time.Millisecond
+	shedScore    = 2
+
+	// maxDraws bounds the draws of a weighted choice among cold targets.
+	maxDraws = 16
+
+	// evidenceAge is how long a call's answer outranks a health report.
+	evidenceAge = 10 * time.Second
+	// hintAge is how long a health report counts.
+	hintAge = 5 * time.Second
+
+	// spillLoad is the share of a remote target's limit above which calls are
+	// not failed over to it, so that an overload is not passed on.
+	spillLoad = 0.8
+)
--- /dev/null
+++ b/pkg/routing/stat.go
@@ -0,0 +1,231 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// Signal is what one call showed about its target.
+type Signal uint8
+
+// The signals.
+const (
+	SignalAnswer      Signal = iota + 1 // a complete answer without a server error
+	SignalServerError                   // a complete answer with a server error
+	SignalUnreachable                   // no connection could be opened
+	SignalNoAnswer                      // timeout, broken connection or early end after dispatch
+	SignalShed                          // refused for load without being run
+)
+
+// Key names a target in the whole mesh.
+type Key struct {
+	Host mesh.HostID
+	ID   mesh.TargetID
+}
+
+// Load is the work that the owner of a target reports with its answers.
+type Load struct {
+	InFlight int
+	Queued   int
+	Limit    int // calls that the owner lets run at once
+}
+
+type loadReport struct {
+	Load
+	at  time.Time
+	own int64 // own calls in flight when the report came
+}
+
+// Stat is what this node itself knows about one target. It outlives snapshots
+// and is safe for concurrent use.
+type Stat struct {
+	firstSeen time.Time
+	inFlight  atomic.Int64
+	report    atomic.Pointer[loadReport]
+	// These are Unix nanoseconds; 0 means never.
+	ejectedUntil atomic.Int64
+	downUntil    atomic.Int64
+	shedUntil    atomic.Int64
+	lastAnswer   atomic.Int64
+
+	failing   atomic.Bool // the last answer was not a success
+	probation atomic.Bool // was ejected and has not answered since
+	hint      atomic.Pointer[hint]
+
+	mu        sync.Mutex
+	errors    int // server errors in a row
+	silences  int // calls without an answer in a row
+	refusals  int // failed connects in a row
+	ejections int // ejections in a row without an answer between them
+}
+
+type hint struct {
+	healthy bool
+	at      time.Time
+}
+
+// Begin counts a call that is sent to the target.
+func (s *Stat) Begin() { s.inFlight.Add(1) }
+
+// End counts the end of a call.
+func (s *Stat) End() { s.inFlight.Add(-1) }
+
+// InFlight returns the calls of this node that are at the target.
+func (s *Stat) InFlight() int { return int(s.inFlight.Load()) }
+
+// ReportLoad takes the load that the target's owner sent with an answer.
+func (s *Stat) ReportLoad(l Load, now time.Time) {
+	s.report.Store(&loadReport{Load: l, at: now, own: s.inFlight.Load()})
+}
+
+// Hint takes what a health report says about the target. It counts only while
+// there is no recent evidence from calls.
+func (s *Stat) Hint(healthy bool, now time.Time) { s.hint.Store(&hint{healthy: healthy, at: now}) }
+
+// Signal takes what a call showed. retryAfter is the time that a shedding
+// target asked for; 0 when it said none.
+func (s *Stat) Signal(sig Signal, retryAfter time.Duration, now time.Time) {
+	switch sig {
+	case SignalShed:
+		s.shed(retryAfter, now)
+	case SignalAnswer:
+		s.lastAnswer.Store(now.UnixNano())
+		if s.failing.Load() {
+			s.recover()
+		}
+	case SignalUnreachable:
+		s.unreachable(now)
+	default:
+		s.fail(sig, now)
+	}
+}
+
+// shed makes picks avoid the target for a while. The refusal itself is an
+// answer, so it does not speak against the target's health.
+func (s *Stat) shed(retryAfter time.Duration, now time.Time) {
+	pause := min(max(retryAfter, minShedPause), maxShedPause)
+	s.shedUntil.Store(now.Add(pause).UnixNano())
+}
+
+func (s *Stat) recover() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.errors, s.silences, s.refusals, s.ejections = 0, 0, 0, 0
+	s.ejectedUntil.Store(0)
+	s.downUntil.Store(0)
+	s.probation.Store(false)
+	s.failing.Store(false)
+}
+
+// unreachable takes the target out without regard to the bound on ejections:
+// a refused connection is certain evidence and costs no call.
+func (s *Stat) unreachable(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing.Store(true)
+	s.refusals++
+	if s.refusals >= maxRefusals {
+		s.downUntil.Store(now.Add(downTime).UnixNano())
+	}
+}
+
+func (s *Stat) fail(sig Signal, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing.Store(true)
+	if sig == SignalServerError {
+		// The target answers, so the silence is over.
+		s.silences = 0
+		s.errors++
+	} else {
+		s.silences++
+	}
+	// Calls that were sent before an ejection do not lengthen it.
+	if now.UnixNano() < s.ejectedUntil.Load() {
+		return
+	}
+	if s.silences < maxSilences && s.errors < maxServerErrors && !s.probation.Load() {
+		return
+	}
+	s.ejectedUntil.Store(now.Add(ejectionTime << min(s.ejections, maxEjectionDoublings)).UnixNano())
+	s.ejections++
+	s.probation.Store(true)
+}
+
+// ejected reports whether calls should avoid the target. After an ejection has
+// ended, one call at a time probes the target until it answers.
+func (s *Stat) ejected(now time.Time) bool {
+	if now.UnixNano() < s.ejectedUntil.Load() {
+		return true
+	}
+	if s.probation.Load() {
+		return s.inFlight.Load() > 0
+	}
+	h := s.hint.Load()
+	if h == nil || h.healthy || now.Sub(h.at) > hintAge {
+		return false
+	}
+	return now.UnixNano()-s.lastAnswer.Load() > int64(evidenceAge)
+}
+
+func (s *Stat) down(now time.Time) bool { return now.UnixNano() < s.downUntil.Load() }
+
+func (s *Stat) shedding(now time.Time) bool { return now.UnixNano() < s.shedUntil.Load() }
+
+// load is the work at the target: what its owner reported, corrected by what
+// this node sent since; or only this node's own calls when the report is old.
+func (s *Stat) load(now time.Time) int64 {
+	own := s.inFlight.Load()
+	r := s.report.Load()
+	if r == nil || now.Sub(r.at) > loadAge {
+		return own
+	}
+	return max(own, int64(r.InFlight+r.Queued)+own-r.own)
+}
+
+func (s *Stat) nearLimit(now time.Time) bool {
+	if s.shedding(now) {
+		return true
+	}
+	r := s.report.Load()
+	if r == nil || now.Sub(r.at) > loadAge {
+		return false
+	}
+	return float64(s.load(now)) >= spillLoad*float64(max(1, r.Limit))
+}
+
+// Tracker keeps the Stat of every target across snapshots.
+type Tracker struct {
+	mu    sync.Mutex
+	stats map[Key]*Stat
+}
+
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker { return &Tracker{stats: make(map[Key]*Stat)} }
+
+// Stat returns the record of a target, which exists from the first call on.
+func (t *Tracker) Stat(k Key, now time.Time) *Stat {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.stats[k]
+	if s == nil {
+		s = &Stat{firstSeen: now}
+		t.stats[k] = s
+	}
+	return s
+}
+
+// Keep drops the records of all targets for which keep returns false and which
+// have no call in flight.
+func (t *Tracker) Keep(keep func(Key) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, s := range t.stats {
+		if !keep(k) && s.inFlight.Load() == 0 {
+			delete(t.stats, k)
+		}
+	}
+}
