Add move schedule, controller and sequential judgement

The share follows from the rule and the clock alone; outcomes of the new version are compared with the old one by likelihood ratio tests with a bounded false-alarm rate.

--- /dev/null
+++ b/pkg/move/advance.go
@@ -0,0 +1,50 @@
+package move
+
+// resume puts a move at the step of its schedule, as after a restart: the share
+// is a function of the rule and the clock, so it is the same as before.
+func (c *Controller) resume(p *progress) {
+	if p.state != StateWaiting || p.freshHosts() == 0 {
+		return
+	}
+	c.fire(p, eventStart)
+	p.step, p.stepAt = p.schedule.Step(c.now), c.mono
+	c.fireFull(p)
+}
+
+// advance takes at most one step. Steps are at least MinStep of monotonic time
+// apart, so a forward jump of the clock cannot skip the early steps, and a step
+// is never lowered, so a backward jump has no effect.
+func (c *Controller) advance(p *progress) {
+	switch p.state {
+	case StateWaiting:
+		if p.freshHosts() == 0 {
+			return
+		}
+		c.fire(p, eventStart)
+		p.step, p.stepAt = 0, c.mono
+	case StateMoving:
+		if p.schedule.Step(c.now) > p.step && c.mono-p.stepAt >= p.schedule.MinStep() {
+			p.step, p.stepAt = p.step+1, c.mono
+		}
+	case StateFull:
+		if !c.now.Before(p.schedule.WatchEnd()) {
+			c.fire(p, eventWatchEnd)
+		}
+	}
+	c.fireFull(p)
+}
+
+func (c *Controller) fireFull(p *progress) {
+	if p.state == StateMoving && p.step == lastStep {
+		c.fire(p, eventFull)
+	}
+}
+
+// reap forgets withdrawn moves after their watch period.
+func (c *Controller) reap() {
+	for id, p := range c.moves {
+		if p.state == StateWithdrawn && !c.now.Before(p.schedule.WatchEnd()) {
+			delete(c.moves, id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/move/batches.go
@@ -0,0 +1,145 @@
+package move
+
+import (
+	"math"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// minOverload is the part of shed calls from which a batch counts as overload.
+const minOverload = 0.01
+
+// total sums the new version's counters over target hosts.
+func (v *view) total() *Counters {
+	t := &Counters{}
+	for _, c := range v.fresh {
+		t.combine(c, sum)
+	}
+	return t
+}
+
+// batches makes one batch for each signal; nil where the signal cannot be judged.
+func (p *progress) batches(d, record *view, s *stream, dc mesh.DataCentre) [signals]*batch {
+	return [signals]*batch{
+		signalFailure: p.failures(d, record, &s.roll),
+		signalCold:    p.coldFailures(d, &s.roll),
+		signalSlow:    p.slow(d, record, &s.roll),
+		signalShed:    p.sheds(d, &s.roll, dc),
+	}
+}
+
+// proportion is the part of the calls that belongs to the new version: the
+// planned share, or the counted proportion when that is higher, since a larger
+// value is the safer one for the version. At the full share it is counted
+// against the control group.
+func (p *progress) proportion(r *rolling) float64 {
+	if p.full() {
+		if r.control < 1 {
+			return 1
+		}
+		return r.fresh / (r.fresh + r.control)
+	}
+	planned := float64(steps[max(0, p.step)]) / float64(FullShare)
+	if r.fresh+r.old < minLatencies {
+		return planned
+	}
+	return math.Max(planned, r.fresh/(r.fresh+r.old))
+}
+
+// failures makes the batch of failures, early ends and calls without an answer.
+func (p *progress) failures(d, record *view, r *rolling) *batch {
+	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(r), limit: failureLimit}
+	skipNoAnswer := false
+	if p.full() {
+		b.otherBad = float64(d.control.bad())
+		if record != nil {
+			b.limit = math.Max(failureLimit, upperRate(float64(record.old.bad()), float64(record.old.Calls)))
+		}
+		// Without the old version beside it, a missing answer may be overload or,
+		// without any other traffic, a cut.
+		skipNoAnswer = r.control < 1 || d.overloaded()
+	} else {
+		b.otherBad = float64(d.old.bad())
+	}
+	for h, c := range d.fresh {
+		n, bad := c.Calls, c.bad()
+		if skipNoAnswer {
+			n, bad = n-c.NoAnswers, bad-c.NoAnswers
+		}
+		b.add(h, n, bad)
+	}
+	return b
+}
+
+func (b *batch) add(h mesh.HostID, n, bad uint64) {
+	if n == 0 && bad == 0 {
+		return
+	}
+	b.hosts[h] = [2]float64{float64(n), float64(bad)}
+	b.n += float64(n)
+	b.bad += float64(bad)
+}
+
+// overloaded reports that the new version sheds calls.
+func (v *view) overloaded() bool {
+	t := v.total()
+	return float64(t.Shed) > minOverload*float64(t.Calls+t.Shed)
+}
+
+func (p *progress) coldFailures(d *view, r *rolling) *batch {
+	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(r), limit: coldLimit}
+	if p.full() {
+		b.otherBad = float64(d.control.bad())
+	} else {
+		b.otherBad = float64(d.old.bad() + d.old.ColdFailed)
+	}
+	for h, c := range d.fresh {
+		b.add(h, c.Cold, c.ColdFailed)
+	}
+	return b
+}
+
+// slow makes the batch of calls above the slow edge of the old version. At the
+// full share an overload explains slow calls.
+func (p *progress) slow(d, record *view, r *rolling) *batch {
+	if record == nil || (p.full() && (d.overloaded() || r.control < 1)) {
+		return nil
+	}
+	edge := slowEdge(&record.old)
+	if edge == 0 {
+		return nil
+	}
+	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(r), limit: slowLimit}
+	if p.full() {
+		b.otherBad = float64(d.control.Slow)
+	} else {
+		slow, _ := d.old.slower(edge)
+		b.otherBad = float64(slow)
+	}
+	for h, c := range d.fresh {
+		slow, all := c.slower(edge)
+		b.add(h, all, slow)
+	}
+	return b
+}
+
+// sheds makes the batch of shed calls. They speak against the version only when
+// its target hosts have no more load than those of the old version.
+func (p *progress) sheds(d *view, r *rolling, dc mesh.DataCentre) *batch {
+	h := p.hosts[dc]
+	if p.full() || h.fresh == 0 || h.old == 0 {
+		return nil
+	}
+	t := d.total()
+	if float64(t.Calls+t.Shed)/float64(h.fresh) > shedLoad*float64(d.old.Calls+d.old.Shed)/float64(h.old) {
+		return nil
+	}
+	b := &batch{
+		hosts: map[mesh.HostID][2]float64{}, share: p.proportion(r), limit: shedLimit,
+		otherBad: float64(d.old.Shed),
+	}
+	for h, c := range d.fresh {
+		b.add(h, c.Calls+c.Shed, c.Shed)
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/move/choose.go
@@ -0,0 +1,86 @@
+package move
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+)
+
+// chooseTable is what Choose needs; it is replaced as a whole.
+type chooseTable struct {
+	byRule map[*rules.Rule]choice // rules of the applied snapshot, found without hashing
+	byID   map[mesh.MoveID]choice
+}
+
+type choice struct {
+	salt  uint64
+	share Share
+}
+
+// Choose picks the version for a call. It implements Chooser and takes no lock.
+func (c *Controller) Choose(r *rules.Rule, key uint64) mesh.TargetVersion {
+	if !r.IsMove() {
+		return r.Version
+	}
+	t := c.table.Load()
+	ch, ok := t.byRule[r]
+	if !ok {
+		ch = t.byID[r.MoveID()] // the zero choice keeps the old version
+	}
+	if position(ch.salt, key) < ch.share {
+		return r.Version
+	}
+	return r.From
+}
+
+// position places a call evenly in [0, FullShare). The call moves when the share
+// exceeds its position, so a growing share keeps the calls already moved.
+func position(salt, key uint64) Share {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], salt)
+	binary.LittleEndian.PutUint64(b[8:], key)
+	hi, _ := bits.Mul64(xxhash.Sum64(b[:]), uint64(FullShare))
+	return Share(hi)
+}
+
+// share returns the share in effect on this node.
+func (p *progress) share(now time.Time) Share {
+	switch {
+	case p.state == StateTakenBack || p.state == StateWithdrawn:
+		return 0
+	case p.absent:
+		return 0
+	case p.oldGone() && p.schedule.Step(now) == lastStep:
+		return FullShare
+	case p.step < 0:
+		return 0
+	}
+	return steps[p.step]
+}
+
+// oldGone reports that only the new version still has targets.
+func (p *progress) oldGone() bool {
+	var n hostCount
+	for _, h := range p.hosts {
+		n.fresh += h.fresh
+		n.old += h.old
+	}
+	return n.old == 0 && n.fresh > 0
+}
+
+// publish replaces the table that Choose reads.
+func (c *Controller) publish() {
+	t := &chooseTable{byRule: make(map[*rules.Rule]choice, len(c.ruleIDs)), byID: make(map[mesh.MoveID]choice, len(c.moves))}
+	for id, p := range c.moves {
+		t.byID[id] = choice{salt: xxhash.Sum64String(string(id)), share: p.share(c.now)}
+	}
+	for r, id := range c.ruleIDs {
+		t.byRule[r] = t.byID[id]
+	}
+	c.table.Store(t)
+}
--- /dev/null
+++ b/pkg/move/control.go
@@ -0,0 +1,78 @@
+package move
+
+import "nutmeghoist.example/nutmeghoist/pkg/mesh"
+
+// control counts the calls of all services by data centre. At the full share
+// the other services are the comparison group that shows a common fault.
+type control struct {
+	services map[controlKey]*controlCounts
+}
+
+type controlKey struct {
+	service mesh.ServiceName
+	dc      mesh.DataCentre
+}
+
+type controlCounts struct {
+	Counters
+	edge int // first latency bucket that counts as slow; 0 while unknown
+}
+
+func newControl() *control { return &control{services: map[controlKey]*controlCounts{}} }
+
+func (c *control) add(o *Outcome) {
+	k := controlKey{o.Service, o.DataCentre}
+	s, ok := c.services[k]
+	if !ok {
+		s = &controlCounts{}
+		c.services[k] = s
+	}
+	s.Counters.add(o)
+	if s.edge > 0 && !o.Cold && o.Kind == OutcomeOK && bucket(o.Latency) >= s.edge {
+		s.Slow++
+	}
+}
+
+// refresh sets the edges from the latencies so far.
+func (c *control) refresh() {
+	for _, s := range c.services {
+		s.edge = slowEdge(&s.Counters)
+	}
+}
+
+// others returns the counters of all services but one, by data centre.
+func (c *control) others(service mesh.ServiceName) map[mesh.DataCentre]*Counters {
+	out := map[mesh.DataCentre]*Counters{}
+	for k, s := range c.services {
+		if k.service == service {
+			continue
+		}
+		if out[k.dc] == nil {
+			out[k.dc] = &Counters{}
+		}
+		scalar := s.Counters
+		scalar.Latency = nil
+		out[k.dc].combine(&scalar, sum)
+	}
+	return out
+}
+
+// minLatencies is the number of latencies from which a quantile is taken.
+const minLatencies = 50
+
+// slowEdge returns the first bucket that counts as slow: at least the square
+// root of two above the 90th percentile. It returns 0 with too little data.
+func slowEdge(c *Counters) int {
+	_, all := c.slower(0)
+	if all < minLatencies {
+		return 0
+	}
+	var below uint64
+	for b, n := range c.Latency {
+		below += n
+		if below*10 >= all*9 {
+			return min(b+2, latencyBuckets-1)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/move/evidence.go
@@ -0,0 +1,156 @@
+package move
+
+import (
+	"math"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// Side says which group of calls a counter belongs to.
+type Side uint8
+
+// The sides of a comparison.
+const (
+	SideNew     Side = iota + 1
+	SideOld          // the version that the move leaves
+	SideControl      // calls to other services in the same data centre
+)
+
+// latencyBuckets covers 0.25 ms to about 11 s in factors of the square root of two.
+const (
+	latencyBuckets = 32
+	latencyUnit    = 250 * time.Microsecond
+)
+
+// Counters count outcomes. All fields only rise within an instance, so two
+// copies join by the maximum of each field.
+type Counters struct {
+	Calls      uint64   `cbor:"1,keyasint,omitempty"` // warm calls that were run
+	Failed     uint64   `cbor:"2,keyasint,omitempty"`
+	EarlyEnds  uint64   `cbor:"3,keyasint,omitempty"`
+	NoAnswers  uint64   `cbor:"4,keyasint,omitempty"`
+	Shed       uint64   `cbor:"5,keyasint,omitempty"`
+	Cold       uint64   `cbor:"6,keyasint,omitempty"` // calls to targets that warm up, kept apart
+	ColdFailed uint64   `cbor:"7,keyasint,omitempty"` // server errors and early ends of cold targets
+	Slow       uint64   `cbor:"8,keyasint,omitempty"` // control side only: slower than that service usually is
+	Latency    []uint64 `cbor:"9,keyasint,omitempty"` // warm calls by latency bucket, without trailing zeros
+}
+
+// TargetCounters are the counters of one target host.
+type TargetCounters struct {
+	Host     mesh.HostID `cbor:"1,keyasint"`
+	Counters Counters    `cbor:"2,keyasint"`
+}
+
+// Evidence is what one node has seen of one side of a move in one data centre
+// since its instance began.
+type Evidence struct {
+	Move       mesh.MoveID      `cbor:"1,keyasint"`
+	Side       Side             `cbor:"2,keyasint"`
+	DataCentre mesh.DataCentre  `cbor:"3,keyasint"` // of the targets
+	Instance   uint64           `cbor:"4,keyasint"` // rises when the node's counters restart from zero
+	Targets    []TargetCounters `cbor:"5,keyasint"`
+}
+
+// EncodeEvidence returns the CBOR form of e.
+func EncodeEvidence(e []Evidence) ([]byte, error) {
+	b, err := cbor.Marshal(e)
+	return b, eris.Wrap(err, "encode evidence")
+}
+
+// DecodeEvidence is the inverse of EncodeEvidence.
+func DecodeEvidence(b []byte) ([]Evidence, error) {
+	var e []Evidence
+	if err := cbor.Unmarshal(b, &e); err != nil {
+		return nil, eris.Wrap(err, "decode evidence")
+	}
+	return e, nil
+}
+
+// bucket returns the latency bucket of d: two buckets for each doubling.
+func bucket(d time.Duration) int {
+	if d < latencyUnit {
+		return 0
+	}
+	return min(latencyBuckets-1, 1+int(2*math.Log2(float64(d)/float64(latencyUnit))))
+}
+
+func (c *Counters) add(o *Outcome) {
+	if o.Cold {
+		c.Cold++
+		if o.Kind == OutcomeFailed || o.Kind == OutcomeEarlyEnd {
+			c.ColdFailed++
+		}
+		return
+	}
+	switch o.Kind {
+	case OutcomeCancelled:
+		return
+	case OutcomeShed:
+		c.Shed++
+		return
+	case OutcomeFailed:
+		c.Failed++
+	case OutcomeEarlyEnd:
+		c.EarlyEnds++
+	case OutcomeNoAnswer:
+		c.NoAnswers++
+	}
+	c.Calls++
+	if b := bucket(o.Latency); o.Kind == OutcomeOK || o.Kind == OutcomeNoAnswer {
+		c.addLatency(b, 1)
+	}
+}
+
+func (c *Counters) addLatency(b int, n uint64) {
+	for len(c.Latency) <= b {
+		c.Latency = append(c.Latency, 0)
+	}
+	c.Latency[b] += n
+}
+
+// bad returns the calls that ended as failures of any kind.
+func (c *Counters) bad() uint64 { return c.Failed + c.EarlyEnds + c.NoAnswers }
+
+// slower returns the calls in buckets from edge on, and all calls with a latency.
+func (c *Counters) slower(edge int) (slow, all uint64) {
+	for b, n := range c.Latency {
+		all += n
+		if b >= edge {
+			slow += n
+		}
+	}
+	return slow, all
+}
+
+func (c Counters) clone() Counters {
+	c.Latency = append([]uint64(nil), c.Latency...)
+	return c
+}
+
+// fields lists the scalar counters for the operations that treat all alike.
+func (c *Counters) fields() [8]*uint64 {
+	return [...]*uint64{&c.Calls, &c.Failed, &c.EarlyEnds, &c.NoAnswers, &c.Shed, &c.Cold, &c.ColdFailed, &c.Slow}
+}
+
+// combine sets each counter of c to f of both counters.
+func (c *Counters) combine(d *Counters, f func(a, b uint64) uint64) {
+	cf, df := c.fields(), d.fields()
+	for i := range cf {
+		*cf[i] = f(*cf[i], *df[i])
+	}
+	for len(c.Latency) < len(d.Latency) {
+		c.Latency = append(c.Latency, 0)
+	}
+	for b := range d.Latency {
+		c.Latency[b] = f(c.Latency[b], d.Latency[b])
+	}
+}
+
+func maximum(a, b uint64) uint64 { return max(a, b) }
+func sum(a, b uint64) uint64     { return a + b }
+func minus(a, b uint64) uint64   { return a - min(a, b) }
