Keep the first acceptance of each unfinished move in the head

A host that starts later, or an unrelated edit, would otherwise restart the schedule of a move from the newest acceptance.

--- a/pkg/snapshot/build.go
+++ b/pkg/snapshot/build.go
@@ -22,8 +22,12 @@
 		Rules:      rs,
 		Targets:    targets(rs, hosts),
 		Vetoed:     vetoed(rs, vetoes),
+		Accepted:   make(map[mesh.MoveID]time.Time, len(head.Moves)),
 		BuiltAt:    now,
 	}
+	for _, m := range head.Moves {
+		s.Accepted[m.Move] = m.At
+	}
 	s.Version.Epoch = uint64(len(s.Vetoed))
 	if err := s.Check(); err != nil {
 		return nil, err
--- a/pkg/source/accept.go
+++ b/pkg/source/accept.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
 )
 
@@ -16,11 +18,36 @@
 // Submission is a rules text to be accepted. The caller has checked the text.
 type Submission struct {
 	Text   []byte
-	Base   Head // the head that was edited; zero when nothing was accepted yet
+	Base   Head          // the head that was edited; zero when nothing was accepted yet
+	Moves  []PendingMove // the moves in the text
 	Author string
 	Token  string // random and kept by the caller, so that Accept can be repeated
 }
 
+// PendingMove is a move in a submitted text.
+type PendingMove struct {
+	Move mesh.MoveID
+	By   time.Time
+}
+
+// moveStarts returns the start of each move that is not over at now: the start
+// that the base names, or now. Moves that are over need none, which keeps the
+// head small.
+func moveStarts(base []MoveStart, moves []PendingMove, now time.Time) []MoveStart {
+	var starts []MoveStart
+	for _, m := range moves {
+		if !m.By.After(now) {
+			continue
+		}
+		start := MoveStart{Move: m.Move, At: now}
+		if i := slices.IndexFunc(base, func(b MoveStart) bool { return b.Move == m.Move }); i >= 0 {
+			start = base[i]
+		}
+		starts = append(starts, start)
+	}
+	return starts
+}
+
 // RaceError says that another edit of the same base won. Nothing was changed.
 type RaceError struct {
 	Base    Head // the head that was edited
@@ -48,9 +75,11 @@
 	if len(sub.Text) > MaxTextSize {
 		return Head{}, fmt.Errorf("accept: the text has %d bytes, at most %d are allowed", len(sub.Text), MaxTextSize)
 	}
+	now := time.Now().UTC()
 	a := accept{Source: s, sub: sub, head: Head{
 		Revision: sub.Base.Revision + 1, Hash: platform.Hash(sub.Text), Base: sub.Base.Revision,
-		Token: sub.Token, Author: sub.Author, AcceptedAt: time.Now().UTC(),
+		Token: sub.Token, Author: sub.Author, AcceptedAt: now,
+		Moves: moveStarts(sub.Base.Moves, sub.Moves, now),
 	}}
 	h, err := a.run(ctx)
 	if err != nil {
--- a/pkg/source/accept_test.go
+++ b/pkg/source/accept_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"testing"
 	"testing/synctest"
 
@@ -36,16 +37,16 @@
 	won := accept(t, s, submission(base, "t2"))
 	_, err := s.Accept(t.Context(), submission(base, "t3"))
 	var race *source.RaceError
-	if !errors.As(err, &race) || race.Base != base || race.Current != won || !errors.Is(err, platform.ErrConflict) {
+	if !errors.As(err, &race) || !reflect.DeepEqual(race.Base, base) || !reflect.DeepEqual(race.Current, won) || !errors.Is(err, platform.ErrConflict) {
 		t.Fatalf("got %v", err)
 	}
-	if h, err := s.Head(t.Context()); err != nil || h != won {
+	if h, err := s.Head(t.Context()); err != nil || !reflect.DeepEqual(h, won) {
 		t.Fatalf("head is %+v, %v", h, err)
 	}
 	if text, err := s.Text(t.Context(), won.Hash); err != nil || string(text) != "text of t2" {
 		t.Fatalf("got %q, %v", text, err)
 	}
-	if again := accept(t, s, submission(base, "t2")); again != won {
+	if again := accept(t, s, submission(base, "t2")); !reflect.DeepEqual(again, won) {
 		t.Fatalf("repeated submission: got %+v, want %+v", again, won)
 	}
 }
@@ -84,7 +85,7 @@
 				if accepted := got.Token == "new"; accepted != c.accepted {
 					t.Fatalf("head is %+v after %v", got, err)
 				}
-				if err == nil && got != h {
+				if err == nil && !reflect.DeepEqual(got, h) {
 					t.Fatalf("got %+v, head is %+v", h, got)
 				}
 				if c.want == nil {
@@ -110,7 +111,7 @@
 	for i := range 3 {
 		head = accept(t, s, submission(head, fmt.Sprintf("later-%d", i)))
 	}
-	if got := accept(t, s, mine); got != first {
+	if got := accept(t, s, mine); !reflect.DeepEqual(got, first) {
 		t.Fatalf("got %+v, want %+v", got, first)
 	}
 }
--- a/pkg/source/source.go
+++ b/pkg/source/source.go
@@ -16,6 +16,15 @@
 	Token      string    `json:"token" cbor:"4,keyasint"`
 	Author     string    `json:"author" cbor:"5,keyasint"`
 	AcceptedAt time.Time `json:"accepted_at" cbor:"6,keyasint"`
+	// Moves holds when each unfinished move was first accepted, so that a host
+	// that starts later computes the same schedule as the others.
+	Moves []MoveStart `json:"moves,omitempty" cbor:"7,keyasint,omitempty"`
+}
+
+// MoveStart says when a move was first accepted.
+type MoveStart struct {
+	Move mesh.MoveID `json:"move" cbor:"1,keyasint"`
+	At   time.Time   `json:"at" cbor:"2,keyasint"`
 }
 
 // Veto takes a version back on every route, for its attempt and all lower ones.
