--- a/internal/memnet/link.go
+++ b/internal/memnet/link.go
@@ -87,6 +87,11 @@
 	if len(request) > distribution.MaxRequest {
 		return nil, distribution.ErrTooLarge
 	}
+	select {
+	case <-l.closed:
+		return nil, l.err
+	default:
+	}
 	l.owner.net.mu.Lock()
 	h := l.other.owner.handler
 	l.owner.net.mu.Unlock()
--- a/internal/tlskeys/load.go
+++ b/internal/tlskeys/load.go
@@ -3,6 +3,7 @@
 package tlskeys
 
 import (
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
@@ -19,6 +20,8 @@
 	pool *x509.CertPool
 	cert tls.Certificate
 	host mesh.HostID
+	// reset is computed once, since encoding the private key can fail.
+	reset [32]byte
 }
 
 // Load reads the CA, the certificate and the key of a host. Its errors name
@@ -59,7 +62,12 @@
 		return nil, err
 	}
 	cert.Leaf = leaf
-	return &Keys{pool: pool, cert: cert, host: host}, nil
+	der, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		return nil, fmt.Errorf("key file %s: %w", keyFile, err)
+	}
+	reset := sha256.Sum256(append([]byte("stateless reset\x00"), der...))
+	return &Keys{pool: pool, cert: cert, host: host, reset: reset}, nil
 }
 
 func loadPair(certFile, keyFile string) (tls.Certificate, error) {
@@ -113,6 +121,11 @@
 // Host returns the host that the certificate was made for.
 func (k *Keys) Host() mesh.HostID { return k.host }
 
+// ResetKey returns a key for QUIC stateless resets. It is derived from the
+// host's private key, so that a restarted process can tell its peers at once
+// that their old connections are gone.
+func (k *Keys) ResetKey() [32]byte { return k.reset }
+
 // Server returns the settings for accepting links: TLS 1.3, and the peer must
 // present a certificate of the mesh.
 func (k *Keys) Server() *tls.Config {
