Add admission queue, retries and the targets' registry

Retries need a call that was not run or is idempotent, another target, and both the node's and the path's budget.

--- /dev/null
+++ b/internal/announce/http.go
@@ -0,0 +1,148 @@
+package announce
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/admission"
+	"nutmeghoist.example/nutmeghoist/pkg/finding"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+const (
+	maxBody  = 4 << 10
+	maxSlots = 100_000
+)
+
+// name is the form of IDs, services and versions.
+var name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+type putResult uint8
+
+const (
+	putOK putResult = iota
+	putLeaving
+	putFull
+)
+
+// announcement is the body of PUT /targets/{id}.
+type announcement struct {
+	Service     mesh.ServiceName   `json:"service"`
+	Version     mesh.TargetVersion `json:"version"`
+	Address     string             `json:"address"`
+	Slots       int                `json:"slots"`
+	Connections int                `json:"connections"`
+}
+
+// Handler serves PUT and DELETE /targets/{id} and GET /targets.
+func (r *Registry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /targets/{id}", r.servePut)
+	mux.HandleFunc("DELETE /targets/{id}", r.serveDelete)
+	mux.HandleFunc("GET /targets", r.serveList)
+	return mux
+}
+
+func (r *Registry) servePut(w http.ResponseWriter, req *http.Request) {
+	t, findings := parse(req.PathValue("id"), http.MaxBytesReader(w, req.Body, maxBody))
+	if len(findings) > 0 {
+		r.count("announce.invalid")
+		reply(w, http.StatusBadRequest, findings)
+		return
+	}
+	switch r.put(t, time.Now()) {
+	case putLeaving:
+		w.Header().Set("Retry-After", "1")
+		reply(w, http.StatusConflict, finding.List{{Message: fmt.Sprintf("target %q leaves", t.ID), Suggestion: "announce it again when it is gone"}})
+	case putFull:
+		r.count("announce.full")
+		reply(w, http.StatusTooManyRequests, finding.List{{Message: fmt.Sprintf("the host has %d targets already", maxTargets)}})
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (r *Registry) serveDelete(w http.ResponseWriter, req *http.Request) {
+	id := mesh.TargetID(req.PathValue("id"))
+	if !r.withdraw(id, time.Now()) {
+		reply(w, http.StatusNotFound, finding.List{{Message: fmt.Sprintf("target %q is not announced", id)}})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// listed is an element of the answer to GET /targets.
+type listed struct {
+	membership.Target
+	StateName string         `json:"state_name"`
+	Admission admission.Load `json:"admission"`
+	Hint      Hint           `json:"hint"`
+}
+
+func (r *Registry) serveList(w http.ResponseWriter, _ *http.Request) {
+	r.mu.RLock()
+	list := make([]listed, 0, len(r.targets))
+	for _, e := range r.targets {
+		list = append(list, listed{e.target, string(e.state), e.limiter.Load(), e.hint})
+	}
+	r.mu.RUnlock()
+	slices.SortFunc(list, func(a, b listed) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list) // the client may have left
+}
+
+func reply(w http.ResponseWriter, status int, l finding.List) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]finding.List{"findings": l}) // the client may have left
+}
+
+// parse reads an announcement and reports everything that is wrong with it.
+func parse(id string, body io.Reader) (membership.Target, finding.List) {
+	var l finding.List
+	add := func(suggestion, format string, args ...any) {
+		l.Add(finding.Finding{Message: fmt.Sprintf(format, args...), Suggestion: suggestion})
+	}
+	if !name.MatchString(id) {
+		add("letters, digits, dots, dashes and underscores", "target ID %q is not valid", id)
+	}
+	var a announcement
+	data, err := io.ReadAll(body)
+	if err == nil {
+		d := json.NewDecoder(bytes.NewReader(data))
+		d.DisallowUnknownFields()
+		err = d.Decode(&a)
+	}
+	if err != nil {
+		add("service, version, address, slots, connections", "the body is not an announcement: %v", err)
+		return membership.Target{}, l
+	}
+	if !name.MatchString(string(a.Service)) {
+		add("a name such as orderdesk", "service %q is not valid", a.Service)
+	}
+	if !name.MatchString(string(a.Version)) {
+		add("a name such as tray-2", "version %q is not valid", a.Version)
+	}
+	if p, err := netip.ParseAddrPort(a.Address); err != nil || p.Port() == 0 || p.Addr().IsUnspecified() {
+		add("an address such as 127.0.0.1:8080", "address %q is not an IP address with a port", a.Address)
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		add(fmt.Sprintf("1 to %d", maxSlots), "slots %d is out of range", a.Slots)
+	}
+	if a.Connections < 1 || a.Connections > maxSlots {
+		add(fmt.Sprintf("1 to %d", maxSlots), "connections %d is out of range", a.Connections)
+	}
+	return membership.Target{
+		ID: mesh.TargetID(id), Service: a.Service, Version: a.Version,
+		Address: a.Address, Slots: a.Slots, Connections: a.Connections,
+	}, l
+}
--- /dev/null
+++ b/internal/announce/registry.go
@@ -0,0 +1,232 @@
+// Package announce takes the announcements of the targets on this host, keeps
+// their leases and probes their health.
+package announce
+
+import (
+	_ "embed"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/pkg/admission"
+	"nutmeghoist.example/nutmeghoist/pkg/chart"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+//go:embed target.toml
+var targetChartText []byte
+
+const (
+	eventHealthy   chart.Event = "healthy"    // the health report is good
+	eventGraceOver chart.Event = "grace-over" // no good health report within startGrace
+	eventLeave     chart.Event = "leave"      // the target withdrew
+	eventExpire    chart.Event = "expire"     // the lease ran out
+	eventIdle      chart.Event = "idle"       // no call is at the target
+
+	actionStampReady chart.Action = "stamp-ready"
+	actionDrain      chart.Action = "drain"
+	actionForget     chart.Action = "forget"
+	actionPublish    chart.Action = "publish"
+)
+
+var targetChart = chart.MustLoad("target.toml", targetChartText, chart.Vocabulary{
+	Events:  []chart.Event{eventHealthy, eventGraceOver, eventLeave, eventExpire, eventIdle},
+	Actions: []chart.Action{actionStampReady, actionDrain, actionForget, actionPublish},
+})
+
+var targetStates = map[chart.State]membership.TargetState{
+	"starting": membership.TargetStarting,
+	"ready":    membership.TargetReady,
+	"draining": membership.TargetDraining,
+}
+
+const (
+	leaseTime = 3 * time.Second
+	// startGrace is how long a target whose health report never turns good is
+	// kept from taking calls. Health reports mislead, so that it is bounded.
+	startGrace = 10 * time.Second
+	// checkInterval is how often leases, graces and drained targets are looked at.
+	checkInterval = 100 * time.Millisecond
+	probeInterval = time.Second
+	probeTimeout  = 500 * time.Millisecond
+	maxTargets    = 256
+)
+
+// Config holds what a registry needs. All fields may be left out.
+type Config struct {
+	// OnChange is called after the targets or their states have changed. It must
+	// not block and must not call the registry.
+	OnChange func()
+	// OnHint gets each health report. It must not block.
+	OnHint  func(id mesh.TargetID, healthy bool)
+	Probe   Probe // nil asks the target over HTTP
+	Metrics metrics.Registry
+	Log     *log.Logger
+}
+
+// Registry holds the targets of this host. It is safe for concurrent use.
+type Registry struct {
+	cfg Config
+
+	mu      sync.RWMutex
+	targets map[mesh.TargetID]*entry
+	left    map[mesh.TargetID]departure
+}
+
+type entry struct {
+	target  membership.Target
+	state   chart.State
+	limiter *admission.Limiter
+	first   time.Time // of the announcements
+	renewed time.Time
+	probed  time.Time
+	probing bool
+	hint    Hint
+}
+
+// departure keeps an announcement that was sent before a withdrawal from
+// bringing the target back.
+type departure struct {
+	address string
+	at      time.Time
+}
+
+// New returns an empty registry. Its leases expire only while Run runs.
+func New(cfg Config) *Registry {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	if cfg.Log == nil {
+		cfg.Log = &log.Logger{Level: log.PanicLevel + 1}
+	}
+	if cfg.Probe == nil {
+		cfg.Probe = newHTTPProbe()
+	}
+	return &Registry{cfg: cfg, targets: make(map[mesh.TargetID]*entry), left: make(map[mesh.TargetID]departure)}
+}
+
+// Targets returns the targets in the order of their IDs.
+func (r *Registry) Targets() []membership.Target {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	list := make([]membership.Target, 0, len(r.targets))
+	for _, e := range r.targets {
+		list = append(list, e.target)
+	}
+	slices.SortFunc(list, func(a, b membership.Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+// Lookup returns a target and its limiter.
+func (r *Registry) Lookup(id mesh.TargetID) (membership.Target, *admission.Limiter, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	e := r.targets[id]
+	if e == nil {
+		return membership.Target{}, nil, false
+	}
+	return e.target, e.limiter, true
+}
+
+// put takes an announcement. It reports false when the target leaves or there
+// are too many.
+func (r *Registry) put(t membership.Target, now time.Time) putResult {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.targets[t.ID]
+	switch {
+	case e != nil && e.target.Address == t.Address && e.target.Service == t.Service && e.target.Version == t.Version:
+		return r.renew(e, t, now)
+	case r.left[t.ID].address == t.Address && now.Sub(r.left[t.ID].at) < leaseTime:
+		return putLeaving
+	case e == nil && len(r.targets) >= maxTargets:
+		return putFull
+	case e != nil:
+		// Another process has taken the ID over; calls at the old one end on its
+		// own limiter.
+		e.limiter.Drain()
+		r.count("announce.replaced")
+	}
+	r.add(t, now)
+	return putOK
+}
+
+func (r *Registry) renew(e *entry, t membership.Target, now time.Time) putResult {
+	if e.target.State == membership.TargetDraining {
+		return putLeaving
+	}
+	e.renewed = now
+	if e.target.Slots != t.Slots || e.target.Connections != t.Connections {
+		e.target.Slots, e.target.Connections = t.Slots, t.Connections
+		e.limiter.Resize(admission.Config{Slots: t.Slots, Connections: t.Connections})
+		r.changed()
+	}
+	return putOK
+}
+
+func (r *Registry) add(t membership.Target, now time.Time) {
+	t.State = membership.TargetStarting
+	delete(r.left, t.ID)
+	r.targets[t.ID] = &entry{
+		target: t, state: targetChart.Initial(), first: now, renewed: now,
+		limiter: admission.New(admission.Config{Slots: t.Slots, Connections: t.Connections}),
+	}
+	r.count("announce.added")
+	r.cfg.Log.Info().Str("target", string(t.ID)).Str("service", string(t.Service)).
+		Str("version", string(t.Version)).Str("address", t.Address).Msg("target announced")
+	r.changed()
+}
+
+// withdraw starts to drain a target; it reports false when there is none.
+func (r *Registry) withdraw(id mesh.TargetID, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.targets[id]
+	if e == nil {
+		_, known := r.left[id]
+		return known
+	}
+	r.left[id] = departure{address: e.target.Address, at: now}
+	r.event(e, eventLeave, now)
+	return true
+}
+
+// event leads a target on and runs the chart's actions.
+func (r *Registry) event(e *entry, ev chart.Event, now time.Time) {
+	t, err := targetChart.Next(e.state, ev)
+	if err != nil || t.To == e.state {
+		return
+	}
+	r.cfg.Log.Info().Str("target", string(e.target.ID)).Str("event", string(ev)).
+		Str("from", string(e.state)).Str("to", string(t.To)).Msg("target state changed")
+	e.state = t.To
+	if s, ok := targetStates[t.To]; ok {
+		e.target.State = s
+	}
+	for _, a := range t.Actions {
+		switch a {
+		case actionStampReady:
+			e.target.ReadySince = now
+		case actionDrain:
+			e.limiter.Drain()
+		case actionForget:
+			delete(r.targets, e.target.ID)
+		case actionPublish:
+			r.count("announce." + string(ev))
+			r.changed()
+		}
+	}
+}
+
+func (r *Registry) changed() {
+	if r.cfg.OnChange != nil {
+		r.cfg.OnChange()
+	}
+}
+
+func (r *Registry) count(name string) { metrics.GetOrRegisterCounter(name, r.cfg.Metrics).Inc(1) }
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -37,6 +37,7 @@
 	body       *requestBody
 	state      callState
 	tried      routing.Tried
+	loadTries  int // attempts that were refused for load
 }
 
 // CallerHandler returns the handler for calls from callers.
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -20,6 +20,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/move"
+	"nutmeghoist.example/nutmeghoist/pkg/retry"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
 	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
 )
@@ -57,6 +58,7 @@
 	local    sync.Map // mesh.TargetID to *upstream
 	counters counters
 	rng      *rand.Rand
+	retries  *retry.Budget
 	flight   flight
 }
 
@@ -79,6 +81,7 @@
 		tracker:  routing.NewTracker(),
 		counters: newCounters(cfg.Metrics),
 		rng:      rand.New(globalSource{}),
+		retries:  retry.NewBudget(),
 		flight:   flight{idle: make(chan struct{}, 1)},
 	}
 	p.peers = newTransport(p.dialPeer, 0, maxIdlePerPeer)
@@ -112,6 +115,12 @@
 	return tc, nil
 }
 
+// HealthHint takes what a target of this host says about its own health.
+func (p *Proxy) HealthHint(id mesh.TargetID, healthy bool) {
+	now := time.Now()
+	p.tracker.Stat(routing.Key{Host: p.cfg.Self, ID: id}, now).Hint(healthy, now)
+}
+
 // Drain refuses new calls as not run and returns when no call is in flight, or
 // with the context's error.
 func (p *Proxy) Drain(ctx context.Context) error { return p.flight.drain(ctx) }
--- a/internal/proxy/reason.go
+++ b/internal/proxy/reason.go
@@ -22,6 +22,7 @@
 	ReasonUnreachable Reason = "unreachable"  // no connection could be opened
 	ReasonShed        Reason = "shed"         // the target refused for load
 	ReasonQueueFull   Reason = "queue_full"   // the target's queue is full
+	ReasonQueueWait   Reason = "queue_wait"   // waited much longer than expected
 	ReasonDeadline    Reason = "deadline"     // the deadline cannot be met
 	ReasonCancelled   Reason = "cancelled"    // the caller left
 	ReasonBody        Reason = "request_body" // the request body could not be read
@@ -33,10 +34,17 @@
 	ReasonBrokenLink Reason = "broken_link" // the connection broke before the answer
 )
 
+// fromAdmission takes over the limiter's reasons, which have the same names.
 func fromAdmission(r admission.Reason) Reason { return Reason(r) }
 
 // isLoad reports whether the reason speaks of load rather than of a fault.
-func (r Reason) isLoad() bool { return r == ReasonQueueFull || r == ReasonDeadline || r == ReasonShed }
+func (r Reason) isLoad() bool {
+	switch r {
+	case ReasonQueueFull, ReasonQueueWait, ReasonDeadline, ReasonShed:
+		return true
+	}
+	return false
+}
 
 // status returns the HTTP status of a refusal for the reason.
 func (r Reason) status() int {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -6,37 +6,82 @@
 
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/move"
+	"nutmeghoist.example/nutmeghoist/pkg/retry"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
 )
 
 // run tries the call at targets until one answers or the call is given up.
 func (c *call) run() {
-	now := time.Now()
-	t := c.set.Pick(now, c.p.rng, &c.tried)
+	c.p.retries.Earn()
+	t := c.set.Pick(time.Now(), c.p.rng, &c.tried)
+	reason, after := ReasonNoTarget, time.Duration(0)
+	for t != nil {
+		c.state.on(eventQueue)
+		t.Stat.Begin()
+		res := c.try(t)
+		if res.kind == resultAnswer {
+			c.pass(t, &res)
+			return
+		}
+		t.Stat.End()
+		c.learn(t, &res)
+		if c.settle(&res) {
+			reason, after = res.reason, res.retryAfter
+		}
+		t = c.next(t, &res)
+	}
+	c.finish(reason, after)
+}
+
+// next decides whether the call is tried again, waits, and returns the target;
+// nil means that the call is given up.
+func (c *call) next(last *routing.Candidate, res *result) *routing.Candidate {
+	c.tried.Targets = append(c.tried.Targets, last)
+	if res.reason.isLoad() {
+		c.tried.Shed = true
+		c.loadTries++
+	}
+	t := c.set.Pick(time.Now(), c.p.rng, &c.tried)
 	if t == nil {
-		c.finish(ReasonNoTarget, 0)
-		return
-	}
-	c.state.on(eventQueue)
-	t.Stat.Begin()
-	res := c.try(t)
-	if res.kind == resultAnswer {
-		c.pass(t, &res)
-		return
+		c.p.counters.inc(kindNotTried, ReasonNoTarget)
+		return nil
+	}
+	d := retry.Decide(retry.Attempt{
+		NotRun: c.state.in(stateReceived), ByLoad: res.reason.isLoad(), Idempotent: c.idempotent,
+		Replayable: c.body.replayable(), Cancelled: c.r.Context().Err() != nil,
+		Tries: len(c.tried.Targets), LoadTries: c.loadTries, Left: time.Until(c.deadline), PathBudget: c.budget,
+	}, c.p.retries, c.p.rng)
+	if !d.Retry || !c.pause(d.Wait) {
+		c.p.counters.inc(kindNotTried, Reason(d.Reason))
+		return nil
+	}
+	c.budget = d.PathBudget
+	c.p.counters.inc(kindRetried, Reason(d.Reason))
+	return t
+}
+
+// pause waits; it reports false when the call has ended meanwhile.
+func (c *call) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.ctx.Done():
+		return false
 	}
-	t.Stat.End()
-	c.learn(t, &res)
-	c.settle(&res)
-	c.finish(res.reason, res.retryAfter)
 }
 
-// settle tells the call's state how an attempt without an answer ended.
-func (c *call) settle(res *result) {
+// settle tells the call's state how an attempt without an answer ended. It
+// reports whether the attempt's reason is the one to tell: a refusal that
+// follows on a lost answer does not explain why the outcome is unknown.
+func (c *call) settle(res *result) bool {
 	if res.kind == resultNotRun {
 		c.state.on(eventNotRun)
-	} else {
-		c.state.on(eventLost)
+		return c.state.in(stateReceived)
 	}
+	c.state.on(eventLost)
+	return true
 }
 
 // dispatch reports whether the call may be sent to a target now.
--- a/internal/proxy/state.go
+++ b/internal/proxy/state.go
@@ -25,6 +25,9 @@
 
 var callEvents = []chart.Event{"queue", "dispatch", "dispatch-again", "not-run", "lost", "answer", "refuse", "cancel"}
 
+// stateReceived is the state of a call that no target has run.
+const stateReceived chart.State = "received"
+
 const (
 	actionSayNotRun  chart.Action = "say-not-run"
 	actionSayUnknown chart.Action = "say-unknown"
@@ -107,4 +110,5 @@
 	return st.moved
 }
 
-func (s *callState) name() chart.State { return callChart.states[s.state] }
+// in reports whether the call is in the given state.
+func (s *callState) in(state chart.State) bool { return callChart.states[s.state] == state }
--- a/pkg/admission/refusal.go
+++ b/pkg/admission/refusal.go
@@ -12,6 +12,7 @@
 const (
 	ReasonQueueFull Reason = "queue_full" // no room to wait in the call's class
 	ReasonDeadline  Reason = "deadline"   // the deadline cannot be met
+	ReasonQueueWait Reason = "queue_wait" // waited much longer than expected
 	ReasonCancelled Reason = "cancelled"  // the caller left while the call waited
 	ReasonDraining  Reason = "draining"   // the target takes no new work
 )
@@ -27,7 +28,17 @@
 }
 
 // IsLoad reports whether the call was refused because of load.
-func (r *Refusal) IsLoad() bool { return r.Reason == ReasonQueueFull || r.Reason == ReasonDeadline }
+func (r *Refusal) IsLoad() bool {
+	return r.Reason == ReasonQueueFull || r.Reason == ReasonDeadline || r.Reason == ReasonQueueWait
+}
+
+// refusalOf returns the error for a decision; nil when it is "".
+func refusalOf(reason Reason, after time.Duration) error {
+	if reason == "" {
+		return nil
+	}
+	return &Refusal{Reason: reason, RetryAfter: after}
+}
 
 // minRetryAfter keeps callers from retrying within the same burst.
 const minRetryAfter = 50 * time.Millisecond
