Add the operators' tool

apply names the base it edited, repeats with its token while the outcome is unknown, and shows the changed lines of both sides when another edit won. A check that cannot be made is an error or a note, never silently left out.

--- /dev/null
+++ b/cmd/nutmeghoistctl/main.go
@@ -0,0 +1,18 @@
+// Command nutmeghoistctl is the operators' tool: it checks and applies rules
+// files and shows what came of them.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"nutmeghoist.example/nutmeghoist/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(ctl.Main(ctx, os.Args[1:], ctl.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
+}
--- /dev/null
+++ b/internal/ctl/check.go
@@ -0,0 +1,204 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// edit is a rules text together with the revision that it was made from.
+type edit struct {
+	name     string
+	text     []byte
+	base     source.Head // zero when nothing was accepted yet
+	baseText []byte
+	rules    []rules.Rule // set by validate
+}
+
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" required:"1" description:"rules file; - reads standard input"`
+}
+
+// read returns the file, but not more than the limit of a rules file and one
+// byte, which is enough for the finding.
+func (a *app) read(file string) ([]byte, error) {
+	in := a.In
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, fmt.Errorf("rules file: %w", err)
+		}
+		defer f.Close()
+		in = f
+	}
+	text, err := io.ReadAll(io.LimitReader(in, rules.MaxFileSize+1))
+	if err != nil {
+		return nil, fmt.Errorf("rules file %s: %w", file, err)
+	}
+	return text, nil
+}
+
+// base reads the head that an edit starts from, and its text. Without a
+// revision it is the current head; the head before the first accepted file is
+// revision 0 without a text.
+func (a *app) base(ctx context.Context, revision *uint64) (source.Head, []byte, error) {
+	var h source.Head
+	var err error
+	switch {
+	case revision == nil:
+		h, err = a.source.Head(ctx)
+		if errors.Is(err, platform.ErrNotFound) {
+			return source.Head{}, nil, nil
+		}
+	case *revision == 0:
+		return source.Head{}, nil, nil
+	default:
+		h, err = a.source.Revision(ctx, *revision)
+	}
+	if err != nil {
+		return source.Head{}, nil, err
+	}
+	text, err := a.source.Text(ctx, h.Hash)
+	if err != nil {
+		return source.Head{}, nil, fmt.Errorf("revision %d: %w", h.Revision, err)
+	}
+	return h, text, nil
+}
+
+// validate checks an edit against its base, the vetoes and the announced
+// targets, and keeps its rules.
+func (a *app) validate(ctx context.Context, e *edit) error {
+	o, err := a.checkOptions(ctx, e)
+	if err != nil {
+		a.printSyntax(e.name, e.text)
+		return err
+	}
+	rs, findings := rules.Validate(e.name, e.text, o)
+	e.rules = rs
+	return findings.Err()
+}
+
+// printSyntax prints the findings of the text alone, which are worth showing
+// when the other checks cannot be made.
+func (a *app) printSyntax(name string, text []byte) {
+	if _, findings := rules.Parse(name, text); len(findings) > 0 {
+		fmt.Fprintln(a.Out, findings.Error())
+	}
+}
+
+func (a *app) checkOptions(ctx context.Context, e *edit) (rules.CheckOptions, error) {
+	o := rules.CheckOptions{Now: time.Now()}
+	previous, findings := rules.Parse("", e.baseText)
+	if err := findings.Err(); err != nil {
+		return o, fmt.Errorf("revision %d cannot be read: %w", e.base.Revision, err)
+	}
+	o.Previous = previous
+	vetoes, err := a.source.Vetoes(ctx)
+	if err != nil {
+		return o, err
+	}
+	status, err := a.nodeStatus(ctx)
+	switch {
+	case err != nil:
+		return o, err
+	case status == nil:
+		a.note("no --node is set, so it was not checked which versions have targets")
+	case !status.Ready:
+		return o, fmt.Errorf("node %s is not ready and does not know all targets yet", a.Node)
+	default:
+		// A node can know a veto that is not at the platform yet.
+		vetoes = append(vetoes, status.Vetoes...)
+		o.Known = status.Serves
+	}
+	o.Vetoed = vetoedBy(vetoes)
+	return o, nil
+}
+
+// vetoedBy returns a lookup of the highest attempt that was rolled back.
+func vetoedBy(vetoes []source.Veto) func(mesh.ServiceName, mesh.TargetVersion, int) bool {
+	highest := map[mesh.ServiceVersion]int{}
+	for _, v := range vetoes {
+		k := mesh.ServiceVersion{Service: v.Service, Version: v.Version}
+		highest[k] = max(highest[k], v.Attempt)
+	}
+	return func(s mesh.ServiceName, v mesh.TargetVersion, attempt int) bool {
+		top, ok := highest[mesh.ServiceVersion{Service: s, Version: v}]
+		return ok && attempt <= top
+	}
+}
+
+type checkCommand struct {
+	*app    `no-flag:"true"`
+	Offline bool         `long:"offline" description:"check the text and the times alone, without platform and node"`
+	Args    fileArgument `positional-args:"yes"`
+}
+
+// Execute checks a file.
+func (c *checkCommand) Execute([]string) error {
+	text, err := c.read(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if c.Offline {
+		rs, findings := rules.Validate(c.Args.File, text, rules.CheckOptions{Now: time.Now()})
+		if err := findings.Err(); err != nil {
+			return err
+		}
+		fmt.Fprintf(c.Out, "%s: %d rules, text and times are right; versions and vetoes were not checked\n", c.Args.File, len(rs))
+		return nil
+	}
+	ctx, cancel := c.limited()
+	defer cancel()
+	e := &edit{name: c.Args.File, text: text}
+	if e.base, e.baseText, err = c.app.base(ctx, nil); err != nil {
+		c.printSyntax(e.name, text)
+		return fmt.Errorf("%w (--offline checks without the platform)", err)
+	}
+	if err := c.validate(ctx, e); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.Out, "%s: %d rules, no findings against revision %d\n", e.name, len(e.rules), e.base.Revision)
+	return nil
+}
+
+type diffCommand struct {
+	*app `no-flag:"true"`
+	Base *uint64      `long:"base" description:"revision to compare with; the default is the current head"`
+	Args fileArgument `positional-args:"yes"`
+}
+
+// Execute prints the lines that differ.
+func (c *diffCommand) Execute([]string) error {
+	text, err := c.read(c.Args.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.limited()
+	defer cancel()
+	head, baseText, err := c.app.base(ctx, c.Base)
+	if err != nil {
+		return err
+	}
+	changes := rules.Diff(baseText, text)
+	fmt.Fprintf(c.Out, "%d changed lines against revision %d\n", len(changes), head.Revision)
+	printChanges(c.Out, changes)
+	return nil
+}
+
+func printChanges(w io.Writer, changes []rules.Change) {
+	for _, c := range changes {
+		sign := "+"
+		if c.Kind == rules.Removed {
+			sign = "-"
+		}
+		fmt.Fprintf(w, "%s%5d  %s\n", sign, c.Line, c.Text)
+	}
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,169 @@
+// Package ctl is the operators' tool: it checks and applies rules files and
+// shows the status and the reports of what was accepted.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"nutmeghoist.example/nutmeghoist/internal/opapi"
+	"nutmeghoist.example/nutmeghoist/pkg/finding"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// Exit codes of the tool.
+const (
+	exitOK    = 0
+	exitFault = 1 // findings, a lost race, or a service that does not answer
+	exitUsage = 2
+)
+
+// Streams are the standard streams of the tool.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+}
+
+// settings are the options of all commands.
+type settings struct {
+	Platform string        `long:"platform" env:"NUTMEGHOIST_PLATFORM" default:"http://127.0.0.1:8500" description:"base URL of the platform's table and object store"`
+	Node     string        `long:"node" env:"NUTMEGHOIST_NODE" description:"base URL of a node's operators' address, for status and to learn which versions have targets"`
+	Author   string        `long:"author" env:"NUTMEGHOIST_AUTHOR" description:"who applies the file; the default is the user's name"`
+	Timeout  time.Duration `long:"timeout" env:"NUTMEGHOIST_TIMEOUT" default:"30s" description:"longest time that a command waits for the platform and the node"`
+}
+
+// app is one run of the tool.
+type app struct {
+	settings
+	Streams
+	ctx    context.Context
+	source *source.Source
+	client *http.Client
+}
+
+// usageError is a wrong use of the tool.
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
+
+// errReported means that the output says already what is wrong.
+var errReported = errors.New("reported")
+
+// Main runs one command and returns the exit code.
+func Main(ctx context.Context, args []string, s Streams) int {
+	a := &app{Streams: s, ctx: ctx}
+	p := flags.NewParser(&a.settings, flags.HelpFlag|flags.PassDoubleDash)
+	p.Name = "nutmeghoistctl"
+	a.addCommands(p)
+	p.CommandHandler = func(c flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return &usageError{fmt.Sprintf("unknown arguments %q", rest)}
+		}
+		if err := a.connect(); err != nil {
+			return err
+		}
+		return c.Execute(nil)
+	}
+	_, err := p.ParseArgs(args)
+	return a.exit(err)
+}
+
+func (a *app) exit(err error) int {
+	var fe *flags.Error
+	var usage *usageError
+	// Only findings of the file itself; an error that wraps others is printed whole.
+	findings, isFindings := err.(finding.List)
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
+		fmt.Fprintln(a.Out, fe.Message)
+		return exitOK
+	case errors.As(err, &fe), errors.As(err, &usage):
+		fmt.Fprintf(a.Err, "nutmeghoistctl: %v; see --help\n", err)
+		return exitUsage
+	case isFindings:
+		fmt.Fprintln(a.Out, findings.Error())
+	case !errors.Is(err, errReported):
+		fmt.Fprintf(a.Err, "nutmeghoistctl: %v\n", err)
+	}
+	return exitFault
+}
+
+// addCommands registers the commands. It panics on a wrong struct tag.
+func (a *app) addCommands(p *flags.Parser) {
+	for _, c := range []struct {
+		name, short string
+		data        any
+	}{
+		{"check", "check a rules file and print all findings", &checkCommand{app: a}},
+		{"diff", "show the lines of a rules file that differ from the accepted ones", &diffCommand{app: a}},
+		{"apply", "make a rules file the next revision", &applyCommand{app: a}},
+		{"status", "show what a node knows of itself and of the mesh", &statusCommand{app: a}},
+		{"reports", "list the reports of moves", &reportsCommand{app: a}},
+		{"withdraw", "end the move of a route: all its traffic stays on the old version", &withdrawCommand{app: a}},
+	} {
+		if _, err := p.AddCommand(c.name, c.short, c.short, c.data); err != nil {
+			panic(fmt.Sprintf("command %s: %v", c.name, err))
+		}
+	}
+}
+
+// connect checks the settings and prepares the clients. It sends nothing.
+func (a *app) connect() error {
+	var wrong []string
+	check := func(name, value string) {
+		u, err := url.Parse(value)
+		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			wrong = append(wrong, fmt.Sprintf("--%s (NUTMEGHOIST_%s) %q is not a base URL as http://IP:port", name, strings.ToUpper(name), value))
+		}
+	}
+	check("platform", a.Platform)
+	if a.Node != "" {
+		check("node", a.Node)
+	}
+	if a.Timeout <= 0 {
+		wrong = append(wrong, fmt.Sprintf("--timeout (NUTMEGHOIST_TIMEOUT) %s is not above 0", a.Timeout))
+	}
+	if len(wrong) > 0 {
+		return &usageError{strings.Join(wrong, "\n")}
+	}
+	if a.Author == "" {
+		a.Author = os.Getenv("USER")
+	}
+	a.client = &http.Client{Timeout: a.Timeout}
+	c := platform.NewClient(a.Platform, a.client)
+	a.source = source.New(c, c.Objects())
+	return nil
+}
+
+// limited returns a context that ends with the timeout of the command.
+func (a *app) limited() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(a.ctx, a.Timeout)
+}
+
+func (a *app) note(format string, args ...any) {
+	fmt.Fprintf(a.Err, "note: "+format+"\n", args...)
+}
+
+// nodeStatus asks the node. It returns nil when no node is named.
+func (a *app) nodeStatus(ctx context.Context) (*opapi.Status, error) {
+	if a.Node == "" {
+		return nil, nil
+	}
+	s, err := opapi.NewClient(a.Node, a.client).Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,238 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/internal/opapi"
+	"nutmeghoist.example/nutmeghoist/pkg/lease"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+const first = "route GET /menus to orderdesk tray-1 # Oyuna: menus\nroute POST /orders to orderdesk tray-1 # Oyuna: orders\n"
+
+// bench is a platform, a node that knows the targets tray-1 and tray-2, and the tool.
+type bench struct {
+	t        *testing.T
+	store    *platformtest.Store
+	source   *source.Source
+	platform *httptest.Server
+	node     *httptest.Server
+	status   opapi.Status
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, store: platformtest.New()}
+	b.source = source.New(b.store, b.store.Objects())
+	b.platform = httptest.NewServer(platformtest.Handler(b.store))
+	t.Cleanup(b.platform.Close)
+	b.status = opapi.Status{Host: "h1", DataCentre: "dc1", Ready: true, Hosts: []membership.Host{{
+		ID: "h1", Status: membership.StatusAlive,
+		Targets: []membership.Target{{Service: "orderdesk", Version: "tray-1"}, {Service: "orderdesk", Version: "tray-2"}},
+	}}}
+	b.node = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(b.status) }))
+	t.Cleanup(b.node.Close)
+	t.Setenv("NUTMEGHOIST_PLATFORM", b.platform.URL)
+	t.Setenv("NUTMEGHOIST_NODE", b.node.URL)
+	t.Setenv("NUTMEGHOIST_AUTHOR", "Oyuna")
+	return b
+}
+
+func (b *bench) file(text string) string {
+	b.t.Helper()
+	path := filepath.Join(b.t.TempDir(), "rules.txt")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	return path
+}
+
+// run runs the tool and checks its exit code and parts of its output.
+func (b *bench) run(code int, want []string, args ...string) {
+	b.t.Helper()
+	var out, errs bytes.Buffer
+	got := Main(b.t.Context(), args, Streams{In: strings.NewReader(first), Out: &out, Err: &errs})
+	if got != code {
+		b.t.Fatalf("%q: exit code %d, want %d\n%s%s", args, got, code, out.String(), errs.String())
+	}
+	for _, w := range want {
+		if !strings.Contains(out.String()+errs.String(), w) {
+			b.t.Errorf("%q: no %q in\n%s%s", args, w, out.String(), errs.String())
+		}
+	}
+}
+
+func (b *bench) head() source.Head {
+	b.t.Helper()
+	h, err := b.source.Head(b.t.Context())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return h
+}
+
+func inAnHour() string { return time.Now().Add(time.Hour).UTC().Format(time.RFC3339) }
+
+// Guards against findings that come one at a time or do not stop an apply.
+func TestFindingsRejectTheWholeFile(t *testing.T) {
+	b := newBench(t)
+	bad := b.file(first + "route GET menus to orderdesk tray-1 # N:\nroute GET /b to orderdesk tray-9 # N:\n")
+	want := []string{bad + `:3:11: prefix "menus"`, bad + ":4:27: route GET /b: no target of orderdesk version tray-9"}
+	b.run(exitFault, want, "check", bad)
+	b.run(exitFault, want, "apply", bad)
+	b.run(exitFault, want[:1], "check", "--offline", bad)
+	if n := b.store.Stats().Writes.Total; n != 0 {
+		t.Fatalf("%d writes", n)
+	}
+	b.run(exitOK, []string{"2 rules, no findings against revision 0"}, "check", "-")
+	b.status.Ready = false
+	b.run(exitFault, []string{"is not ready"}, "apply", "-")
+	b.store.SetFaults(platformtest.Faults{Down: true})
+	b.run(exitFault, []string{want[0], "--offline"}, "check", bad)
+}
+
+func TestUsageErrors(t *testing.T) {
+	b := newBench(t)
+	for _, args := range [][]string{nil, {"fly"}, {"check"}, {"check", "a", "b"}, {"--platform", "x", "check", "-"}, {"reports", "--output", "xml"}, {"apply", "--token", "t", "-"}, {"withdraw"}, {"--timeout", "0s", "check", "-"}} {
+		b.run(exitUsage, []string{"--help"}, args...)
+	}
+	t.Setenv("NUTMEGHOIST_NODE", "")
+	b.run(exitUsage, []string{"NUTMEGHOIST_NODE"}, "status")
+	b.run(exitOK, []string{"Usage"}, "--help")
+}
+
+// Guards against an edit that is lost, and against a race that hides one side.
+func TestApplyRace(t *testing.T) {
+	b := newBench(t)
+	b.run(exitOK, []string{"accepted as revision 1"}, "apply", b.file(first))
+	b.run(exitOK, []string{"nothing to accept"}, "apply", b.file(first))
+	b.run(exitOK, []string{"accepted as revision 2"}, "--author", "Bat", "apply", "--base", "1", b.file(strings.Replace(first, "# Oyuna: menus", "timeout 3s # Oyuna: menus", 1)))
+	b.run(exitFault, []string{
+		"edited by Bat meanwhile", "against revision 1:\n-    2  route POST /orders to orderdesk tray-1 # Oyuna: orders\n+    2  route POST /orders to orderdesk tray-1 class urgent",
+		"changed lines of revision 2 by Bat against revision 1:\n-    1  route GET /menus", "timeout 3s", "--base 2",
+	}, "apply", "--base", "1", b.file(strings.Replace(first, "# Oyuna: orders", "class urgent # Oyuna: orders", 1)))
+	if h := b.head(); h.Revision != 2 {
+		t.Fatalf("head is revision %d", h.Revision)
+	}
+	b.run(exitOK, []string{"2 changed lines against revision 2", "timeout 3s"}, "diff", "--base", "2", b.file(first))
+	b.run(exitOK, []string{"no --base is given, so the file replaces the current revision 2 by Bat"}, "apply", b.file(first))
+}
+
+// Guards against an edit that is applied twice after its answer was lost.
+func TestApplySettlesALostAnswer(t *testing.T) {
+	b := newBench(t)
+	b.store.SetFaults(platformtest.Faults{LoseAfter: 1, LosePrefix: "config"})
+	b.run(exitOK, []string{"accepted as revision 1"}, "apply", b.file(first))
+	for _, base := range []string{"0", "0"} {
+		b.run(exitOK, []string{"accepted as revision 1"}, "apply", "--base", base, "--token", b.head().Token, b.file(first))
+	}
+	b.run(exitFault, []string{"nothing was accepted"}, "apply", "--base", "0", "--token", "another", b.file(first))
+	if h := b.head(); h.Revision != 1 {
+		t.Fatalf("head is revision %d", h.Revision)
+	}
+}
+
+// Guards against an outage of the platform that looks like an accepted file.
+func TestApplyWithoutPlatform(t *testing.T) {
+	b := newBench(t)
+	b.store.SetFaults(platformtest.Faults{Down: true})
+	b.run(exitFault, []string{"unavailable"}, "apply", b.file(first))
+}
+
+func TestWithdraw(t *testing.T) {
+	b := newBench(t)
+	b.run(exitOK, nil, "apply", b.file(first))
+	b.run(exitFault, []string{"is not a move"}, "withdraw", "GET /menus")
+	move := "route GET /menus to orderdesk tray-2 from tray-1 by " + inAnHour() + " # Oyuna: menus"
+	b.run(exitOK, nil, "apply", b.file(strings.Replace(first, "route GET /menus to orderdesk tray-1 # Oyuna: menus", move, 1)))
+	if h := b.head(); len(h.Moves) != 1 {
+		t.Fatalf("head has the moves %v", h.Moves)
+	}
+	b.run(exitFault, []string{"no rule has this route"}, "withdraw", "GET", "/none")
+	b.run(exitOK, []string{"+    1  route GET /menus to orderdesk tray-1 # Oyuna: menus", "accepted as revision 3"}, "withdraw", "GET", "/menus")
+	text, err := b.source.Text(t.Context(), b.head().Hash)
+	if err != nil || string(text) != first {
+		t.Fatalf("got %q, %v", text, err)
+	}
+	if err := b.source.PutVeto(t.Context(), source.Veto{Service: "orderdesk", Version: "tray-2", Attempt: 1}); err != nil {
+		t.Fatal(err)
+	}
+	b.run(exitFault, []string{"was rolled back at attempt 1"}, "apply", b.file(strings.Replace(first, "route GET /menus to orderdesk tray-1 # Oyuna: menus", move, 1)))
+}
+
+func (b *bench) report(g lease.Grant, kind source.ReportKind, at time.Time) {
+	b.t.Helper()
+	if err := b.source.PutReport(b.t.Context(), g, source.Report{Move: "m1", Kind: kind, Route: "GET /menus", At: at, Text: fmt.Sprintf("text of %s", kind)}); err != nil {
+		b.t.Error(err)
+	}
+}
+
+// Guards against reports that are printed twice, out of order or not at all.
+func TestReports(t *testing.T) {
+	b := newBench(t)
+	g, err := lease.Acquire(t.Context(), b.store, "lease/reporter", "h1", time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.report(g, source.ReportDone, time.Unix(20, 0))
+	b.report(g, source.ReportMoving, time.Unix(10, 0))
+	b.run(exitOK, []string{"text of moving", "text of done"}, "reports")
+	ctx, cancel := context.WithCancel(t.Context())
+	var out bytes.Buffer
+	lines := &lineWriter{Buffer: &out, onLine: func(n int) {
+		switch n {
+		case 2:
+			go b.report(g, source.ReportLate, time.Unix(30, 0))
+		case 3:
+			cancel()
+		}
+	}}
+	if code := Main(ctx, []string{"reports", "--follow", "--output", "json"}, Streams{Out: lines, Err: &out}); code != exitOK {
+		t.Fatalf("exit code %d: %s", code, out.String())
+	}
+	var kinds []source.ReportKind
+	for d := json.NewDecoder(&out); d.More(); {
+		var r source.Report
+		if err := d.Decode(&r); err != nil {
+			t.Fatal(err)
+		}
+		kinds = append(kinds, r.Kind)
+	}
+	if fmt.Sprint(kinds) != "[moving done late]" {
+		t.Fatalf("got %v", kinds)
+	}
+}
+
+// lineWriter calls onLine after each write.
+type lineWriter struct {
+	*bytes.Buffer
+	onLine func(n int)
+	n      int
+}
+
+func (w *lineWriter) Write(p []byte) (int, error) {
+	n, err := w.Buffer.Write(p)
+	w.n++
+	w.onLine(w.n)
+	return n, err
+}
+
+func TestStatus(t *testing.T) {
+	b := newBench(t)
+	b.status.Moves = []opapi.MoveStatus{{Route: "GET /menus", Service: "orderdesk", From: "tray-1", To: "tray-2", Share: 0.25, State: "moving"}}
+	b.run(exitOK, []string{"host h1 in dc1: ready=true", "25%", "orderdesk@tray-1, orderdesk@tray-2"}, "status")
+	b.run(exitOK, []string{`"share":0.25`}, "status", "--output", "json")
+	b.node.Close()
+	b.run(exitFault, []string{b.node.URL}, "status")
+}
