Check every rule that an edited rule takes over from, and restarted moves

A move that is over must not be given another time: its schedule would start again at the first step and send the requests back to the old version. A rule with several methods is compared with each rule that had them before.

--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// maxOrders bounds the memory for runs; beyond it, runs are only counted.
-const maxOrders = 2_000_000
+// maxOrders bounds the memory for runs to about 50 MB; beyond it, runs are only
+// counted.
+const maxOrders = 500_000
 
 // Stats are the counters of a target, as GET /stats reports them.
 type Stats struct {
--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -97,19 +97,32 @@
 }
 
 func (c *checker) rule(r *Rule) {
-	continued := r.IsMove() && c.previous.moves[r.MoveID()] != nil
-	unchanged := continued && c.previous.moves[r.MoveID()].By.Equal(r.By)
+	var old *Rule // the same move in the rules in force
+	if r.IsMove() {
+		old = c.previous.moves[r.MoveID()]
+	}
+	unchanged := old != nil && old.By.Equal(r.By)
 	if r.IsMove() && !unchanged {
-		c.time(r)
+		c.time(r, old)
 	}
 	c.known(r, unchanged)
-	if !continued {
+	if !unchanged {
 		c.vetoed(r)
+	}
+	if old == nil {
 		c.switched(r)
 	}
 }
 
-func (c *checker) time(r *Rule) {
+// time checks the time of a move that is new or was given another time. A move
+// that is over must not be given another time: its schedule would start again
+// and send all requests back to the old version.
+func (c *checker) time(r, old *Rule) {
+	if old != nil && !c.Now.Before(old.By) {
+		c.add(r, partBy, fmt.Sprintf("move was complete at %s and cannot be given another time", old.By.Format(time.RFC3339)),
+			fmt.Sprintf("write to %s %s without from", r.Service, r.Version))
+		return
+	}
 	earliest := c.Now.Add(MinMoveLength)
 	if !r.By.Before(earliest) {
 		return
@@ -156,32 +169,36 @@
 }
 
 // switched reports a rule that would send all requests of a route to another
-// version at once.
+// version at once. One finding for a rule is enough.
 func (c *checker) switched(r *Rule) {
-	old := c.previous.covering(r)
-	if old == nil || old.Service != r.Service {
-		return
+	for _, old := range c.previous.covering(r) {
+		if old.Service == r.Service && c.switchedFrom(r, old) {
+			return
+		}
 	}
+}
+
+// switchedFrom compares a rule with one that matched its requests before.
+func (c *checker) switchedFrom(r, old *Rule) bool {
 	serving := servingVersion(old, c.Now, c.Vetoed)
-	now := r.Version
-	if r.IsMove() {
-		now = r.From
-	}
-	// Going back to the old version of a move is how a move is withdrawn.
-	if now == serving || old.IsMove() && now == old.From {
-		return
-	}
 	if r.IsMove() {
+		if r.From == serving {
+			return false
+		}
 		c.add(r, partFrom, fmt.Sprintf("move starts from %s, but %s serves the route", r.From, serving),
 			fmt.Sprintf("write from %s", serving))
-		return
+		return true
 	}
-	message := fmt.Sprintf("switches all requests from %s to %s at once", serving, r.Version)
+	// Going back to the old version of a move is how a move is withdrawn.
+	if r.Version == serving || old.IsMove() && r.Version == old.From {
+		return false
+	}
+	suggestion := fmt.Sprintf("write to %s %s from %s by TIME", r.Service, r.Version, serving)
 	if old.IsMove() && r.Version == old.Version {
-		c.add(r, partVersion, message, fmt.Sprintf("keep from %s by %s until the move is over", old.From, old.By.Format(time.RFC3339)))
-		return
+		suggestion = fmt.Sprintf("keep from %s by %s until the move is over", old.From, old.By.Format(time.RFC3339))
 	}
-	c.add(r, partVersion, message, fmt.Sprintf("write to %s %s from %s by TIME", r.Service, r.Version, serving))
+	c.add(r, partVersion, fmt.Sprintf("switches all requests from %s to %s at once", serving, r.Version), suggestion)
+	return true
 }
 
 // servingVersion returns the version that serves most of a route's requests:
--- a/pkg/rules/previous.go
+++ b/pkg/rules/previous.go
@@ -37,18 +37,13 @@
 	return r.Methods
 }
 
-// covering returns the rule that matched the requests of r: the one with the
-// longest prefix that is r's prefix or lies above it. Where the methods of r
-// had different rules, it prefers one that names another version than r keeps.
-func (p *previousRules) covering(r *Rule) *Rule {
-	var found *Rule
+// covering returns the rules that matched the requests of r: for each method
+// the one with the longest prefix that is r's prefix or lies above it.
+func (p *previousRules) covering(r *Rule) []*Rule {
+	var found []*Rule
 	for _, m := range methodsOf(r) {
-		old := p.match(m, r.Prefix)
-		if old == nil {
-			continue
-		}
-		if found == nil || found.Version == r.Version && old.Version != r.Version {
-			found = old
+		if old := p.match(m, r.Prefix); old != nil && !slices.Contains(found, old) {
+			found = append(found, old)
 		}
 	}
 	return found
--- a/pkg/rules/rules_test.go
+++ b/pkg/rules/rules_test.go
@@ -172,11 +172,15 @@
 				t.Fatalf("incomplete finding %+v", x)
 			}
 		}
+		Validate("f", text, CheckOptions{Now: time.Unix(0, 0), Previous: rs})
 		if len(findings) > 0 {
 			return
 		}
 		var b strings.Builder
 		for i := range rs {
+			if _, err := Withdraw(text, rs[i].Route()); (err == nil) != rs[i].IsMove() {
+				t.Fatalf("withdraw %s: %v", rs[i].Route(), err)
+			}
 			b.WriteString(Format(rs[i]) + "\n")
 			rs[i].Line = i + 1
 		}
@@ -225,6 +229,21 @@
 	})
 }
 
+// Guards against a withdrawal that leaves the rule unreadable or changes its options.
+func TestWithdrawKeepsTheRest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := genRule().Filter(func(r Rule) bool { return r.IsMove() }).Draw(t, "rule")
+		text, err := Withdraw([]byte(Format(r)), r.Route())
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Version, r.From, r.By, r.Attempt = r.From, "", time.Time{}, DefaultAttempt
+		if got, findings := Parse("f", text); len(findings) > 0 || len(got) != 1 || !reflect.DeepEqual(got[0], r) {
+			t.Fatalf("%s\ngot %+v, want %+v, findings %v", text, got, r, findings)
+		}
+	})
+}
+
 func TestDiffNamesTheEditedLine(t *testing.T) {
 	got := Diff([]byte(sample), []byte(strings.Replace(sample, "3s", "4s", 1)))
 	if len(got) != 2 || got[0].Kind != Removed || got[0].Line != 4 || got[1].Kind != Added || got[1].Line != 4 {
