--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/google/uuid"
 
@@ -21,6 +22,10 @@
 // maxWithdrawRaces bounds how often a withdrawal is made again on a new head.
 const maxWithdrawRaces = 5
 
+// maxAuthorSize bounds the part of the head that the author fills, since every
+// poll reads it.
+const maxAuthorSize = 128 // bytes
+
 type applyCommand struct {
 	*app  `no-flag:"true"`
 	Base  *uint64      `long:"base" description:"revision that was edited; the default is the current head"`
@@ -71,6 +76,9 @@
 	if a.Author == "" {
 		return &usageError{"--author (NUTMEGHOIST_AUTHOR) is not set"}
 	}
+	if len(a.Author) > maxAuthorSize || strings.ContainsFunc(a.Author, func(c rune) bool { return !unicode.IsPrint(c) }) {
+		return &usageError{fmt.Sprintf("--author (NUTMEGHOIST_AUTHOR) %q is not a name of at most %d printable bytes", a.Author, maxAuthorSize)}
+	}
 	return nil
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -104,7 +104,7 @@
 
 func TestUsageErrors(t *testing.T) {
 	b := newBench(t)
-	for _, args := range [][]string{nil, {"fly"}, {"check"}, {"check", "a", "b"}, {"--platform", "x", "check", "-"}, {"reports", "--output", "xml"}, {"apply", "--token", "t", "-"}, {"withdraw"}, {"--timeout", "0s", "check", "-"}} {
+	for _, args := range [][]string{nil, {"fly"}, {"check"}, {"check", "a", "b"}, {"--platform", "x", "check", "-"}, {"reports", "--output", "xml"}, {"apply", "--token", "t", "-"}, {"withdraw"}, {"--author", "a\nb", "apply", "-"}, {"--timeout", "0s", "check", "-"}} {
 		b.run(exitUsage, []string{"--help"}, args...)
 	}
 	t.Setenv("NUTMEGHOIST_NODE", "")
--- a/internal/ctl/reports.go
+++ b/internal/ctl/reports.go
@@ -29,6 +29,9 @@
 		return perr
 	}
 	if !c.Follow {
+		if err == nil && len(reports) == 0 {
+			c.note("there are no reports")
+		}
 		return err
 	}
 	for {
--- a/internal/loadgen/loadgen.go
+++ b/internal/loadgen/loadgen.go
@@ -73,6 +73,7 @@
 	Reason  string        // of a refusal by the system
 	Start   time.Time     // when the call was due
 	Latency time.Duration // from when it was due to the last byte
+	Service time.Duration // from when it was sent to the last byte
 	Err     error
 }
 
@@ -216,8 +217,9 @@
 	ctx = context.WithoutCancel(ctx)
 	g.calls.Go(func() {
 		defer func() { <-g.slots }()
+		sent := time.Now()
 		g.call(ctx, &c, key)
-		c.Latency = time.Since(due)
+		c.Latency, c.Service = time.Since(due), time.Since(sent)
 		g.record.add(&c)
 		if g.o.Observe != nil {
 			g.o.Observe(c)
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -119,6 +119,9 @@
 		if p := r.Quantile(OK, 99); p < 999*time.Millisecond || p > 1010*time.Millisecond {
 			t.Errorf("p99 is %v, want 1s", p)
 		}
+		if p := r.ServiceQuantile(OK, 50); p < 999*time.Millisecond || p > 1001*time.Millisecond {
+			t.Errorf("p50 from sending is %v, want 1s", p)
+		}
 		if a, b := r.Kinds["GET /a"][OK], r.Kinds["POST /b"][OK]; a < 2*b || a > 5*b || nodes["http://n1"]-nodes["http://n2"] > 1 {
 			t.Errorf("mix: %d and %d, nodes %v", a, b, nodes)
 		}
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -38,6 +38,9 @@
 	Reasons  map[string]int64 // refusals by the reason that the system gave
 	// Latency has a histogram in microseconds for each outcome that occurred.
 	Latency map[Outcome]*hdrhistogram.Histogram
+	// Service has the same from when the call was sent. It leaves out what the
+	// generator is late, and so also the effect of a stalled node on later calls.
+	Service map[Outcome]*hdrhistogram.Histogram
 	// Lag is how late calls were sent, in microseconds. A high lag means that
 	// the generator itself was too slow.
 	Lag      *hdrhistogram.Histogram
@@ -55,7 +58,15 @@
 
 // Quantile returns a latency quantile (0 to 100) of the calls with an outcome.
 func (r *Result) Quantile(o Outcome, percentile float64) time.Duration {
-	h := r.Latency[o]
+	return quantile(r.Latency[o], percentile)
+}
+
+// ServiceQuantile is Quantile from when the call was sent.
+func (r *Result) ServiceQuantile(o Outcome, percentile float64) time.Duration {
+	return quantile(r.Service[o], percentile)
+}
+
+func quantile(h *hdrhistogram.Histogram, percentile float64) time.Duration {
 	if h == nil {
 		return 0
 	}
@@ -76,7 +87,7 @@
 func newRecorder(o *Options) *recorder {
 	rec := &recorder{keep: o.KeepOutcomes, r: Result{
 		Counts: map[Outcome]int64{}, Kinds: map[string]map[Outcome]int64{}, Versions: map[string]int64{},
-		Reasons: map[string]int64{}, Latency: map[Outcome]*hdrhistogram.Histogram{}, Lag: newHistogram(),
+		Reasons: map[string]int64{}, Latency: map[Outcome]*hdrhistogram.Histogram{}, Service: map[Outcome]*hdrhistogram.Histogram{}, Lag: newHistogram(),
 	}}
 	if rec.keep {
 		rec.r.Orders = map[string]Ordered{}
@@ -114,9 +125,10 @@
 	}
 	byOutcome[c.Outcome]++
 	if r.Latency[c.Outcome] == nil {
-		r.Latency[c.Outcome] = newHistogram()
+		r.Latency[c.Outcome], r.Service[c.Outcome] = newHistogram(), newHistogram()
 	}
 	recordIn(r.Latency[c.Outcome], c.Latency)
+	recordIn(r.Service[c.Outcome], c.Service)
 	switch c.Outcome {
 	case OK:
 		r.Versions[c.Version]++
@@ -159,6 +171,9 @@
 		for _, p := range percentiles {
 			fmt.Fprintf(w, "%s_%s_ms=%.3f\n", o, p.name, r.Quantile(o, p.at).Seconds()*1000)
 		}
+		for _, p := range percentiles {
+			fmt.Fprintf(w, "%s_service_%s_ms=%.3f\n", o, p.name, r.ServiceQuantile(o, p.at).Seconds()*1000)
+		}
 	}
 	fmt.Fprintf(w, "lag_p99_ms=%.3f\n", float64(r.Lag.ValueAtQuantile(99))/1000)
 	for _, kind := range slices.Sorted(maps.Keys(r.Kinds)) {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -39,7 +39,8 @@
 	LoadLie     *float64 `json:"load_lie,omitempty"` // reported instead of the load
 	LoadLagMS   int64    `json:"load_lag_ms,omitempty"`
 
-	// The faults below act only on calls that match both conditions.
+	// The faults below act only on calls that match all three conditions.
+	AfterMS          int64  `json:"after_ms,omitempty"` // since the faults were set
 	PathPrefix       string `json:"path_prefix,omitempty"`
 	AboveConcurrency int    `json:"above_concurrency,omitempty"`
 
@@ -117,6 +118,7 @@
 	atLeastZero("cold_factor", f.ColdFactor)
 	atLeastZero("slow_factor", f.SlowFactor)
 	atLeastZero("cold_for_ms", float64(f.ColdForMS))
+	atLeastZero("after_ms", float64(f.AfterMS))
 	atLeastZero("shed_above", float64(f.ShedAbove))
 	atLeastZero("body_size", float64(f.BodySize))
 	if f.BodySize > maxBodySize {
@@ -130,9 +132,10 @@
 	return errors.Join(errs...)
 }
 
-// matches reports whether the conditional faults act on a call.
-func (f *Faults) matches(path string, running int) bool {
-	return strings.HasPrefix(path, f.PathPrefix) && running > f.AboveConcurrency
+// matches reports whether the conditional faults act on a call; age is the time
+// since the faults were set.
+func (f *Faults) matches(path string, running int, age time.Duration) bool {
+	return age >= time.Duration(f.AfterMS)*time.Millisecond && strings.HasPrefix(path, f.PathPrefix) && running > f.AboveConcurrency
 }
 
 // slowdown returns the factor of the service time of a call.
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -96,7 +96,7 @@
 func (t *Target) call(w http.ResponseWriter, r *http.Request) {
 	running := t.counters.enter()
 	defer t.counters.exit()
-	f := t.Faults()
+	f, age := t.current()
 	if f.Draining {
 		t.refuse(w, &t.counters.stats.Refused, "draining")
 		return
@@ -117,7 +117,7 @@
 		return
 	}
 	defer t.release()
-	t.run(ctx, w, r, &f, f.matches(r.URL.Path, running))
+	t.run(ctx, w, r, &f, f.matches(r.URL.Path, running, age))
 }
 
 func (t *Target) refuse(w http.ResponseWriter, counter *int64, reason string) {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -94,6 +94,7 @@
 		{"failing", "/a", Faults{FailShare: 1}, 500, false, false, 1},
 		{"failing elsewhere", "/a", Faults{FailShare: 1, PathPrefix: "/b"}, 200, false, false, 1},
 		{"failing under load only", "/a", Faults{FailShare: 1, AboveConcurrency: 1}, 200, false, false, 1},
+		{"failing later", "/a", Faults{FailShare: 1, AfterMS: 60_000}, 200, false, false, 1},
 		{"draining", "/a", Faults{Draining: true}, 503, true, false, 0},
 		{"early end", "/a", Faults{EarlyEndShare: 1}, 200, false, true, 1},
 		{"dies before", "/a", Faults{Die: DieBefore}, 0, false, true, 0},
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -75,6 +75,7 @@
 
 	mu     sync.Mutex
 	faults Faults
+	set    time.Time // when the faults were set
 	rand   *rand.Rand
 
 	counters counters
@@ -86,7 +87,7 @@
 func New(o Options) *Target {
 	o.setDefaults()
 	t := &Target{
-		o: o, started: time.Now(), faults: o.Faults, rand: rand.New(rand.NewPCG(o.Seed, 1)),
+		o: o, started: time.Now(), faults: o.Faults, set: time.Now(), rand: rand.New(rand.NewPCG(o.Seed, 1)),
 		left: make(chan struct{}), dead: make(chan struct{}),
 	}
 	if o.Slots > 0 {
@@ -192,14 +193,21 @@
 // SetFaults replaces the faults.
 func (t *Target) SetFaults(f Faults) {
 	t.mu.Lock()
-	t.faults = f
+	t.faults, t.set = f, time.Now()
 	t.mu.Unlock()
 	if f.Draining {
 		t.leaveMesh()
 	}
 }
 
-// Faults returns the faults in effect.
+// current returns the faults and the time since they were set.
+func (t *Target) current() (Faults, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults, time.Since(t.set)
+}
+
+// Faults returns the faults that are set.
 func (t *Target) Faults() Faults {
 	t.mu.Lock()
 	defer t.mu.Unlock()
