--- a/pkg/rules/parse.go
+++ b/pkg/rules/parse.go
@@ -82,8 +82,8 @@
 type parser struct {
 	name     string
 	rules    []Rule
-	findings finding.List // the first MaxFindings
-	total    int          // findings, also those that were left out
+	findings finding.List         // the first MaxFindings
+	total    int                  // findings, also those that were left out
 	owners   map[methodPrefix]int // line of the first rule for a method and prefix
 }
 
