Wire the node: configuration, membership, evidence, reports, listeners

The report writer asks one host of each data centre to gather the confirmations there, so it needs one connection for each data centre. A data centre of which no host answers counts as out of reach and holds the report.

--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/distribution"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+const (
+	// floorTimeout bounds one attempt to learn the floor at start.
+	floorTimeout = 3 * time.Second
+	// startBackoffMax bounds the pause between attempts; the pause is drawn
+	// uniformly below it, so that a herd of starting nodes spreads out.
+	startBackoffMax = 2 * time.Second
+	// rebuildInterval bounds how often changes of the target sets build a new
+	// snapshot: 20 a second is well below the 3 s bound for a leaving target.
+	rebuildInterval = 50 * time.Millisecond
+)
+
+// accepted is a configuration that passed this node's checks.
+type accepted struct {
+	head  source.Head
+	rules []rules.Rule
+}
+
+// establishFloor learns the lowest version that this node may serve, from the
+// platform and from its neighbours, and returns when one of them has answered.
+func (n *Node) establishFloor(ctx context.Context) error {
+	for {
+		err := n.tryFloor(ctx)
+		if err == nil || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		n.count("floor.attempt_failed")
+		n.log.Warn().Err(err).Msg("floor not known yet")
+		if !sleep(ctx, n.jitter(startBackoffMax)) {
+			return ctx.Err()
+		}
+	}
+}
+
+func (n *Node) tryFloor(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, floorTimeout)
+	defer cancel()
+	peers, peersErr := n.gossip.Floor(ctx)
+	head, headErr := n.source.Head(ctx)
+	switch {
+	case headErr == nil:
+		if err := n.adopt(ctx, head); err != nil {
+			return err
+		}
+		if err := n.loadVetoes(ctx); err != nil {
+			return err
+		}
+	case errors.Is(headErr, platform.ErrNotFound):
+		n.log.Info().Msg("no configuration has been accepted yet")
+	case peersErr == nil:
+		n.count("floor.from_neighbours")
+		n.log.Warn().Err(headErr).Str("floor", peers.Version.String()).Msg("platform out of reach, floor taken from neighbours")
+	default:
+		return fmt.Errorf("neither the platform (%w) nor a neighbour (%w) answered", headErr, peersErr)
+	}
+	if peersErr == nil {
+		n.holder.SetFloor(peers.Version)
+	}
+	return nil
+}
+
+// adopt fetches the text of a head that is newer than the node's own and hands
+// both to the gossip, which pushes them on and calls takeHead.
+func (n *Node) adopt(ctx context.Context, head source.Head) error {
+	if current, _, ok := n.gossip.Head(); ok && current.Revision >= head.Revision {
+		return nil
+	}
+	text, err := n.source.Text(ctx, head.Hash)
+	if err != nil {
+		return fmt.Errorf("text of revision %d: %w", head.Revision, err)
+	}
+	return n.gossip.AnnounceHead(head, text)
+}
+
+func (n *Node) loadVetoes(ctx context.Context) error {
+	vetoes, err := n.source.Vetoes(ctx)
+	if err != nil {
+		return fmt.Errorf("vetoes: %w", err)
+	}
+	for _, v := range vetoes {
+		if err := n.gossip.AddVeto(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// takeHead checks a configuration and puts it in force; a bad one is refused
+// whole and the one in force stays.
+func (n *Node) takeHead(head source.Head, text []byte) {
+	rs, findings := rules.Parse(fmt.Sprintf("revision-%d", head.Revision), text)
+	if err := findings.Err(); err != nil {
+		n.count("config.rejected")
+		n.log.Error().Uint64("revision", head.Revision).Str("hash", head.Hash).Err(err).Msg("configuration rejected")
+		return
+	}
+	n.configMu.Lock()
+	newer := n.accepted == nil || head.Revision > n.accepted.head.Revision
+	if newer {
+		n.accepted = &accepted{head: head, rules: rs}
+	}
+	n.configMu.Unlock()
+	if newer {
+		n.rebuild()
+	}
+}
+
+// rebuild compiles the accepted configuration with the target sets and vetoes
+// known now and swaps it in, unless it is older than the one in force.
+func (n *Node) rebuild() {
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	if n.accepted == nil {
+		return
+	}
+	n.generation++
+	s, err := snapshot.Build(n.accepted.head, n.accepted.rules, n.members.Hosts(), n.gossip.Vetoes(), n.generation, time.Now())
+	if err != nil {
+		n.count("config.inconsistent")
+		n.log.Error().Uint64("revision", n.accepted.head.Revision).Err(err).Msg("configuration inconsistent")
+		return
+	}
+	before := n.inForce()
+	if err := n.holder.Swap(s); err != nil {
+		n.count("config.older_refused")
+		n.log.Warn().Err(err).Msg("older configuration refused")
+		return
+	}
+	n.moves.Apply(s)
+	n.metricsGauge("config.revision").Update(int64(s.Version.Revision))
+	n.metricsGauge("config.epoch").Update(int64(s.Version.Epoch))
+	if s.Version.Compare(before) != 0 {
+		n.metricsGauge("config.convergence_ms").Update(time.Since(s.Head.AcceptedAt).Milliseconds())
+		n.log.Info().Str("version", s.Version.String()).Str("hash", s.Head.Hash).Int("rules", len(s.Rules)).Msg("configuration in force")
+	}
+}
+
+// inForce returns the version in force; the zero version before the first.
+func (n *Node) inForce() mesh.ConfigVersion {
+	if s := n.holder.Load(); s != nil {
+		return s.Version
+	}
+	return mesh.ConfigVersion{}
+}
+
+// pollLoop reads the head with a period in proportion to the size of the data
+// centre, so that the platform's load does not grow with the fleet.
+func (n *Node) pollLoop(ctx context.Context) {
+	for sleepOr(ctx, n.pollPause(), n.pollNow) {
+		ctx, cancel := context.WithTimeout(ctx, floorTimeout)
+		head, err := n.source.Head(ctx)
+		if err == nil {
+			err = n.adopt(ctx, head)
+		}
+		cancel()
+		switch {
+		case err == nil:
+			n.count("poll.ok")
+			n.metricsGauge("platform.reachable").Update(1)
+		case errors.Is(err, platform.ErrNotFound):
+			n.count("poll.no_head")
+		default:
+			n.count("poll.failed")
+			n.metricsGauge("platform.reachable").Update(0)
+			n.log.Debug().Err(err).Msg("poll failed")
+		}
+	}
+}
+
+func (n *Node) pollPause() time.Duration {
+	live := 0
+	for _, h := range n.members.Hosts() {
+		if h.DataCentre == n.settings.DataCentre && h.Status <= membership.StatusSuspect {
+			live++
+		}
+	}
+	n.rngMu.Lock()
+	defer n.rngMu.Unlock()
+	return distribution.PollPeriod(live, n.rng)
+}
+
+// rebuildLoop follows changes of hosts, targets and vetoes.
+func (n *Node) rebuildLoop(ctx context.Context) {
+	changed := n.members.Changed()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-n.vetoesChanged:
+		}
+		changed = n.members.Changed()
+		n.rebuild()
+		if !sleep(ctx, rebuildInterval) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/listen.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/internal/opapi"
+	"nutmeghoist.example/nutmeghoist/internal/telemetry"
+	"nutmeghoist.example/nutmeghoist/pkg/move"
+)
+
+const (
+	// headerTimeout bounds how long a connection may take to send its headers.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// server is one listener with its HTTP server.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+func (s *server) serve() error { return s.http.Serve(s.listener) }
+
+// stop waits for requests in flight and closes the rest when ctx ends.
+func (s *server) stop(ctx context.Context) {
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+}
+
+// listen opens all listeners, or none.
+func (n *Node) listen() ([]*server, error) {
+	tc := n.keys.Server()
+	// HTTP/2 would multiplex calls on one connection, where one lost packet or
+	// one silent connection holds up all of them.
+	tc.NextProtos = []string{"http/1.1"}
+	var servers []*server
+	for _, l := range []struct {
+		name string
+		addr netip.AddrPort
+		h    http.Handler
+		tc   *tls.Config
+	}{
+		{"operator", n.settings.OperatorAddress, n.operatorHandler(), nil},
+		{"announce", n.settings.AnnounceAddress, n.targets.Handler(), nil},
+		{"call", n.settings.CallAddress, n.callHandler(), tc},
+		{"caller", n.settings.CallerAddress, n.callerHandler(), nil},
+	} {
+		s, err := n.open(l.addr, l.h, l.tc)
+		if err != nil {
+			for _, s := range servers {
+				_ = s.listener.Close()
+			}
+			return nil, fmt.Errorf("%s listener: %w", l.name, err)
+		}
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+func (n *Node) open(addr netip.AddrPort, h http.Handler, tc *tls.Config) (*server, error) {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	if tc != nil {
+		l = tls.NewListener(l, tc)
+	}
+	return &server{listener: l, http: &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: n.log.Std("", 0),
+	}}, nil
+}
+
+// callerHandler keeps control headers of callers out of the mesh.
+func (n *Node) callerHandler() http.Handler {
+	h := n.proxy.CallerHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del(controlHeader)
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) callHandler() http.Handler {
+	calls, control := n.proxy.PeerHandler(), n.controlHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isControl(r) {
+			control.ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
+// operatorHandler serves status, metrics, readiness and liveness.
+func (n *Node) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+opapi.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(n.status()); err != nil {
+			n.log.Debug().Err(err).Msg("status not sent")
+		}
+	})
+	mux.Handle("GET /metrics", telemetry.Handler(n.metrics))
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "live") })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	mux.HandleFunc("POST /poll", func(w http.ResponseWriter, _ *http.Request) {
+		select {
+		case n.pollNow <- struct{}{}:
+		default:
+		}
+		w.WriteHeader(http.StatusAccepted)
+	})
+	return mux
+}
+
+func (n *Node) status() opapi.Status {
+	s := opapi.Status{
+		Host: n.settings.Host, DataCentre: n.settings.DataCentre,
+		Ready: n.Ready(), Draining: n.draining.Load(), Version: n.inForce(),
+		Hosts: n.members.Hosts(), Vetoes: n.gossip.Vetoes(),
+	}
+	s.Head, _, _ = n.gossip.Head()
+	for _, m := range n.moves.Moves() {
+		s.Moves = append(s.Moves, opapi.MoveStatus{
+			Move: m.Move, Route: m.Route, Service: m.Service, From: m.From, To: m.Version,
+			Share: float64(m.Share) / float64(move.FullShare), State: string(m.State), By: m.Schedule.By,
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,284 @@
+// Package node wires the parts of a node into one process.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/internal/announce"
+	"nutmeghoist.example/nutmeghoist/internal/peer"
+	"nutmeghoist.example/nutmeghoist/internal/proxy"
+	"nutmeghoist.example/nutmeghoist/internal/settings"
+	"nutmeghoist.example/nutmeghoist/internal/telemetry"
+	"nutmeghoist.example/nutmeghoist/internal/tlskeys"
+	"nutmeghoist.example/nutmeghoist/pkg/distribution"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/move"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// Node is one node. It is made by New and operated by Run.
+type Node struct {
+	settings *settings.Settings
+	log      *log.Logger
+	metrics  metrics.Registry
+	keys     *tlskeys.Keys
+
+	table     platform.Table
+	source    *source.Source
+	members   *membership.Table
+	transport *peer.Transport
+	gossip    *distribution.Gossip
+	targets   *announce.Registry
+	proxy     *proxy.Proxy
+	moves     *move.Controller
+	holder    snapshot.Holder
+
+	controlClient *http.Client
+
+	configMu   sync.Mutex
+	accepted   *accepted
+	generation uint64
+
+	vetoesChanged chan struct{}
+	pollNow       chan struct{}
+	storedMu      sync.Mutex
+	stored        map[source.VetoKey]bool // vetoes whose row is known to exist
+
+	rngMu sync.Mutex
+	rng   *rand.Rand
+
+	floorKnown atomic.Bool
+	draining   atomic.Bool
+}
+
+// New builds a node from checked settings. It opens no listener yet.
+func New(s *settings.Settings, logger *log.Logger, registry metrics.Registry) (*Node, error) {
+	keys, err := tlskeys.Load(s.CAFile, s.CertFile, s.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	if keys.Host() != s.Host {
+		return nil, fmt.Errorf("certificate %s is for host %q, the settings name host %q", s.CertFile, keys.Host(), s.Host)
+	}
+	client := platform.NewClient(s.Platform, nil)
+	n := &Node{
+		settings: s, log: logger, metrics: registry, keys: keys,
+		table: client, source: source.New(client, client.Objects()),
+		vetoesChanged: make(chan struct{}, 1),
+		pollNow:       make(chan struct{}, 1),
+		stored:        map[source.VetoKey]bool{},
+		rng:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	// The start time in milliseconds is a higher incarnation than any of the
+	// host's earlier processes had, unless its clock was set back; a neighbour
+	// that knows a higher one makes the node raise it.
+	n.members = membership.NewTable(membership.Host{
+		ID: s.Host, DataCentre: s.DataCentre,
+		PeerAddress: s.AdvertisePeer.String(), CallAddress: s.AdvertiseCall.String(),
+		Incarnation: uint64(time.Now().UnixMilli()), Status: membership.StatusAlive,
+	}, membership.Options{})
+	if err := n.wireControl(); err != nil {
+		return nil, err
+	}
+	n.wireCalls()
+	return n, nil
+}
+
+func (n *Node) wireControl() error {
+	var err error
+	if n.transport, err = peer.New(n.peerConfig()); err != nil {
+		return err
+	}
+	n.gossip, err = distribution.New(distribution.Config{
+		Members: n.members, Transport: n.transport, Seeds: n.settings.Seeds,
+		Active: n.inForce, OnHead: n.takeHead, OnVeto: n.takeVeto, Fetch: n.source.Text,
+		OnFault: n.gossipFault, Counters: counters{n}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	if err != nil {
+		return err
+	}
+	n.moves = move.NewController(move.Config{
+		Self: n.settings.Host, DataCentre: n.settings.DataCentre, Instance: uint64(time.Now().UnixNano()),
+		Hosts: n.liveHosts, OnVeto: n.decideVeto, OnFault: n.lateFault,
+	})
+	n.controlClient = &http.Client{Transport: &http.Transport{
+		TLSClientConfig:     n.keys.Client(),
+		DialContext:         n.dialer().DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     30 * time.Second,
+	}}
+	return nil
+}
+
+// dialer opens connections to other nodes from the address that they know this
+// host by, so that filters between data centres can tell hosts apart.
+func (n *Node) dialer() *net.Dialer {
+	ip := n.settings.CallAddress.Addr()
+	return &net.Dialer{Timeout: confirmTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))}
+}
+
+func (n *Node) wireCalls() {
+	n.targets = announce.New(n.announceConfig())
+	n.proxy = proxy.New(proxy.Config{
+		Self: n.settings.Host, DataCentre: n.settings.DataCentre, Snapshot: n.holder.Load,
+		Chooser: n.moves, Observer: n.moves, Targets: n.targets,
+		PeerTLS: n.keys.Client(), PeerSource: n.settings.CallAddress.Addr(), Metrics: n.metrics, Log: n.log,
+	})
+	telemetry.RegisterProcess(n.metrics)
+}
+
+// Run operates the node until the context ends and then stops it gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	servers, err := n.listen()
+	if err != nil {
+		return err
+	}
+	// Links and control loops outlive ctx, so that a stop can still be announced.
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	var wg sync.WaitGroup
+	run := func(f func(context.Context)) { wg.Go(func() { f(work) }) }
+	failed := make(chan error, len(servers)+1)
+	for _, s := range servers {
+		run(func(context.Context) {
+			if err := s.serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	run(func(ctx context.Context) {
+		if err := n.gossip.Run(ctx); err != nil && ctx.Err() == nil {
+			failed <- err
+		}
+	})
+	for _, loop := range []func(context.Context){
+		n.targets.Run, n.memberLoop, n.rebuildLoop, n.evidenceLoop, n.startLoop, n.reportLoop, n.vetoLoop,
+	} {
+		run(loop)
+	}
+	n.log.Info().Str("data_centre", string(n.settings.DataCentre)).Str("callers", n.settings.CallerAddress.String()).Msg("node started")
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		n.log.Error().Err(err).Msg("node failed")
+	}
+	n.stop(servers)
+	stopWork()
+	wg.Wait()
+	n.log.Info().Msg("node stopped")
+	return err
+}
+
+// startLoop learns the floor and then polls the head.
+func (n *Node) startLoop(ctx context.Context) {
+	if n.establishFloor(ctx) != nil {
+		return
+	}
+	n.floorKnown.Store(true)
+	n.log.Info().Str("version", n.inForce().String()).Msg("floor known")
+	n.pollLoop(ctx)
+}
+
+// stop announces the stop, lets calls in flight finish and closes the listeners.
+func (n *Node) stop(servers []*server) {
+	n.log.Info().Int("in_flight", n.proxy.InFlight()).Msg("node stops")
+	n.draining.Store(true)
+	n.members.UpdateSelf(func(h *membership.Host) { h.Status = membership.StatusLeaving })
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout)
+	defer cancel()
+	if err := n.proxy.Drain(ctx); err != nil {
+		n.count("drain.cut")
+		n.log.Error().Err(err).Msg("calls were cut at the drain timeout")
+	}
+	for _, s := range servers {
+		s.stop(ctx)
+	}
+	n.members.UpdateSelf(func(h *membership.Host) { h.Status = membership.StatusLeft })
+	n.writeMember(ctx)
+	// One round for the links to spread the last record.
+	sleep(ctx, farewell)
+}
+
+// farewell is how long a stopping node keeps its links after its last change.
+const farewell = 200 * time.Millisecond
+
+// Ready reports whether the node serves calls.
+func (n *Node) Ready() bool {
+	return n.floorKnown.Load() && !n.draining.Load() && n.holder.Load() != nil
+}
+
+// liveHosts returns the live hosts of the own data centre.
+func (n *Node) liveHosts() []mesh.HostID {
+	var ids []mesh.HostID
+	for _, h := range n.hostsOf(n.settings.DataCentre) {
+		if h.Status == membership.StatusAlive {
+			ids = append(ids, h.ID)
+		}
+	}
+	return ids
+}
+
+func (n *Node) gossipFault(f distribution.Fault, peer mesh.HostID, err error) {
+	n.log.Warn().Str("fault", string(f)).Str("peer", string(peer)).Err(err).Msg("link fault")
+}
+
+func (n *Node) lateFault(id mesh.MoveID, evidence string) {
+	n.count("moves.late_fault")
+	n.log.Warn().Str("move", string(id)).Str("evidence", evidence).Msg("version fails after its watch period")
+}
+
+func (n *Node) callURL(h *membership.Host) string { return "https://" + h.CallAddress }
+
+// count adds one to a counter.
+func (n *Node) count(name string) { n.metricsCounter(name).Inc(1) }
+
+func (n *Node) metricsCounter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, n.metrics)
+}
+
+func (n *Node) metricsGauge(name string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(name, n.metrics)
+}
+
+// counters lets the gossip count into the node's registry.
+type counters struct{ n *Node }
+
+func (c counters) Count(name string, delta int64) { c.n.metricsCounter("gossip." + name).Inc(delta) }
+
+// jitter returns a time drawn uniformly below limit.
+func (n *Node) jitter(limit time.Duration) time.Duration {
+	n.rngMu.Lock()
+	defer n.rngMu.Unlock()
+	return time.Duration(n.rng.Int64N(int64(limit)))
+}
+
+// sleep waits and reports whether the context is still open.
+func sleep(ctx context.Context, d time.Duration) bool { return sleepOr(ctx, d, nil) }
+
+// sleepOr is sleep that ends early when wake receives.
+func sleepOr(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wake:
+	case <-t.C:
+	}
+	return ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/node/reports.go
@@ -0,0 +1,230 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"nutmeghoist.example/nutmeghoist/pkg/lease"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/move"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+const (
+	reportLeaseKey = "lease/reporter"
+	reportLeaseTTL = 10 * time.Second
+	reportInterval = 2 * time.Second
+	// reportCandidates is how many hosts try for the lease. Fewer hosts than the
+	// whole mesh keep the reads of the lease row constant as the mesh grows;
+	// three survive the loss of two.
+	reportCandidates = 3
+)
+
+// reportLoop writes reports while this host is a candidate and holds the lease.
+func (n *Node) reportLoop(ctx context.Context) {
+	for sleep(ctx, reportInterval/2+n.jitter(reportInterval)) {
+		if !n.isReportCandidate() {
+			continue
+		}
+		if err := n.holdReports(ctx); err != nil && ctx.Err() == nil {
+			n.count("reports.lease_failed")
+			n.log.Debug().Err(err).Msg("report lease not held")
+		}
+	}
+}
+
+// isReportCandidate reports whether this host is one of the first live hosts in
+// the hash order. Two sides of a partition may choose different candidates; the
+// lease decides between them.
+func (n *Node) isReportCandidate() bool {
+	hosts := slices.DeleteFunc(n.members.Hosts(), func(h membership.Host) bool { return h.Status > membership.StatusSuspect })
+	slices.SortFunc(hosts, func(a, b membership.Host) int {
+		if xxhash.Sum64String(string(a.ID)) < xxhash.Sum64String(string(b.ID)) {
+			return -1
+		}
+		return 1
+	})
+	i := slices.IndexFunc(hosts, func(h membership.Host) bool { return h.ID == n.settings.Host })
+	return i >= 0 && i < reportCandidates
+}
+
+// holdReports takes the lease and writes reports until it is lost.
+func (n *Node) holdReports(ctx context.Context) error {
+	grant, err := lease.Acquire(ctx, n.table, reportLeaseKey, string(n.settings.Host), reportLeaseTTL)
+	if err != nil {
+		return err
+	}
+	n.log.Info().Uint64("epoch", grant.Epoch).Msg("report lease acquired")
+	written, err := n.source.Reports(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		// Hosts that died before they could store their vetoes left it to the others.
+		for _, v := range n.gossip.Vetoes() {
+			n.storeVeto(ctx, v)
+		}
+		if written, err = n.writeReports(ctx, grant, written); err != nil {
+			return err
+		}
+		if !sleep(ctx, reportInterval) {
+			return lease.Release(context.WithoutCancel(ctx), n.table, grant)
+		}
+		if !n.isReportCandidate() {
+			return lease.Release(ctx, n.table, grant)
+		}
+		if grant, err = n.renewReports(ctx, grant); err != nil {
+			return err
+		}
+	}
+}
+
+// renewReports renews the lease, trying again while it may still be held.
+func (n *Node) renewReports(ctx context.Context, grant lease.Grant) (lease.Grant, error) {
+	for {
+		renewed, err := lease.Renew(ctx, n.table, grant)
+		if err == nil || errors.Is(err, lease.ErrLost) || !grant.Valid() || !sleep(ctx, reportInterval/2) {
+			return renewed, err
+		}
+	}
+}
+
+func (n *Node) writeReports(ctx context.Context, grant lease.Grant, written []source.Report) ([]source.Report, error) {
+	in, ok := n.reportInput(ctx, written)
+	if !ok {
+		return written, nil
+	}
+	for _, r := range move.Decide(in) {
+		err := n.source.PutReport(ctx, grant, r)
+		if err != nil && !errors.Is(err, source.ErrAlreadyReported) {
+			return written, err
+		}
+		written = append(written, r)
+		n.count("reports." + string(r.Kind))
+		n.log.Info().Str("kind", string(r.Kind)).Str("move", string(r.Move)).Str("text", r.Text).Msg("report written")
+	}
+	return written, nil
+}
+
+// reportInput gathers what the report decision needs; ok is false when no
+// decision is due.
+func (n *Node) reportInput(ctx context.Context, written []source.Report) (in move.ReportInput, ok bool) {
+	snap := n.holder.Load()
+	if snap == nil || !slices.ContainsFunc(snap.Rules, func(r rules.Rule) bool { return r.IsMove() }) {
+		return in, false
+	}
+	in = move.ReportInput{Now: time.Now(), Version: snap.Version, Written: written}
+	view := n.gatherMesh(ctx)
+	in.Hosts, in.Unreachable = view.members, view.unreachable
+	for i := range snap.Rules {
+		if snap.Rules[i].IsMove() {
+			in.Moves = append(in.Moves, reportMove(snap, &snap.Rules[i], view.states))
+		}
+	}
+	return in, true
+}
+
+func reportMove(s *snapshot.Snapshot, r *rules.Rule, states map[mesh.HostID]hostState) move.ReportMove {
+	id := r.MoveID()
+	m := move.ReportMove{Rule: *r, Accepted: s.Head.AcceptedAt, Confirmations: map[mesh.HostID]move.Confirmation{}}
+	if at, ok := s.Accepted[id]; ok {
+		m.Accepted = at
+	}
+	if v, ok := s.Vetoed[id]; ok {
+		m.Veto = &v
+	}
+	for host, st := range states {
+		c := move.Confirmation{Version: st.Version}
+		for _, ms := range st.Moves {
+			if ms.Move == id {
+				c.FullShare, c.ZeroShare = ms.Share == move.FullShare, ms.Share == 0
+			}
+		}
+		m.Confirmations[host] = c
+	}
+	return m
+}
+
+// evidenceLoop sends this host's counters to the evaluator of each move.
+func (n *Node) evidenceLoop(ctx context.Context) {
+	for sleep(ctx, evidenceInterval) {
+		n.moves.Tick(time.Now())
+		n.sendEvidence(ctx)
+	}
+}
+
+const evidenceInterval = time.Second
+
+func (n *Node) sendEvidence(ctx context.Context) {
+	byHost := map[mesh.HostID][]move.Evidence{}
+	hosts := n.liveHosts()
+	for _, e := range n.moves.Evidence() {
+		to := move.Evaluator(e.Move, hosts)
+		byHost[to] = append(byHost[to], e)
+	}
+	for id, evidence := range byHost {
+		n.deliverEvidence(ctx, id, evidence)
+	}
+}
+
+func (n *Node) deliverEvidence(ctx context.Context, to mesh.HostID, evidence []move.Evidence) {
+	if to == n.settings.Host {
+		n.moves.MergeEvidence(to, evidence)
+		return
+	}
+	h, ok := n.members.Get(to)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	// Counters are cumulative, so the next message repairs a lost one.
+	if err := n.control(ctx, &h, "POST", pathEvidence, evidenceMessage{Host: n.settings.Host, Evidence: evidence}, nil); err != nil {
+		n.count("evidence.send_failed")
+		n.log.Debug().Err(err).Msg("evidence not delivered")
+	}
+}
+
+// decideVeto is called by the move controller when the evidence condemns a version.
+func (n *Node) decideVeto(v source.Veto) {
+	n.count("moves.vetoed")
+	n.log.Warn().Str("service", string(v.Service)).Str("version", string(v.Version)).Int("attempt", v.Attempt).Str("evidence", v.Evidence).Msg("version taken back")
+	if err := n.gossip.AddVeto(v); err != nil {
+		n.log.Error().Err(err).Msg("veto not spread")
+	}
+}
+
+// takeVeto is called by the gossip for each veto that this host did not know.
+func (n *Node) takeVeto(v source.Veto) {
+	n.moves.Veto(v)
+	select {
+	case n.vetoesChanged <- struct{}{}:
+	default:
+	}
+}
+
+// storeVeto writes a veto's row once; a failure is repeated by the caller.
+func (n *Node) storeVeto(ctx context.Context, v source.Veto) bool {
+	n.storedMu.Lock()
+	done := n.stored[v.Key()]
+	n.storedMu.Unlock()
+	if done {
+		return true
+	}
+	if err := n.source.PutVeto(ctx, v); err != nil {
+		n.count("vetoes.store_failed")
+		n.log.Debug().Err(err).Msg("veto not stored yet")
+		return false
+	}
+	n.storedMu.Lock()
+	n.stored[v.Key()] = true
+	n.storedMu.Unlock()
+	return true
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,9 +44,12 @@
 	Chooser  move.Chooser  // nil gives every call to the rule's version
 	Observer move.Observer // may be nil
 	Targets  Targets
-	PeerTLS  *tls.Config      // client side of node-to-node calls; nil means plain connections
-	Metrics  metrics.Registry // nil means a registry of its own
-	Log      *log.Logger      // nil discards
+	PeerTLS  *tls.Config // client side of node-to-node calls; nil means plain connections
+	// PeerSource is the IP that calls to other nodes come from; the zero value
+	// leaves the choice to the system.
+	PeerSource netip.Addr
+	Metrics    metrics.Registry // nil means a registry of its own
+	Log        *log.Logger      // nil discards
 }
 
 // Proxy is the call path of one node.
@@ -96,7 +100,11 @@
 // dialPeer opens a connection to another node, including the TLS handshake, so
 // that the tracked connection counts application bytes only.
 func (p *Proxy) dialPeer(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := dialer.DialContext(ctx, network, addr)
+	d := dialer
+	if p.cfg.PeerSource.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(p.cfg.PeerSource, 0))
+	}
+	c, err := d.DialContext(ctx, network, addr)
 	if err != nil || p.cfg.PeerTLS == nil {
 		return c, err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -27,6 +28,8 @@
 	CallerAddress   string `long:"caller-address" env:"NUTMEGHOIST_CALLER_ADDRESS" default:"127.0.0.1:8080" description:"IP:port for callers (HTTP)"`
 	CallAddress     string `long:"call-address" env:"NUTMEGHOIST_CALL_ADDRESS" default:"127.0.0.1:8443" description:"IP:port for calls from other nodes (TCP, TLS 1.3)"`
 	PeerAddress     string `long:"peer-address" env:"NUTMEGHOIST_PEER_ADDRESS" default:"127.0.0.1:8444" description:"IP:port for control links (UDP, QUIC)"`
+	AdvertisePeer   string `long:"advertise-peer-address" env:"NUTMEGHOIST_ADVERTISE_PEER_ADDRESS" description:"IP:port at which other hosts reach the peer address, when it differs"`
+	AdvertiseCall   string `long:"advertise-call-address" env:"NUTMEGHOIST_ADVERTISE_CALL_ADDRESS" description:"IP:port at which other hosts reach the call address, when it differs"`
 	AnnounceAddress string `long:"announce-address" env:"NUTMEGHOIST_ANNOUNCE_ADDRESS" default:"127.0.0.1:8081" description:"loopback IP:port where local targets announce themselves (HTTP)"`
 	OperatorAddress string `long:"operator-address" env:"NUTMEGHOIST_OPERATOR_ADDRESS" default:"127.0.0.1:8082" description:"loopback IP:port for operators: status, metrics, readiness (HTTP)"`
 	AllowRemote     bool   `long:"allow-remote-admin" env:"NUTMEGHOIST_ALLOW_REMOTE_ADMIN" description:"allow announce and operator addresses that are not loopback; they carry no authentication"`
@@ -49,6 +52,8 @@
 	CallerAddress   netip.AddrPort
 	CallAddress     netip.AddrPort
 	PeerAddress     netip.AddrPort
+	AdvertisePeer   netip.AddrPort // where other hosts reach PeerAddress
+	AdvertiseCall   netip.AddrPort // where other hosts reach CallAddress
 	AnnounceAddress netip.AddrPort
 	OperatorAddress netip.AddrPort
 	Platform        string
@@ -121,6 +126,8 @@
 		CallerAddress:   c.address("caller-address", o.CallerAddress),
 		CallAddress:     c.address("call-address", o.CallAddress),
 		PeerAddress:     c.address("peer-address", o.PeerAddress),
+		AdvertisePeer:   c.address("advertise-peer-address", cmp.Or(o.AdvertisePeer, o.PeerAddress)),
+		AdvertiseCall:   c.address("advertise-call-address", cmp.Or(o.AdvertiseCall, o.CallAddress)),
 		AnnounceAddress: c.admin("announce-address", o.AnnounceAddress, o.AllowRemote),
 		OperatorAddress: c.admin("operator-address", o.OperatorAddress, o.AllowRemote),
 		Platform:        c.url("platform", o.Platform),
