--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -117,8 +117,7 @@
 
 // HealthHint takes what a target of this host says about its own health.
 func (p *Proxy) HealthHint(id mesh.TargetID, healthy bool) {
-	now := time.Now()
-	p.tracker.Stat(routing.Key{Host: p.cfg.Self, ID: id}, now).Hint(healthy, now)
+	p.tracker.Stat(routing.Key{Host: p.cfg.Self, ID: id}).Hint(healthy, time.Now())
 }
 
 // Drain refuses new calls as not run and returns when no call is in flight, or
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -14,8 +14,8 @@
 // Candidate is a target of a set with what this node knows about it.
 type Candidate struct {
 	snapshot.Target
-	Stat *Stat
-	own  bool // in this node's data centre
+	Stat  *Stat
+	since time.Time // when the target became ready, by this node's clock at the latest
 }
 
 // Set holds the targets of one service version. It is immutable and safe for
@@ -32,9 +32,9 @@
 		if target.State != membership.TargetReady {
 			continue
 		}
-		c := &Candidate{Target: target, own: target.DataCentre == dc}
-		c.Stat = t.Stat(Key{target.Host, target.ID}, now)
-		if c.own {
+		c := &Candidate{Target: target, Stat: t.Stat(Key{target.Host, target.ID})}
+		c.since = c.Stat.readyAt(target.ReadySince, now)
+		if target.DataCentre == dc {
 			s.own = append(s.own, c)
 		} else {
 			s.other = append(s.other, c)
@@ -174,12 +174,7 @@
 
 // weight grows from coldWeight to 1 during the slow start.
 func (c *Candidate) weight(now time.Time) float64 {
-	since := c.ReadySince
-	if c.Stat.firstSeen.Before(since) {
-		// The host's clock is ahead of this one's.
-		since = c.Stat.firstSeen
-	}
-	age := now.Sub(since)
+	age := now.Sub(c.since)
 	if age >= slowStart {
 		return 1
 	}
--- a/pkg/routing/stat.go
+++ b/pkg/routing/stat.go
@@ -42,9 +42,8 @@
 // Stat is what this node itself knows about one target. It outlives snapshots
 // and is safe for concurrent use.
 type Stat struct {
-	firstSeen time.Time
-	inFlight  atomic.Int64
-	report    atomic.Pointer[loadReport]
+	inFlight atomic.Int64
+	report   atomic.Pointer[loadReport]
 	// These are Unix nanoseconds; 0 means never.
 	ejectedUntil atomic.Int64
 	downUntil    atomic.Int64
@@ -60,6 +59,9 @@
 	silences  int // calls without an answer in a row
 	refusals  int // failed connects in a row
 	ejections int // ejections in a row without an answer between them
+
+	readySince time.Time // as the target's host says
+	readySeen  time.Time // when this node saw it first
 }
 
 type hint struct {
@@ -67,6 +69,20 @@
 	at      time.Time
 }
 
+// readyAt returns when a target became ready. A host whose clock is ahead would
+// keep its targets cold, so the time when this node saw it bounds it.
+func (s *Stat) readyAt(since, now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !since.Equal(s.readySince) || s.readySeen.IsZero() {
+		s.readySince, s.readySeen = since, now
+	}
+	if s.readySeen.Before(since) {
+		return s.readySeen
+	}
+	return since
+}
+
 // Begin counts a call that is sent to the target.
 func (s *Stat) Begin() { s.inFlight.Add(1) }
 
@@ -207,12 +223,12 @@
 func NewTracker() *Tracker { return &Tracker{stats: make(map[Key]*Stat)} }
 
 // Stat returns the record of a target, which exists from the first call on.
-func (t *Tracker) Stat(k Key, now time.Time) *Stat {
+func (t *Tracker) Stat(k Key) *Stat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stats[k]
 	if s == nil {
-		s = &Stat{firstSeen: now}
+		s = &Stat{}
 		t.stats[k] = s
 	}
 	return s
