--- /dev/null
+++ b/internal/bench/cluster/events.go
@@ -0,0 +1,41 @@
+package cluster
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// Event is a version that came into force on a host, as the host's log says.
+type Event struct {
+	Host    string
+	At      time.Time
+	Version mesh.ConfigVersion
+}
+
+// take reads the log lines of all processes.
+func (c *Cluster) take(name string, at time.Time, line string) {
+	if !strings.Contains(line, "configuration in force") {
+		return
+	}
+	_, rest, found := strings.Cut(line, "version=")
+	if !found {
+		return
+	}
+	var v mesh.ConfigVersion
+	if _, err := fmt.Sscanf(strings.Trim(strings.Fields(rest)[0], `"`), "%d.%d", &v.Revision, &v.Epoch); err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, Event{Host: name, At: at, Version: v})
+}
+
+// Events returns the versions that came into force so far, in order.
+func (c *Cluster) Events() []Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Event(nil), c.events...)
+}
--- /dev/null
+++ b/internal/bench/cluster/target.go
@@ -0,0 +1,85 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/internal/standin"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// Target is one stand-in for a target.
+type Target struct {
+	*Process
+	ID      mesh.TargetID
+	Node    *Node
+	Version mesh.ServiceVersion
+	Address string // calls
+	control string // control paths, which the faults of the call address spare
+}
+
+// StartTarget starts a target on a node's host; extra flags come last.
+func (c *Cluster) StartTarget(n *Node, v mesh.ServiceVersion, slots, connections int, extra ...string) (*Target, error) {
+	port := 9000
+	for _, t := range c.Targets {
+		if t.Node == n {
+			port += 10
+		}
+	}
+	t := &Target{
+		Node: n, Version: v, ID: mesh.TargetID(fmt.Sprintf("%s-%s", v.Service, v.Version)),
+		Address: fmt.Sprintf("%s:%d", n.IP, port), control: fmt.Sprintf("%s:%d", n.IP, port+1),
+	}
+	t.Process = c.process(fmt.Sprintf("%s-%s", n.ID, t.ID), "nutmeghoist-target", append([]string{
+		"--id", string(t.ID), "--service", string(v.Service), "--target-version", string(v.Version),
+		"--address", t.Address, "--control-address", t.control, "--node", n.AnnounceURL(),
+		"--slots", fmt.Sprint(slots), "--connections", fmt.Sprint(connections),
+	}, extra...))
+	if err := t.Start(); err != nil {
+		return nil, err
+	}
+	c.Targets = append(c.Targets, t)
+	return t, nil
+}
+
+// SetFaults switches the target's faults.
+func (t *Target) SetFaults(ctx context.Context, f standin.Faults) error {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.control+"/faults", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("faults of target %s: %w", t.ID, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("faults of target %s: refused with status %d", t.ID, resp.StatusCode)
+	}
+	return nil
+}
+
+// Runs returns how often the target ran each order.
+func (t *Target) Runs(ctx context.Context) (map[string]int, error) {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.control+"/runs", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("runs of target %s: %w", t.ID, err)
+	}
+	defer resp.Body.Close()
+	runs := map[string]int{}
+	return runs, json.NewDecoder(resp.Body).Decode(&runs)
+}
