--- /dev/null
+++ b/cmd/nutmeghoist-measure/main.go
@@ -0,0 +1,65 @@
+// Command nutmeghoist-measure runs the demo and the measurements with separate
+// processes of the programs that lie beside it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"nutmeghoist.example/nutmeghoist/internal/bench/demo"
+	"nutmeghoist.example/nutmeghoist/internal/bench/distribution"
+)
+
+// command is one subcommand.
+type command struct {
+	Full bool `long:"full" description:"take all sizes; needs several minutes"`
+	run  func(full bool) error
+}
+
+// Execute implements flags.Commander.
+func (c *command) Execute([]string) error { return c.run(c.Full) }
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	self, err := os.Executable()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	p := flags.NewNamedParser("nutmeghoist-measure", flags.Default)
+	for _, c := range commands(ctx, filepath.Dir(self)) {
+		if _, err := p.AddCommand(c.name, c.about, c.about, &command{run: c.run}); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+	}
+	if _, err := p.Parse(); err != nil && !flags.WroteHelp(err) {
+		return 1
+	}
+	return 0
+}
+
+type subcommand struct {
+	name, about string
+	run         func(full bool) error
+}
+
+func commands(ctx context.Context, binDir string) []subcommand {
+	return []subcommand{
+		{"demo", "run the whole path in separate processes", func(bool) error {
+			return demo.Run(ctx, binDir, os.Stdout)
+		}},
+		{"distribution", "measure how a configuration spreads", func(full bool) error {
+			return distribution.Run(ctx, distribution.Options{BinDir: binDir, Full: full}, os.Stdout)
+		}},
+	}
+}
--- /dev/null
+++ b/internal/bench/demo/count.go
@@ -0,0 +1,16 @@
+package demo
+
+import "nutmeghoist.example/nutmeghoist/pkg/membership"
+
+// countTargets counts the ready targets on live hosts.
+func countTargets(hosts []membership.Host) int {
+	n := 0
+	for _, h := range hosts {
+		for _, t := range h.Targets {
+			if h.Status == membership.StatusAlive && t.State == membership.TargetReady {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,15 @@
 		PeerTLS: n.keys.Client(), PeerSource: n.settings.CallAddress.Addr(), Metrics: n.metrics, Log: n.log,
 	})
 	telemetry.RegisterProcess(n.metrics)
+	for name, value := range map[string]func(peer.Stats) int64{
+		"links.bytes_sent":     func(s peer.Stats) int64 { return int64(s.BytesSent) },
+		"links.bytes_received": func(s peer.Stats) int64 { return int64(s.BytesReceived) },
+		"links.open":           func(s peer.Stats) int64 { return int64(s.Connections) },
+		"links.refused":        func(s peer.Stats) int64 { return s.Refused },
+		"links.unauthorized":   func(s peer.Stats) int64 { return s.Unauthorized },
+	} {
+		n.metrics.GetOrRegister(name, metrics.NewFunctionalGauge(func() int64 { return value(n.transport.Stats()) }))
+	}
 }
 
 // Run operates the node until the context ends and then stops it gracefully.
