--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -111,7 +111,8 @@
 		return o, err
 	case status == nil:
 		a.note("no --node is set, so it was not checked which versions have targets")
-	case !status.Ready:
+	// Before the first revision no node can be ready.
+	case !status.Ready && e.base.Revision > 0:
 		return o, fmt.Errorf("node %s is not ready and does not know all targets yet", a.Node)
 	default:
 		// A node can know a veto that is not at the platform yet.
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -121,10 +121,7 @@
 		fmt.Fprintln(w, "ready")
 	})
 	mux.HandleFunc("POST /poll", func(w http.ResponseWriter, _ *http.Request) {
-		select {
-		case n.pollNow <- struct{}{}:
-		default:
-		}
+		notify(n.pollNow)
 		w.WriteHeader(http.StatusAccepted)
 	})
 	return mux
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,10 +54,13 @@
 	accepted   *accepted
 	generation uint64
 
-	vetoesChanged chan struct{}
-	pollNow       chan struct{}
-	storedMu      sync.Mutex
-	stored        map[source.VetoKey]bool // vetoes whose row is known to exist
+	// The channels wake loops; each has room for one value.
+	vetoesChanged  chan struct{}
+	targetsChanged chan struct{}
+	pollNow        chan struct{}
+
+	storedMu sync.Mutex
+	stored   map[source.VetoKey]bool // vetoes whose row is known to exist
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -79,10 +82,11 @@
 	n := &Node{
 		settings: s, log: logger, metrics: registry, keys: keys,
 		table: client, source: source.New(client, client.Objects()),
-		vetoesChanged: make(chan struct{}, 1),
-		pollNow:       make(chan struct{}, 1),
-		stored:        map[source.VetoKey]bool{},
-		rng:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		vetoesChanged:  make(chan struct{}, 1),
+		targetsChanged: make(chan struct{}, 1),
+		pollNow:        make(chan struct{}, 1),
+		stored:         map[source.VetoKey]bool{},
+		rng:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	// The start time in milliseconds is a higher incarnation than any of the
 	// host's earlier processes had, unless its clock was set back; a neighbour
@@ -176,7 +180,7 @@
 		}
 	})
 	for _, loop := range []func(context.Context){
-		n.targets.Run, n.memberLoop, n.rebuildLoop, n.evidenceLoop, n.startLoop, n.reportLoop, n.vetoLoop,
+		n.targets.Run, n.targetLoop, n.memberLoop, n.rebuildLoop, n.evidenceLoop, n.startLoop, n.reportLoop, n.vetoLoop,
 	} {
 		run(loop)
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -204,10 +204,7 @@
 // takeVeto is called by the gossip for each veto that this host did not know.
 func (n *Node) takeVeto(v source.Veto) {
 	n.moves.Veto(v)
-	select {
-	case n.vetoesChanged <- struct{}{}:
-	default:
-	}
+	notify(n.vetoesChanged)
 }
 
 // storeVeto writes a veto's row once; a failure is repeated by the caller.
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"context"
+
 	"nutmeghoist.example/nutmeghoist/internal/announce"
 	"nutmeghoist.example/nutmeghoist/internal/peer"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
 
 func (n *Node) peerConfig() peer.Config {
@@ -12,10 +15,30 @@
 
 func (n *Node) announceConfig() announce.Config {
 	return announce.Config{
-		OnChange: func() {
+		OnChange: func() { notify(n.targetsChanged) },
+		OnHint:   func(id mesh.TargetID, healthy bool) { n.proxy.HealthHint(id, healthy) },
+		Metrics:  n.metrics, Log: n.log,
+	}
+}
+
+// targetLoop puts the local targets into this host's record. The registry
+// reports a change while it holds its lock, so the record is written here.
+func (n *Node) targetLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.targetsChanged:
 			targets := n.targets.Targets()
 			n.members.UpdateSelf(func(h *membership.Host) { h.Targets = targets })
-		},
-		Metrics: n.metrics, Log: n.log,
+		}
+	}
+}
+
+// notify wakes a loop that waits on a channel with room for one value.
+func notify(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
