--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -56,7 +56,11 @@
 
 func printStatus(w io.Writer, s *opapi.Status) error {
 	fmt.Fprintf(w, "host %s in %s: ready=%t draining=%t\n", s.Host, s.DataCentre, s.Ready, s.Draining)
-	fmt.Fprintf(w, "version in force %s; head is revision %d by %s, accepted %s\n", s.Version, s.Head.Revision, s.Head.Author, s.Head.AcceptedAt.Format(time.RFC3339))
+	if s.Head.Revision == 0 {
+		fmt.Fprintln(w, "no revision is known to the node")
+	} else {
+		fmt.Fprintf(w, "version in force %s; head is revision %d by %s, accepted %s\n", s.Version, s.Head.Revision, s.Head.Author, s.Head.AcceptedAt.Format(time.RFC3339))
+	}
 	var moves, vetoes, hosts [][]string
 	for _, m := range s.Moves {
 		moves = append(moves, []string{
