--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -117,11 +117,19 @@
 		select {
 		case <-time.After(settlePause):
 		case <-ctx.Done():
-			return h, fmt.Errorf("%w\nsettle it with: apply --base %d --token %s", err, e.base.Revision, token)
+			return h, fmt.Errorf("%w\n%s", err, e.settle(token))
 		}
 	}
 }
 
+// settle says how to find out whether an edit was accepted.
+func (e *edit) settle(token string) string {
+	if e.isWithdrawal {
+		return "withdraw again: it says when the rule is no longer a move"
+	}
+	return fmt.Sprintf("settle it with: apply --base %d --token %s %s", e.base.Revision, token, e.name)
+}
+
 // showRace prints the changed lines of both sides when another edit won.
 func (a *app) showRace(ctx context.Context, e *edit, err error) error {
 	var race *source.RaceError
@@ -175,7 +183,7 @@
 	if head.Revision == 0 {
 		return fmt.Errorf("withdraw %q: no rules were accepted yet", route)
 	}
-	e := &edit{name: fmt.Sprintf("revision %d", head.Revision), base: head, baseText: text}
+	e := &edit{name: fmt.Sprintf("revision %d", head.Revision), base: head, baseText: text, isWithdrawal: true}
 	if e.text, err = rules.Withdraw(text, route); err != nil {
 		return err
 	}
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -21,6 +21,8 @@
 	base     source.Head // zero when nothing was accepted yet
 	baseText []byte
 	rules    []rules.Rule // set by validate
+
+	isWithdrawal bool // the text was not read from a file
 }
 
 type fileArgument struct {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -5,11 +5,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -154,6 +157,44 @@
 	}
 }
 
+// Guards against a lost answer that leaves the operator without a way to settle it.
+func TestApplyNamesTheTokenOfAnUnknownOutcome(t *testing.T) {
+	b := newBench(t)
+	b.store.SetFaults(platformtest.Faults{LoseBefore: -1, LosePrefix: "config"})
+	file := b.file(first)
+	var errs bytes.Buffer
+	if code := Main(t.Context(), []string{"--timeout", "1s", "apply", file}, Streams{Out: io.Discard, Err: &errs}); code != exitFault {
+		t.Fatalf("exit code %d", code)
+	}
+	_, settle, ok := strings.Cut(errs.String(), "settle it with: ")
+	if !ok {
+		t.Fatalf("got %s", errs.String())
+	}
+	b.store.SetFaults(platformtest.Faults{})
+	args := strings.Fields(settle)
+	b.run(exitOK, []string{"accepted as revision 1"}, args...)
+	b.run(exitOK, []string{"accepted as revision 1"}, args...)
+}
+
+// Guards against two operators who are both told that their edit of one base won.
+func TestConcurrentAppliesHaveOneWinner(t *testing.T) {
+	b := newBench(t)
+	b.run(exitOK, nil, "apply", b.file(first))
+	codes := make([]int, 8)
+	var wg sync.WaitGroup
+	for i := range codes {
+		file := b.file(strings.Replace(first, " # ", fmt.Sprintf(" timeout %ds # ", i+3), 1))
+		wg.Go(func() {
+			codes[i] = Main(t.Context(), []string{"apply", "--base", "1", file}, Streams{Out: io.Discard, Err: io.Discard})
+		})
+	}
+	wg.Wait()
+	slices.Sort(codes)
+	if !slices.Equal(codes, []int{0, 1, 1, 1, 1, 1, 1, 1}) || b.head().Revision != 2 {
+		t.Fatalf("exit codes %v, head is revision %d", codes, b.head().Revision)
+	}
+}
+
 // Guards against an outage of the platform that looks like an accepted file.
 func TestApplyWithoutPlatform(t *testing.T) {
 	b := newBench(t)
--- a/internal/loadgen/command.go
+++ b/internal/loadgen/command.go
@@ -12,6 +12,8 @@
 
 	"github.com/dghubble/sling"
 	"github.com/jessevdk/go-flags"
+
+	"nutmeghoist.example/nutmeghoist/internal/standin"
 )
 
 // Exit codes of the command.
@@ -34,6 +36,7 @@
 	Keys        int           `long:"keys" env:"NUTMEGHOIST_LOAD_KEYS" description:"number of distinct call keys; 0 sends none"`
 	Seed        uint64        `long:"seed" env:"NUTMEGHOIST_LOAD_SEED" default:"1" description:"seed of arrivals and mix"`
 	Order       string        `long:"order-prefix" env:"NUTMEGHOIST_LOAD_ORDER_PREFIX" description:"prefix of the order numbers; the default is random"`
+	RunsFiles   []string      `long:"runs-file" env:"NUTMEGHOIST_LOAD_RUNS_FILES" env-delim:"," description:"runs file of a target stand-in, used instead of its --target; repeat for several"`
 	Targets     []string      `long:"target" env:"NUTMEGHOIST_LOAD_TARGETS" env-delim:"," description:"base URL of a target stand-in whose runs are compared with the outcomes; repeat for several"`
 }
 
@@ -60,8 +63,8 @@
 	}
 	r.Print(stdout)
 	wrong := r.Examples
-	if len(s.Targets) > 0 {
-		runs, err := collectRuns(s.Targets)
+	if o.KeepOutcomes {
+		runs, err := s.collectRuns()
 		if err != nil {
 			fmt.Fprintln(stderr, err)
 			return exitFault
@@ -92,7 +95,7 @@
 	o := Options{
 		Nodes: s.Nodes, Rate: s.Rate, Duration: s.Duration, Arrivals: Arrivals(s.Arrivals), Timeout: s.Timeout,
 		SendTimeout: s.SendTimeout, MaxInFlight: s.InFlight, Connections: s.Connections, Keys: s.Keys,
-		Seed: s.Seed, Order: s.Order, KeepOutcomes: len(s.Targets) > 0,
+		Seed: s.Seed, Order: s.Order, KeepOutcomes: len(s.Targets)+len(s.RunsFiles) > 0,
 	}
 	for _, text := range s.Calls {
 		k, err := ParseKind(text)
@@ -126,10 +129,22 @@
 }
 
 // collectRuns adds up the runs that the targets counted.
-func collectRuns(targets []string) (map[string]int, error) {
+func (s *settings) collectRuns() (map[string]int, error) {
 	client := &http.Client{Timeout: 30 * time.Second}
 	total := map[string]int{}
-	for _, target := range targets {
+	add := func(runs map[string]int) {
+		for order, n := range runs {
+			total[order] += n
+		}
+	}
+	for _, path := range s.RunsFiles {
+		runs, err := standin.ReadRuns(path)
+		if err != nil {
+			return nil, err
+		}
+		add(runs)
+	}
+	for _, target := range s.Targets {
 		var runs map[string]int
 		resp, err := sling.New().Client(client).Base(target).Get("/runs").ReceiveSuccess(&runs)
 		if err != nil {
@@ -138,9 +153,7 @@
 		if resp.StatusCode != http.StatusOK {
 			return nil, fmt.Errorf("runs of target %s: %s", target, resp.Status)
 		}
-		for order, n := range runs {
-			total[order] += n
-		}
+		add(runs)
 	}
 	return total, nil
 }
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -32,6 +32,7 @@
 	Node         string        `long:"node" env:"NUTMEGHOIST_TARGET_NODE" description:"base URL of the node's announce address; empty announces nothing"`
 	Slots        int           `long:"slots" env:"NUTMEGHOIST_TARGET_SLOTS" default:"12" description:"calls that run at the same time"`
 	Connections  int           `long:"connections" env:"NUTMEGHOIST_TARGET_CONNECTIONS" default:"130" description:"connections that the target takes"`
+	RunsFile     string        `long:"runs-file" env:"NUTMEGHOIST_TARGET_RUNS_FILE" description:"file that keeps the runs when the target is killed, one order a line"`
 	Faults       string        `long:"faults" env:"NUTMEGHOIST_TARGET_FAULTS" default:"{}" description:"JSON of the faults at the start, as for POST /faults"`
 	Seed         uint64        `long:"seed" env:"NUTMEGHOIST_TARGET_SEED" default:"1" description:"seed of the random faults"`
 	Period       time.Duration `long:"announce-period" env:"NUTMEGHOIST_TARGET_ANNOUNCE_PERIOD" default:"1s" description:"time between two announcements"`
@@ -92,7 +93,7 @@
 	return Options{
 		ID: mesh.TargetID(s.ID), Service: mesh.ServiceName(s.Service), Version: mesh.TargetVersion(s.Version),
 		Address: s.Address, Control: s.Control, Node: s.Node, Slots: s.Slots, Connections: s.Connections,
-		Faults: faults, Seed: s.Seed,
+		RunsFile: s.RunsFile, Faults: faults, Seed: s.Seed,
 		AnnouncePeriod: s.Period, DrainDelay: s.DrainDelay, DrainTimeout: s.DrainTimeout,
 	}, nil
 }
--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -1,7 +1,12 @@
 package standin
 
 import (
+	"errors"
+	"fmt"
+	"io/fs"
 	"maps"
+	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -19,7 +24,7 @@
 	Failed         int64 `json:"failed"`
 	Cancelled      int64 `json:"cancelled"` // by the caller or its deadline
 	EarlyEnds      int64 `json:"early_ends"`
-	Uncounted      int64 `json:"uncounted"` // runs beyond the number of orders that are kept
+	Uncounted      int64 `json:"uncounted"` // runs that are missing from the count of an order
 	Running        int   `json:"running"`   // calls in the target, with those that wait for a slot
 	MaxRunning     int   `json:"max_running"`
 	MaxConnections int   `json:"max_connections"`
@@ -29,6 +34,46 @@
 	mu    sync.Mutex
 	stats Stats
 	runs  map[string]int
+	file  *os.File // one order a line for each run; nil without a runs file
+}
+
+// open continues the runs file, so that the runs of a target that was killed
+// are still known.
+func (c *counters) open(path string) error {
+	runs, err := ReadRuns(path)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for order, n := range runs {
+		c.runs[order] += n
+	}
+	c.file, err = os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return err
+}
+
+func (c *counters) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.file != nil {
+		_ = c.file.Close()
+		c.file = nil
+	}
+}
+
+// ReadRuns returns how often each order was run, from the runs file of a target
+// that may be dead.
+func ReadRuns(path string) (map[string]int, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("runs file: %w", err)
+	}
+	runs := map[string]int{}
+	for line := range strings.Lines(string(data)) {
+		runs[strings.TrimSuffix(line, "\n")]++
+	}
+	return runs, nil
 }
 
 // enter counts a call that arrives and returns how many there are now.
@@ -58,6 +103,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stats.Runs++
+	if c.file != nil {
+		// Written before the call is run, so that a kill loses no run.
+		if _, err := c.file.WriteString(order + "\n"); err != nil {
+			c.stats.Uncounted++
+		}
+	}
 	if _, known := c.runs[order]; !known && len(c.runs) >= maxOrders {
 		c.stats.Uncounted++
 		return
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -252,6 +253,21 @@
 	}
 }
 
+// Guards against runs that are forgotten when a target is killed.
+func TestRunsFileSurvivesAKill(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "runs")
+	for i, die := range []DieAt{DieDuring, DieNever} {
+		target, _, ended := start(t, Options{RunsFile: path, Faults: Faults{Die: die}})
+		_, _, _ = call(t, newClient(), target, "/a", "o1")
+		if die != DieNever {
+			<-ended
+		}
+		if runs, err := ReadRuns(path); err != nil || runs["o1"] != i+1 || target.Runs()["o1"] != i+1 {
+			t.Fatalf("start %d: file %v, target %v, %v", i, runs, target.Runs(), err)
+		}
+	}
+}
+
 func TestMainUsage(t *testing.T) {
 	for _, args := range [][]string{nil, {"--id", "t", "--service", "s", "--target-version", "v", "--faults", "{\"x\":1}"}, {"--colour"}} {
 		var out, errs bytes.Buffer
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -32,6 +32,7 @@
 	Node        string // base URL of the node's announce address; empty announces nothing
 	Slots       int    // calls it runs at the same time; 0 means no limit
 	Connections int
+	RunsFile    string // keeps the runs when the target is killed; optional
 	Faults      Faults
 	Seed        uint64
 
@@ -101,6 +102,11 @@
 
 // Listen opens the addresses of the target.
 func (t *Target) Listen() error {
+	if t.o.RunsFile != "" {
+		if err := t.counters.open(t.o.RunsFile); err != nil {
+			return fmt.Errorf("target %s: %w", t.o.ID, err)
+		}
+	}
 	l, err := net.Listen("tcp", t.o.Address)
 	if err != nil {
 		return fmt.Errorf("target %s: %w", t.o.ID, err)
@@ -129,6 +135,7 @@
 			return err
 		}
 	}
+	defer t.counters.close()
 	defer t.control.Close()
 	served := make(chan error, 1)
 	go func() { served <- t.server.Serve(t.listener) }()
