--- a/cmd/nutmeghoist-measure/main.go
+++ b/cmd/nutmeghoist-measure/main.go
@@ -14,6 +14,7 @@
 
 	"nutmeghoist.example/nutmeghoist/internal/bench/demo"
 	"nutmeghoist.example/nutmeghoist/internal/bench/distribution"
+	"nutmeghoist.example/nutmeghoist/internal/bench/serving"
 )
 
 // command is one subcommand.
@@ -61,5 +62,8 @@
 		{"distribution", "measure how a configuration spreads", func(full bool) error {
 			return distribution.Run(ctx, distribution.Options{BinDir: binDir, Full: full}, os.Stdout)
 		}},
+		{"serving", "measure the call path", func(bool) error {
+			return serving.Run(ctx, binDir, os.Stdout)
+		}},
 	}
 }
--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -35,6 +35,7 @@
 	BinDir        string // directory of the built programs
 	DataCentres   []mesh.DataCentre
 	Hosts         int      // in each data centre
+	Direct        bool     // connect nodes without the relay, which adds to latency
 	PlatformFlags []string // extra flags of the platform stand-in
 	NodeFlags     []string // extra flags of all nodes
 }
@@ -136,11 +137,10 @@
 	if err := ca.WriteHost(n.ID, []net.IP{net.ParseIP(n.IP)}, 24*time.Hour, cert, key); err != nil {
 		return err
 	}
-	zone := relay.Zone(n.DataCentre)
-	if err := c.Relay.ForwardTCP(ctx, relayIP+":8443", n.IP+":8443", zone); err != nil {
-		return err
-	}
-	if err := c.Relay.ForwardUDP(relayIP+":8444", n.IP+":8444", zone); err != nil {
+	seed := c.ip(relayOffset+1, 1)
+	if c.Options.Direct {
+		relayIP, seed = n.IP, c.ip(1, 1)
+	} else if err := c.relayNode(ctx, n, relayIP); err != nil {
 		return err
 	}
 	n.Process = c.process(string(n.ID), "nutmeghoistd", append([]string{
@@ -148,12 +148,20 @@
 		"--caller-address", n.IP + ":8080", "--announce-address", n.IP + ":8081", "--operator-address", n.IP + ":8082",
 		"--call-address", n.IP + ":8443", "--peer-address", n.IP + ":8444",
 		"--advertise-call-address", relayIP + ":8443", "--advertise-peer-address", relayIP + ":8444",
-		"--platform", "http://" + c.platformAddress(n.index), "--seeds", c.ip(relayOffset+1, 1) + ":8444",
+		"--platform", "http://" + c.platformAddress(n.index), "--seeds", seed + ":8444",
 		"--ca-file", c.path("ca.pem"), "--cert-file", cert, "--key-file", key,
 	}, c.Options.NodeFlags...))
 	return nil
 }
 
+func (c *Cluster) relayNode(ctx context.Context, n *Node, relayIP string) error {
+	zone := relay.Zone(n.DataCentre)
+	if err := c.Relay.ForwardTCP(ctx, relayIP+":8443", n.IP+":8443", zone); err != nil {
+		return err
+	}
+	return c.Relay.ForwardUDP(relayIP+":8444", n.IP+":8444", zone)
+}
+
 func (c *Cluster) ip(dc, host int) string { return fmt.Sprintf("127.%d.%d.%d", c.net, dc, host) }
 
 func (c *Cluster) path(name string) string { return filepath.Join(c.Dir, name) }
--- a/internal/bench/cluster/process.go
+++ b/internal/bench/cluster/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +29,9 @@
 	return &Process{name: name, path: c.bin(bin), args: args, log: c.path(name + ".log"), hook: c.take}
 }
 
+// out is the file with the standard output.
+func (p *Process) out() string { return strings.TrimSuffix(p.log, ".log") + ".out" }
+
 // Start starts the process.
 func (p *Process) Start() error {
 	logFile, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -35,7 +39,14 @@
 		return err
 	}
 	cmd := exec.Command(p.path, p.args...)
-	cmd.Stdout = logFile
+	// The file is the process's own standard output, so that what it wrote
+	// outlives a kill.
+	outFile, err := os.OpenFile(p.out(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer outFile.Close()
+	cmd.Stdout = outFile
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		return err
--- a/internal/bench/cluster/target.go
+++ b/internal/bench/cluster/target.go
@@ -1,12 +1,13 @@
 package cluster
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"time"
+	"os"
 
 	"nutmeghoist.example/nutmeghoist/internal/standin"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -36,7 +37,7 @@
 	}
 	t.Process = c.process(fmt.Sprintf("%s-%s", n.ID, t.ID), "nutmeghoist-target", append([]string{
 		"--id", string(t.ID), "--service", string(v.Service), "--target-version", string(v.Version),
-		"--address", t.Address, "--control-address", t.control, "--node", n.AnnounceURL(),
+		"--address", t.Address, "--control-address", t.control, "--node", n.AnnounceURL(), "--print-runs",
 		"--slots", fmt.Sprint(slots), "--connections", fmt.Sprint(connections),
 	}, extra...))
 	if err := t.Start(); err != nil {
@@ -67,19 +68,33 @@
 	return nil
 }
 
-// Runs returns how often the target ran each order.
-func (t *Target) Runs(ctx context.Context) (map[string]int, error) {
-	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.control+"/runs", nil)
+// Runs returns how often the target ran each order, also in processes that were
+// killed.
+func (t *Target) Runs() (map[string]int, error) {
+	f, err := os.Open(t.out())
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("runs of target %s: %w", t.ID, err)
-	}
-	defer resp.Body.Close()
+	defer f.Close()
 	runs := map[string]int{}
-	return runs, json.NewDecoder(resp.Body).Decode(&runs)
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		runs[lines.Text()]++
+	}
+	return runs, lines.Err()
+}
+
+// Runs returns how often all targets together ran each order.
+func (c *Cluster) Runs() (map[string]int, error) {
+	all := map[string]int{}
+	for _, t := range c.Targets {
+		runs, err := t.Runs()
+		if err != nil {
+			return nil, err
+		}
+		for order, n := range runs {
+			all[order] += n
+		}
+	}
+	return all, nil
 }
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -222,7 +222,7 @@
 	d.say("tray-2 was done by its time; the reports:\n%s", strings.TrimSpace(reports()))
 	cancel()
 	o := <-done
-	return d.checkLoad(ctx, o.result)
+	return d.checkLoad(o.result)
 }
 
 func (d *demo) load() loadgen.Options {
@@ -241,16 +241,10 @@
 }
 
 // checkLoad compares what callers were told with what the targets ran.
-func (d *demo) checkLoad(ctx context.Context, r loadgen.Result) error {
-	runs := map[string]int{}
-	for _, t := range d.c.Targets {
-		ran, err := t.Runs(context.WithoutCancel(ctx))
-		if err != nil {
-			return err
-		}
-		for order, n := range ran {
-			runs[order] += n
-		}
+func (d *demo) checkLoad(r loadgen.Result) error {
+	runs, err := d.c.Runs()
+	if err != nil {
+		return err
 	}
 	if broken := loadgen.CheckRuns(r.Orders, runs); len(broken) > 0 {
 		return fmt.Errorf("%d promises broken, the first: %s", len(broken), broken[0])
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -34,6 +34,7 @@
 	Connections  int           `long:"connections" env:"NUTMEGHOIST_TARGET_CONNECTIONS" default:"130" description:"connections that the target takes"`
 	Faults       string        `long:"faults" env:"NUTMEGHOIST_TARGET_FAULTS" default:"{}" description:"JSON of the faults at the start, as for POST /faults"`
 	Seed         uint64        `long:"seed" env:"NUTMEGHOIST_TARGET_SEED" default:"1" description:"seed of the random faults"`
+	PrintRuns    bool          `long:"print-runs" env:"NUTMEGHOIST_TARGET_PRINT_RUNS" description:"write the number of each order to the standard output when its run starts; unlike GET /runs this outlives the process"`
 	Period       time.Duration `long:"announce-period" env:"NUTMEGHOIST_TARGET_ANNOUNCE_PERIOD" default:"1s" description:"time between two announcements"`
 	DrainDelay   time.Duration `long:"drain-delay" env:"NUTMEGHOIST_TARGET_DRAIN_DELAY" default:"3s" description:"time that a stopping target still takes calls"`
 	DrainTimeout time.Duration `long:"drain-timeout" env:"NUTMEGHOIST_TARGET_DRAIN_TIMEOUT" default:"65s" description:"longest time that a stop waits for calls in flight"`
@@ -59,6 +60,9 @@
 		}
 		logger.Info().Msg(event)
 	}
+	if o.OnRun != nil {
+		o.OnRun = func(order string) { fmt.Fprintln(stdout, order) }
+	}
 	o.Die = func() { os.Exit(exitDied) }
 	t := New(o)
 	if err := t.Listen(); err != nil {
@@ -89,10 +93,14 @@
 	if err != nil {
 		return Options{}, fmt.Errorf("--faults: %w", err)
 	}
-	return Options{
+	o := Options{
 		ID: mesh.TargetID(s.ID), Service: mesh.ServiceName(s.Service), Version: mesh.TargetVersion(s.Version),
 		Address: s.Address, Control: s.Control, Node: s.Node, Slots: s.Slots, Connections: s.Connections,
 		Faults: faults, Seed: s.Seed,
 		AnnouncePeriod: s.Period, DrainDelay: s.DrainDelay, DrainTimeout: s.DrainTimeout,
-	}, nil
+	}
+	if s.PrintRuns {
+		o.OnRun = func(string) {}
+	}
+	return o, nil
 }
--- a/internal/standin/counters.go
+++ b/internal/standin/counters.go
@@ -29,6 +29,7 @@
 	mu    sync.Mutex
 	stats Stats
 	runs  map[string]int
+	onRun func(order string) // may be nil
 }
 
 // enter counts a call that arrives and returns how many there are now.
@@ -58,6 +59,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stats.Runs++
+	if c.onRun != nil {
+		c.onRun(order)
+	}
 	if _, known := c.runs[order]; !known && len(c.runs) >= maxOrders {
 		c.stats.Uncounted++
 		return
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -41,6 +41,8 @@
 	DrainDelay   time.Duration
 	DrainTimeout time.Duration // default 65 s; longer than the longest route timeout
 
+	// OnRun is called when the run of an order starts, one call at a time.
+	OnRun func(order string)
 	// Die ends the process. The default closes the listener and all connections.
 	Die func()
 	// Log is called with events worth a log line. The default drops them.
@@ -93,7 +95,7 @@
 	if o.Slots > 0 {
 		t.slots = make(chan struct{}, o.Slots)
 	}
-	t.counters.runs = map[string]int{}
+	t.counters.runs, t.counters.onRun = map[string]int{}, o.OnRun
 	t.server = &http.Server{Handler: t.Handler(), ConnContext: withConn}
 	t.control = &http.Server{Handler: t.controlHandler()}
 	return t
