--- a/internal/memnet/link.go
+++ b/internal/memnet/link.go
@@ -102,6 +102,7 @@
 			if err == nil && len(body) > distribution.MaxResponse {
 				err = distribution.ErrTooLarge
 			}
+			body = l.owner.net.pass(l.peer, body)
 			l.carry(l.peer, l.local, len(body), func() { done <- response{body, err} })
 		})
 	}
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -4,6 +4,7 @@
 package memnet
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -30,6 +31,8 @@
 	nodes map[string]*Transport
 	fate  func(from, to mesh.HostID) Fate
 	bytes map[mesh.HostID]int64
+	// tamper changes responses on their way.
+	tamper func(from mesh.HostID, response []byte) []byte
 }
 
 // New returns a network without faults or delays.
@@ -49,6 +52,22 @@
 	n.fate = fate
 }
 
+// SetTamper sets a function that changes the responses of hosts.
+func (n *Network) SetTamper(tamper func(from mesh.HostID, response []byte) []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tamper = tamper
+}
+
+func (n *Network) pass(from mesh.HostID, response []byte) []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.tamper == nil {
+		return response
+	}
+	return n.tamper(from, bytes.Clone(response))
+}
+
 // Silence makes the open links between two hosts lose everything for good,
 // while new links work.
 func (n *Network) Silence(a, b mesh.HostID) {
--- /dev/null
+++ b/internal/peer/bench_test.go
@@ -0,0 +1,122 @@
+package peer_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+)
+
+const (
+	idleTime = 10 * time.Second
+	changes  = 10
+)
+
+// BenchmarkMesh measures what links cost: run it with -benchtime 1x. All nodes
+// share one process, so memory is given per link end.
+func BenchmarkMesh(b *testing.B) {
+	for _, count := range []int{8, 16, 32} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				before, rssBefore := heap(), rss(b)
+				nodes := quicMesh(b, count, 4)
+				time.Sleep(15 * time.Second) // surplus links of joining are closed
+				ends := 0
+				for _, n := range nodes {
+					ends += n.gossip.Links()
+				}
+				b.ReportMetric(float64(ends)/float64(count), "links/node")
+				b.ReportMetric(float64(heap()-before)/float64(ends)/1024, "heap_KB/link_end")
+				b.ReportMetric(float64(rss(b)-rssBefore)/float64(count)/1024, "rss_KB/node")
+				sent, packets := sentBy(nodes)
+				time.Sleep(idleTime)
+				s, p := sentBy(nodes)
+				seconds := idleTime.Seconds() * float64(count)
+				b.ReportMetric(float64(s-sent)/seconds, "idle_sent_B/s/node")
+				b.ReportMetric(float64(p-packets)/seconds, "idle_packets/s/node")
+				measureHeads(b, nodes)
+				measureRecords(b, nodes)
+			}
+		})
+	}
+}
+
+// rulesText returns rules of about 50 KB that compress as real ones do.
+func rulesText(revision int) []byte {
+	rng := rand.New(rand.NewPCG(uint64(revision), 1))
+	var t bytes.Buffer
+	for i := range 500 {
+		fmt.Fprintf(&t, "route GET,POST /service-%d/%x to service%d v-%d class normal timeout %ds # op%d: note %x\n",
+			i, rng.Uint32(), i%140, rng.IntN(90), 1+rng.IntN(9), i%7, rng.Uint64())
+	}
+	return t.Bytes()
+}
+
+func measureHeads(b *testing.B, nodes []*quicNode) {
+	var total, worst time.Duration
+	sent, _ := sentBy(nodes)
+	start := time.Now()
+	for i := 1; i <= changes; i++ {
+		announce(b, nodes[i%len(nodes)], uint64(i), rulesText(i))
+		d := eventually(b, 9*time.Second, "head everywhere", nodes, func(n *quicNode) bool { return n.active.Load() == uint64(i) })
+		total += d
+		worst = max(worst, d)
+		time.Sleep(200 * time.Millisecond)
+	}
+	s, _ := sentBy(nodes)
+	b.Logf("%d changes of %d bytes of rules in %v", changes, len(rulesText(1)), time.Since(start))
+	b.ReportMetric(float64(s-sent)/float64(len(nodes))/changes, "sent_B/change/node")
+	b.ReportMetric(float64(total.Microseconds())/changes/1000, "head_mean_ms")
+	b.ReportMetric(float64(worst.Microseconds())/1000, "head_max_ms")
+}
+
+func measureRecords(b *testing.B, nodes []*quicNode) {
+	sent, _ := sentBy(nodes)
+	start := time.Now()
+	const records = 100
+	for i := range records {
+		nodes[i%len(nodes)].table.UpdateSelf(func(h *membership.Host) {
+			h.Targets = []membership.Target{{ID: "t1", Service: "galley", Version: "g-7", Address: "127.0.0.1:9000", Slots: 12, Connections: 130, State: membership.TargetReady, ReadySince: start}}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	s, _ := sentBy(nodes)
+	b.ReportMetric(float64(s-sent)/float64(len(nodes))/records, "sent_B/record/node")
+}
+
+func sentBy(nodes []*quicNode) (bytes, packets uint64) {
+	for _, n := range nodes {
+		s := n.tr.Stats()
+		bytes += s.BytesSent
+		packets += s.PacketsSent
+	}
+	return bytes, packets
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// rss returns the resident memory of the process in bytes.
+func rss(b *testing.B) int64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		b.Skip(err)
+	}
+	pages, err := strconv.ParseInt(strings.Fields(string(data))[1], 10, 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return pages * int64(os.Getpagesize())
+}
--- /dev/null
+++ b/pkg/distribution/faults_test.go
@@ -0,0 +1,364 @@
+package distribution_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/distribution"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// Bounds of the design: a silent link is detected within 5 s; a dead host is
+// suspected after 3 s of silence and 1 s of a failed dial, and fails 3 s
+// later. Hosts all of whose neighbours died are found after links re-form.
+const (
+	silentBound = 5 * time.Second
+	failBound   = 2*(3+1+3)*time.Second + 5*time.Second
+	activeBound = 9 * time.Second
+)
+
+func (n *node) count(f distribution.Fault) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.faults[f]
+}
+
+func (m *meshOf) veto(id mesh.HostID, version mesh.TargetVersion) {
+	m.t.Helper()
+	if err := m.nodes[id].gossip.AddVeto(source.Veto{Service: "galley", Version: version, Attempt: 1}); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+func (m *meshOf) allVetoes(count int) func() bool {
+	return func() bool { return m.all(func(n *node) bool { return len(n.gossip.Vetoes()) == count }) }
+}
+
+// Each case names the failure that it guards against.
+func TestFaults(t *testing.T) {
+	for name, test := range map[string]func(m *meshOf){
+		"news is lost when messages are lost or cross":         lostAndCrossing,
+		"a silent link stops the news":                         silentLink,
+		"a healed data centre stays apart or reverts":          partition,
+		"a herd that dies and returns does not get the news":   herd,
+		"a restarted host serves older than it served":         restartLower,
+		"a suspect that lives is declared failed":              suspectRefutes,
+		"two processes with one host ID upset the mesh":        duplicateHost,
+		"a corrupt object is activated or stops the head":      badObject,
+		"a head replaces another of the same revision":         conflictingHead,
+		"a head is lost when only the object store has it":     objectStore,
+		"a host that stops is not noticed":                     gracefulStop,
+		"mass restarts of a data centre leave hosts unlinked":  dataCentreRestart,
+		"a host without any seed alive never joins":            lateSeed,
+		"a stuck neighbour delays the activation":              stuckNeighbour,
+		"a stale head from a neighbour replaces a newer":       olderHead,
+		"joining hosts that start at once remain in two parts": splitStart,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t, 42)
+				test(m)
+				m.checkNoFall()
+				m.stop()
+			})
+		})
+	}
+}
+
+func lostAndCrossing(m *meshOf) {
+	m.build(12, 3)
+	m.set(func() { m.loss, m.maxDelay = 0.1, 400*time.Millisecond })
+	for r := uint64(1); r <= 10; r++ {
+		m.announce(m.ids[r%12], r)
+		m.veto(m.ids[(r+5)%12], mesh.TargetVersion(fmt.Sprint(r)))
+	}
+	m.within(activeBound, "newest head active", m.allActive(10))
+	m.within(activeBound, "all vetoes", m.allVetoes(10))
+	m.set(func() { m.loss, m.maxDelay = 0, time.Millisecond })
+	m.within(failBound, "all hosts alive", m.allAlive)
+}
+
+func silentLink(m *meshOf) {
+	m.build(2, 1)
+	m.net.Silence("h000", "h001")
+	m.announce("h000", 1)
+	m.within(silentBound, "head passes over a new link", m.allActive(1))
+	for _, n := range m.nodes {
+		for _, h := range n.table.Hosts() {
+			if h.Status != membership.StatusAlive {
+				m.t.Errorf("%s sees %s with status %d although new links work", n.id, h.ID, h.Status)
+			}
+		}
+	}
+}
+
+func partition(m *meshOf) {
+	m.build(12, 3)
+	m.announce("h000", 1)
+	m.within(activeBound, "first head", m.allActive(1))
+	inFirst := func(id mesh.HostID) bool { return m.nodes[id].table.Self().DataCentre == "dc0" }
+	first := make(map[mesh.HostID]bool)
+	for _, id := range m.ids {
+		first[id] = inFirst(id)
+	}
+	m.set(func() { m.split = func(a, b mesh.HostID) bool { return first[a] != first[b] } })
+	m.within(time.Minute, "each side sees the other as failed", func() bool {
+		return m.all(func(n *node) bool { return len(n.table.Unreachable()) == 4+4*btoi(first[n.id]) })
+	})
+	time.Sleep(time.Hour)
+	m.announce("h001", 2)
+	m.veto("h000", "g-8")
+	m.veto("h001", "g-9")
+	m.within(activeBound, "the side that got it serves the head", func() bool {
+		return m.all(func(n *node) bool { return first[n.id] || n.active.Load() == 2 })
+	})
+	m.set(func() { m.split = nil })
+	m.within(15*time.Second, "head after healing", m.allActive(2))
+	m.within(15*time.Second, "vetoes after healing", m.allVetoes(2))
+	m.within(time.Minute, "all alive after healing", m.allAlive)
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func herd(m *meshOf) {
+	m.build(16, 4)
+	m.announce("h000", 3)
+	m.within(activeBound, "head", m.allActive(3))
+	for i := 1; i < 16; i += 2 {
+		m.kill(m.ids[i])
+	}
+	m.announce("h002", 4)
+	m.within(activeBound, "survivors activate", m.allActive(4))
+	m.within(failBound, "dead hosts are failed", m.allAlive)
+	for i := 1; i < 16; i += 2 {
+		m.restart(m.ids[i])
+	}
+	m.within(activeBound, "returned hosts activate", m.allActive(4))
+	m.within(failBound, "all alive", m.allAlive)
+}
+
+func restartLower(m *meshOf) {
+	m.build(6, 2)
+	m.announce("h003", 9)
+	m.within(activeBound, "head", m.allActive(9))
+	time.Sleep(2 * distribution.HeartbeatPeriod)
+	old := m.nodes["h003"].table.Self()
+	m.kill("h003")
+	m.start = 0 // a clock that runs behind
+	n := m.restart("h003")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	f, err := n.gossip.Floor(ctx)
+	if err != nil || f.Version.Revision != 9 || f.Head.Revision != 9 {
+		m.t.Errorf("floor %+v, %v", f, err)
+	}
+	m.within(activeBound, "head after restart", m.allActive(9))
+	m.within(failBound, "alive after restart", func() bool {
+		return m.all(func(n *node) bool {
+			h, _ := n.table.Get("h003")
+			return h.Status == membership.StatusAlive && h.Incarnation > old.Incarnation
+		})
+	})
+}
+
+func suspectRefutes(m *meshOf) {
+	m.build(8, 2)
+	m.nodes["h001"].table.Suspect("h005")
+	worst := membership.StatusAlive
+	for range 200 {
+		time.Sleep(50 * time.Millisecond)
+		for _, n := range m.nodes {
+			h, _ := n.table.Get("h005")
+			worst = max(worst, h.Status)
+		}
+	}
+	if worst > membership.StatusSuspect || !m.allAlive() {
+		m.t.Errorf("worst status %d; all alive: %v", worst, m.allAlive())
+	}
+	if inc := m.nodes["h005"].table.Self().Incarnation; inc == 0 {
+		m.t.Error("no refutation")
+	}
+}
+
+func duplicateHost(m *meshOf) {
+	m.build(5, 1)
+	first := m.nodes["h002"]
+	second := m.boot("h002", "dc0", "other:1")
+	m.within(failBound, "one of the two learns of the other", func() bool {
+		return first.count(distribution.FaultDuplicateHost)+second.count(distribution.FaultDuplicateHost) > 0
+	})
+	loser, winner := first, second
+	if second.count(distribution.FaultDuplicateHost) > 0 {
+		loser, winner = second, first
+	}
+	loser.cancel()
+	<-loser.done
+	m.nodes["h002"] = winner
+	m.within(failBound, "the mesh settles", m.allAlive)
+	m.announce("h004", 1)
+	m.within(activeBound, "head", m.allActive(1))
+}
+
+func badObject(m *meshOf) {
+	m.build(6, 1)
+	m.net.SetTamper(func(from mesh.HostID, b []byte) []byte {
+		if from == "h000" && len(b) > 0 {
+			b[len(b)/2] ^= 0xff
+		}
+		return b
+	})
+	m.announce("h000", 1)
+	time.Sleep(time.Second)
+	for _, n := range m.nodes {
+		if n.id != "h000" && n.active.Load() != 0 {
+			m.t.Errorf("%s activated a corrupt object", n.id)
+		}
+	}
+	m.announce("h003", 1) // as if it had polled the platform
+	m.within(activeBound, "head from a sound neighbour", m.allActive(1))
+	bad := 0
+	for _, n := range m.nodes {
+		bad += n.count(distribution.FaultBadObject)
+	}
+	if bad == 0 {
+		m.t.Error("the corrupt object was not counted")
+	}
+}
+
+func conflictingHead(m *meshOf) {
+	m.build(4, 1)
+	m.announce("h000", 5)
+	m.within(activeBound, "head", m.allActive(5))
+	h, text := headOf(5, "another text")
+	if err := m.nodes["h001"].gossip.AnnounceHead(h, text); !errors.Is(err, distribution.ErrHeadConflict) {
+		m.t.Errorf("conflicting head: %v", err)
+	}
+	h.Hash = headHash("yet another")
+	if err := m.nodes["h001"].gossip.AnnounceHead(h, text); !errors.Is(err, distribution.ErrBadObject) {
+		m.t.Errorf("head with a wrong hash: %v", err)
+	}
+	// A host that took the other text while apart meets the rest.
+	m.set(func() { m.split = func(a, b mesh.HostID) bool { return (a == "h003") != (b == "h003") } })
+	time.Sleep(time.Minute)
+	m.announce("h000", 6)
+	h, text = headOf(6, "another text")
+	if err := m.nodes["h003"].gossip.AnnounceHead(h, text); err != nil {
+		m.t.Fatal(err)
+	}
+	m.set(func() { m.split = nil })
+	m.within(time.Minute, "the conflict is reported", func() bool {
+		return m.nodes["h003"].count(distribution.FaultHeadConflict) > 0
+	})
+	if got, _, _ := m.nodes["h003"].gossip.Head(); got.Hash != h.Hash {
+		m.t.Error("the head was replaced by another of the same revision")
+	}
+	m.announce("h001", 7)
+	m.within(activeBound, "the next revision ends the conflict", m.allActive(7))
+}
+
+func headHash(text string) string { h, _ := headOf(1, text); return h.Hash }
+
+func objectStore(m *meshOf) {
+	m.build(4, 1)
+	h, text := headOf(2, "rules")
+	m.net.SetTamper(func(mesh.HostID, []byte) []byte { return nil }) // neighbours send nothing
+	m.fetch = func(_ context.Context, hash string) ([]byte, error) {
+		if hash != h.Hash {
+			return nil, errors.New("no such object")
+		}
+		return text, nil
+	}
+	if err := m.nodes["h000"].gossip.AnnounceHead(h, text); err != nil {
+		m.t.Fatal(err)
+	}
+	m.within(activeBound, "head from the object store", m.allActive(2))
+}
+
+func gracefulStop(m *meshOf) {
+	m.build(6, 2)
+	m.nodes["h004"].table.UpdateSelf(func(h *membership.Host) { h.Status = membership.StatusLeaving })
+	m.within(time.Second, "all know that the host leaves", func() bool {
+		return m.all(func(n *node) bool { h, _ := n.table.Get("h004"); return h.Status == membership.StatusLeaving })
+	})
+	m.nodes["h004"].table.UpdateSelf(func(h *membership.Host) { h.Status = membership.StatusLeft })
+	m.within(time.Second, "all know that it left", func() bool {
+		return m.all(func(n *node) bool { h, _ := n.table.Get("h004"); return h.Status == membership.StatusLeft })
+	})
+	m.kill("h004")
+	time.Sleep(time.Minute)
+	for _, n := range m.nodes {
+		if h, _ := n.table.Get("h004"); h.Status != membership.StatusLeft {
+			m.t.Errorf("%s sees status %d", n.id, h.Status)
+		}
+	}
+}
+
+func dataCentreRestart(m *meshOf) {
+	m.build(24, 2)
+	m.announce("h000", 1)
+	m.within(activeBound, "head", m.allActive(1))
+	for i := 1; i < 24; i += 2 {
+		m.kill(m.ids[i])
+	}
+	for i := 1; i < 24; i += 2 {
+		m.restart(m.ids[i])
+	}
+	m.within(activeBound, "head after restart", m.allActive(1))
+	m.within(failBound, "all alive", m.allAlive)
+	time.Sleep(30 * time.Second)
+	if !m.allAlive() {
+		m.t.Error("the mesh does not stay settled")
+	}
+}
+
+func lateSeed(m *meshOf) {
+	m.boot("h000", "dc0", address("h000"))
+	m.kill("h000")
+	m.boot("h001", "dc0", address("h001"))
+	time.Sleep(time.Minute)
+	m.restart("h000")
+	m.within(5*time.Second, "both alive", m.allAlive)
+}
+
+func stuckNeighbour(m *meshOf) {
+	m.build(6, 1)
+	m.set(func() { m.down["h005"] = true })
+	m.announce("h000", 1)
+	m.within(2*time.Second, "the others activate", func() bool {
+		return m.all(func(n *node) bool { return n.active.Load() == 1 })
+	})
+}
+
+func olderHead(m *meshOf) {
+	m.build(6, 2)
+	m.announce("h000", 8)
+	m.within(activeBound, "head", m.allActive(8))
+	m.announce("h003", 4)
+	time.Sleep(time.Minute)
+	if !m.allActive(8)() {
+		m.t.Error("an older head changed what is active")
+	}
+}
+
+func splitStart(m *meshOf) {
+	// h000 and h002 start apart and each gets a follower; then they can meet.
+	m.set(func() { m.split = func(a, b mesh.HostID) bool { return (a < "h002") != (b < "h002") } })
+	for i := range 4 {
+		id := mesh.HostID(fmt.Sprintf("h%03d", i))
+		m.boot(id, "dc0", address(id))
+	}
+	time.Sleep(time.Minute)
+	m.set(func() { m.split = nil })
+	m.within(10*time.Second, "both parts join", m.allAlive)
+}
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -33,6 +33,7 @@
 	unsent   []source.Veto // not yet delivered to OnVeto
 	heard    map[mesh.HostID]mesh.ConfigVersion
 	runCtx   context.Context
+	stopped  bool
 
 	deliverHead chan struct{} // capacity 1
 	deliverVeto chan struct{}
@@ -124,7 +125,7 @@
 func (g *Gossip) spawn(task func(ctx context.Context)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.runCtx == nil || g.runCtx.Err() != nil {
+	if g.runCtx == nil || g.stopped {
 		return
 	}
 	ctx := g.runCtx
--- a/pkg/membership/neighbours.go
+++ b/pkg/membership/neighbours.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,57 +27,71 @@
 // All hosts with the same records compute the same graph. Failed and left
 // hosts are no neighbours.
 func Neighbours(hosts []Host, self mesh.HostID) []Host {
-	byDC := make(map[mesh.DataCentre][]Host)
-	var own mesh.DataCentre
-	known := false
-	for _, h := range hosts {
-		if h.ID == self {
-			own, known = h.DataCentre, true
-		}
-		if !h.Status.gone() || h.ID == self {
-			byDC[h.DataCentre] = append(byDC[h.DataCentre], h)
-		}
-	}
-	if !known {
+	c := candidatesOf(hosts, self)
+	if c.self == nil {
 		return nil
 	}
-	chosen := make(map[mesh.HostID]bool, 8)
-	var out []Host
-	add := func(h Host) {
-		if h.ID != self && !chosen[h.ID] {
-			chosen[h.ID] = true
-			out = append(out, h)
+	c.chosen = make(map[mesh.HostID]bool, 8)
+	c.addRing()
+	local := len(c.out)
+	c.addRemote(local + maxRemote)
+	return c.out
+}
+
+// candidate is a host with the hash of its ID.
+type candidate struct {
+	host *Host
+	hash uint64
+}
+
+type candidates struct {
+	self   *Host
+	byDC   map[mesh.DataCentre][]candidate
+	chosen map[mesh.HostID]bool
+	out    []Host
+}
+
+func candidatesOf(hosts []Host, self mesh.HostID) *candidates {
+	c := &candidates{byDC: make(map[mesh.DataCentre][]candidate)}
+	for i := range hosts {
+		h := &hosts[i]
+		if h.ID == self {
+			c.self = h
+		} else if h.Status.gone() {
+			continue
 		}
+		c.byDC[h.DataCentre] = append(c.byDC[h.DataCentre], candidate{h, xxhash.Sum64String(string(h.ID))})
 	}
-	ringNeighbours(byDC[own], self, add)
-	local := len(out)
-	remoteNeighbours(byDC, own, self, func(h Host) {
-		if len(out)-local < maxRemote {
-			add(h)
-		}
-	})
-	return out
+	return c
 }
 
-func ringNeighbours(ring []Host, self mesh.HostID, add func(Host)) {
-	ring = slices.Clone(ring)
-	slices.SortFunc(ring, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(rank("ring", a.ID), rank("ring", b.ID)), cmp.Compare(a.ID, b.ID))
+func (c *candidates) add(h *Host) {
+	if h.ID != c.self.ID && !c.chosen[h.ID] {
+		c.chosen[h.ID] = true
+		c.out = append(c.out, *h)
+	}
+}
+
+func (c *candidates) addRing() {
+	ring := slices.Clone(c.byDC[c.self.DataCentre])
+	slices.SortFunc(ring, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.host.ID, b.host.ID))
 	})
-	at := slices.IndexFunc(ring, func(h Host) bool { return h.ID == self })
+	at := slices.IndexFunc(ring, func(h candidate) bool { return h.host.ID == c.self.ID })
 	for _, o := range ringOffsets {
 		if o < len(ring) {
-			add(ring[(at+o)%len(ring)])
+			c.add(ring[(at+o)%len(ring)].host)
 		}
 	}
 }
 
-// remoteNeighbours adds the gateway links of self and one link to a data
-// centre of its own choice. Both are chosen by rendezvous hashing, so that a
-// host that joins or fails moves few links.
-func remoteNeighbours(byDC map[mesh.DataCentre][]Host, own mesh.DataCentre, self mesh.HostID, add func(Host)) {
-	others := make([]mesh.DataCentre, 0, len(byDC))
-	for dc := range byDC {
+// addRemote adds the gateway links of self and one link to a data centre of
+// its own choice. Both are chosen by rendezvous hashing, so that a host that
+// joins or fails moves few links.
+func (c *candidates) addRemote(limit int) {
+	own := c.self.DataCentre
+	others := make([]mesh.DataCentre, 0, len(c.byDC))
+	for dc := range c.byDC {
 		if dc != own {
 			others = append(others, dc)
 		}
@@ -86,32 +101,48 @@
 	}
 	slices.Sort(others)
 	for _, dc := range others {
-		pair := string(min(own, dc)) + "\x00" + string(max(own, dc))
-		near, far := top(pair, byDC[own]), top(pair, byDC[dc])
+		if own > dc {
+			continue // the data centre with the lower name opens the gateway links
+		}
+		pair := xxhash.Sum64String(string(own) + "\x00" + string(dc))
+		near, far := top(pair, c.byDC[own], gatewaysPerPair), top(pair, c.byDC[dc], gatewaysPerPair)
 		for j := range max(len(near), len(far)) {
-			// The data centre with the lower name opens the link; one side is enough.
-			if near[j%len(near)].ID == self && own < dc {
-				add(far[j%len(far)])
+			if near[j%len(near)].ID == c.self.ID && len(c.out) < limit {
+				c.add(far[j%len(far)])
 			}
 		}
 	}
-	dc := slices.MaxFunc(others, func(a, b mesh.DataCentre) int {
-		return cmp.Compare(rank(string(a), self), rank(string(b), self))
+	id := xxhash.Sum64String(string(c.self.ID))
+	choice := slices.MaxFunc(others, func(a, b mesh.DataCentre) int {
+		return cmp.Compare(mix(id, xxhash.Sum64String(string(a))), mix(id, xxhash.Sum64String(string(b))))
 	})
-	add(slices.MaxFunc(byDC[dc], func(a, b Host) int {
-		return cmp.Compare(rank(string(self), a.ID), rank(string(self), b.ID))
-	}))
+	if len(c.out) < limit {
+		c.add(top(id, c.byDC[choice], 1)[0])
+	}
 }
 
-// top returns the gatewaysPerPair hosts that rank highest for a key.
-func top(key string, hosts []Host) []Host {
-	hosts = slices.Clone(hosts)
-	slices.SortFunc(hosts, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(rank(key, b.ID), rank(key, a.ID)), cmp.Compare(a.ID, b.ID))
-	})
-	return hosts[:min(len(hosts), gatewaysPerPair)]
+// top returns the n hosts that rank highest for a key.
+func top(key uint64, hosts []candidate, n int) []*Host {
+	best := make([]candidate, 0, n+1) // with the rank as hash
+	for _, h := range hosts {
+		r := candidate{h.host, mix(key, h.hash)}
+		at, _ := slices.BinarySearchFunc(best, r, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.host.ID, b.host.ID))
+		})
+		if at < n {
+			best = slices.Insert(best, at, r)[:min(len(best)+1, n)]
+		}
+	}
+	out := make([]*Host, len(best))
+	for i, b := range best {
+		out[i] = b.host
+	}
+	return out
 }
 
-func rank(key string, id mesh.HostID) uint64 {
-	return xxhash.Sum64String(key + "\x00" + string(id))
+func mix(a, b uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	return xxhash.Sum64(buf[:])
 }
