--- a/pkg/move/apply.go
+++ b/pkg/move/apply.go
@@ -43,6 +43,7 @@
 
 func (c *Controller) applyRules(s *snapshot.Snapshot, restart bool) {
 	c.calls = map[callKey]callRef{}
+	c.rulesChanged = true
 	c.ruleIDs = map[*rules.Rule]mesh.MoveID{}
 	for i := range s.Rules {
 		r := &s.Rules[i]
--- a/pkg/move/batches.go
+++ b/pkg/move/batches.go
@@ -9,22 +9,13 @@
 // minOverload is the part of shed calls from which a batch counts as overload.
 const minOverload = 0.01
 
-// total sums the new version's counters over target hosts.
-func (v *view) total() *Counters {
-	t := &Counters{}
-	for _, c := range v.fresh {
-		t.combine(c, sum)
-	}
-	return t
-}
-
 // batches makes one batch for each signal; nil where the signal cannot be judged.
-func (p *progress) batches(d, record *view, s *stream, dc mesh.DataCentre) [signals]*batch {
+func (p *progress) batches(t *tally, dc mesh.DataCentre) [signals]*batch {
 	return [signals]*batch{
-		signalFailure: p.failures(d, record, &s.roll),
-		signalCold:    p.coldFailures(d, &s.roll),
-		signalSlow:    p.slow(d, record, &s.roll),
-		signalShed:    p.sheds(d, &s.roll, dc),
+		signalFailure: p.failures(t),
+		signalCold:    p.coldFailures(t),
+		signalSlow:    p.slow(t),
+		signalShed:    p.sheds(t, dc),
 	}
 }
 
@@ -47,17 +38,15 @@
 }
 
 // failures makes the batch of failures, early ends and calls without an answer.
-func (p *progress) failures(d, record *view, r *rolling) *batch {
-	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(r), limit: failureLimit}
+func (p *progress) failures(d *tally) *batch {
+	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(&d.roll), limit: failureLimit}
 	skipNoAnswer := false
 	if p.full() {
 		b.otherBad = float64(d.control.bad())
-		if record != nil {
-			b.limit = math.Max(failureLimit, upperRate(float64(record.old.bad()), float64(record.old.Calls)))
-		}
+		b.limit = math.Max(failureLimit, upperRate(float64(d.record.bad()), float64(d.record.Calls)))
 		// Without the old version beside it, a missing answer may be overload or,
 		// without any other traffic, a cut.
-		skipNoAnswer = r.control < 1 || d.overloaded()
+		skipNoAnswer = d.roll.control < 1 || d.overloaded()
 	} else {
 		b.otherBad = float64(d.old.bad())
 	}
@@ -81,13 +70,13 @@
 }
 
 // overloaded reports that the new version sheds calls.
-func (v *view) overloaded() bool {
-	t := v.total()
-	return float64(t.Shed) > minOverload*float64(t.Calls+t.Shed)
+func (t *tally) overloaded() bool {
+	n := t.total()
+	return float64(n.Shed) > minOverload*float64(n.Calls+n.Shed)
 }
 
-func (p *progress) coldFailures(d *view, r *rolling) *batch {
-	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(r), limit: coldLimit}
+func (p *progress) coldFailures(d *tally) *batch {
+	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(&d.roll), limit: coldLimit}
 	if p.full() {
 		b.otherBad = float64(d.control.bad())
 	} else {
@@ -101,15 +90,15 @@
 
 // slow makes the batch of calls above the slow edge of the old version. At the
 // full share an overload explains slow calls.
-func (p *progress) slow(d, record *view, r *rolling) *batch {
-	if record == nil || (p.full() && (d.overloaded() || r.control < 1)) {
+func (p *progress) slow(d *tally) *batch {
+	if p.full() && (d.overloaded() || d.roll.control < 1) {
 		return nil
 	}
-	edge := slowEdge(&record.old)
+	edge := slowEdge(&d.record)
 	if edge == 0 {
 		return nil
 	}
-	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(r), limit: slowLimit}
+	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(&d.roll), limit: slowLimit}
 	if p.full() {
 		b.otherBad = float64(d.control.Slow)
 	} else {
@@ -125,7 +114,7 @@
 
 // sheds makes the batch of shed calls. They speak against the version only when
 // its target hosts have no more load than those of the old version.
-func (p *progress) sheds(d *view, r *rolling, dc mesh.DataCentre) *batch {
+func (p *progress) sheds(d *tally, dc mesh.DataCentre) *batch {
 	h := p.hosts[dc]
 	if p.full() || h.fresh == 0 || h.old == 0 {
 		return nil
@@ -135,7 +124,7 @@
 		return nil
 	}
 	b := &batch{
-		hosts: map[mesh.HostID][2]float64{}, share: p.proportion(r), limit: shedLimit,
+		hosts: map[mesh.HostID][2]float64{}, share: p.proportion(&d.roll), limit: shedLimit,
 		otherBad: float64(d.old.Shed),
 	}
 	for h, c := range d.fresh {
--- a/pkg/move/choose.go
+++ b/pkg/move/choose.go
@@ -75,6 +75,10 @@
 
 // publish replaces the table that Choose reads.
 func (c *Controller) publish() {
+	if !c.rulesChanged && c.sharesPublished() {
+		return
+	}
+	c.rulesChanged = false
 	t := &chooseTable{byRule: make(map[*rules.Rule]choice, len(c.ruleIDs)), byID: make(map[mesh.MoveID]choice, len(c.moves))}
 	for id, p := range c.moves {
 		t.byID[id] = choice{salt: xxhash.Sum64String(string(id)), share: p.share(c.now)}
@@ -84,3 +88,13 @@
 	}
 	c.table.Store(t)
 }
+
+func (c *Controller) sharesPublished() bool {
+	t := c.table.Load()
+	for id, p := range c.moves {
+		if t.byID[id].share != p.share(c.now) {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/move/control.go
+++ b/pkg/move/control.go
@@ -1,11 +1,16 @@
 package move
 
-import "nutmeghoist.example/nutmeghoist/pkg/mesh"
+import (
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
 
 // control counts the calls of all services by data centre. At the full share
 // the other services are the comparison group that shows a common fault.
 type control struct {
-	services map[controlKey]*controlCounts
+	services  map[controlKey]*controlCounts
+	refreshed time.Duration
 }
 
 type controlKey struct {
@@ -33,8 +38,12 @@
 	}
 }
 
-// refresh sets the edges from the latencies so far.
-func (c *control) refresh() {
+// refresh sets the edges from the latencies so far, once a second.
+func (c *control) refresh(now time.Duration) {
+	if now-c.refreshed < evidencePeriod {
+		return
+	}
+	c.refreshed = now
 	for _, s := range c.services {
 		s.edge = slowEdge(&s.Counters)
 	}
@@ -50,9 +59,7 @@
 		if out[k.dc] == nil {
 			out[k.dc] = &Counters{}
 		}
-		scalar := s.Counters
-		scalar.Latency = nil
-		out[k.dc].combine(&scalar, sum)
+		out[k.dc].combineScalars(&s.Counters, sum)
 	}
 	return out
 }
--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -54,21 +54,23 @@
 	cfg   Config
 	table atomic.Pointer[chooseTable]
 
-	mu      sync.Mutex
-	applied bool
-	version mesh.ConfigVersion
-	now     time.Time
-	mono    time.Duration
-	first   time.Time
-	made    uint64 // number of moves started, part of their instance
-	moves   map[mesh.MoveID]*progress
-	vetoes  map[mesh.ServiceVersion]source.Veto // the one with the highest attempt
-	calls   map[callKey]callRef
-	ruleIDs map[*rules.Rule]mesh.MoveID // rules of the applied snapshot
-	own     *store                      // what this node saw
-	merged  *store                      // what other nodes sent
-	control *control
-	pending []func() // callbacks to run after unlocking
+	mu           sync.Mutex
+	applied      bool
+	version      mesh.ConfigVersion
+	now          time.Time
+	mono         time.Duration
+	first        time.Time
+	made         uint64 // number of moves started, part of their instance
+	moves        map[mesh.MoveID]*progress
+	vetoes       map[mesh.ServiceVersion]source.Veto // the one with the highest attempt
+	calls        map[callKey]callRef
+	ruleIDs      map[*rules.Rule]mesh.MoveID // rules of the applied snapshot
+	rulesChanged bool                        // since the table was published
+	own          *store                      // what this node saw
+	merged       *store                      // what other nodes sent
+	control      *control
+	pace         pace
+	pending      []func() // callbacks to run after unlocking
 }
 
 // progress is one move on this node.
@@ -112,6 +114,7 @@
 		own:     newStore(),
 		merged:  newStore(),
 		control: newControl(),
+		pace:    pace{tokens: earlyTokens},
 	}
 	c.table.Store(&chooseTable{})
 	return c
@@ -149,7 +152,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
 		p := c.moves[id]
 		if p.judged() {
-			c.storeControl(p)
+			c.countControl(p)
 			list = append(list, c.own.list(id)...)
 		}
 	}
@@ -164,13 +167,12 @@
 	if from == c.cfg.Self {
 		return
 	}
-	known := make([]Evidence, 0, len(list))
-	for _, e := range list {
+	for i := range list {
+		e := &list[i]
 		if p, ok := c.moves[e.Move]; ok && p.judged() {
-			known = append(known, e)
+			c.merge(p, from, e)
 		}
 	}
-	c.merged.merge(from, known)
 }
 
 // Observe takes the outcome of a call. It implements Observer.
@@ -188,6 +190,7 @@
 func (c *Controller) Tick(now time.Time) {
 	c.mu.Lock()
 	c.setTime(now)
+	c.control.refresh(c.mono)
 	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
 		p := c.moves[id]
 		c.judge(p)
--- a/pkg/move/evidence.go
+++ b/pkg/move/evidence.go
@@ -37,7 +37,7 @@
 	Cold       uint64   `cbor:"6,keyasint,omitempty"` // calls to targets that warm up, kept apart
 	ColdFailed uint64   `cbor:"7,keyasint,omitempty"` // server errors and early ends of cold targets
 	Slow       uint64   `cbor:"8,keyasint,omitempty"` // control side only: slower than that service usually is
-	Latency    []uint64 `cbor:"9,keyasint,omitempty"` // warm calls by latency bucket, without trailing zeros
+	Latency    []uint64 `cbor:"9,keyasint,omitempty"` // warm complete calls by latency bucket, without trailing zeros
 }
 
 // TargetCounters are the counters of one target host.
@@ -101,8 +101,8 @@
 		c.NoAnswers++
 	}
 	c.Calls++
-	if b := bucket(o.Latency); o.Kind == OutcomeOK || o.Kind == OutcomeNoAnswer {
-		c.addLatency(b, 1)
+	if o.Kind == OutcomeOK {
+		c.addLatency(bucket(o.Latency), 1)
 	}
 }
 
@@ -137,12 +137,18 @@
 	return [...]*uint64{&c.Calls, &c.Failed, &c.EarlyEnds, &c.NoAnswers, &c.Shed, &c.Cold, &c.ColdFailed, &c.Slow}
 }
 
-// combine sets each counter of c to f of both counters.
-func (c *Counters) combine(d *Counters, f func(a, b uint64) uint64) {
+func (c *Counters) combineScalars(d *Counters, f func(a, b uint64) uint64) {
 	cf, df := c.fields(), d.fields()
 	for i := range cf {
 		*cf[i] = f(*cf[i], *df[i])
 	}
+}
+
+func (c *Counters) reset() { *c = Counters{Latency: c.Latency[:0]} }
+
+// combine sets each counter of c to f of both counters.
+func (c *Counters) combine(d *Counters, f func(a, b uint64) uint64) {
+	c.combineScalars(d, f)
 	for len(c.Latency) < len(d.Latency) {
 		c.Latency = append(c.Latency, 0)
 	}
--- a/pkg/move/judge.go
+++ b/pkg/move/judge.go
@@ -9,23 +9,29 @@
 	"nutmeghoist.example/nutmeghoist/pkg/source"
 )
 
-// The false-alarm budget of one move over its whole life, for the largest mesh:
-// half of it is shared by the local tests of all nodes, half by the tests of the
-// evaluators.
+// The false-alarm budget of one move over its whole life: half of it is shared
+// by the local tests of all nodes of the largest mesh, half by the tests of the
+// evaluators in all data centres.
 const (
 	falseAlarms   = 1e-3
 	maxNodes      = 2200
 	maxCentres    = 16
-	signals       = 4
 	holdEvaluator = 1e3 // the statistic is below this with probability 0.999 while the versions are equal
 	holdLocal     = 1e4
 	holdRelease   = 10 // below this a held move goes on
 )
 
-var (
-	localThreshold     = math.Log(maxNodes * maxCentres / (falseAlarms / 2))
-	evaluatorThreshold = math.Log(maxCentres * signals / (falseAlarms / 2))
-)
+// budgetParts divide the evaluators' budget between the signals.
+var budgetParts = [signals]float64{signalFailure: 0.5, signalCold: 0.1, signalSlow: 0.2, signalShed: 0.2}
+
+// localThreshold is the logarithm of the statistic from which a node takes a
+// version back by itself.
+var localThreshold = math.Log(maxNodes * maxCentres / (falseAlarms / 2))
+
+// threshold is the same for one of the evaluator's signals.
+func (p *progress) threshold(sig signal) float64 {
+	return math.Log(float64(max(1, len(p.hosts))) / (falseAlarms / 2 * budgetParts[sig]))
+}
 
 // Rates of bad outcomes that are always tolerated.
 const (
@@ -41,10 +47,6 @@
 // shares would not be comparable.
 const takeoverPause = 5 * time.Second
 
-// rollHalfLife is the half-life of the counts that give the proportions of the
-// groups between batches.
-const rollHalfLife = 5 * time.Second
-
 type signal int
 
 const (
@@ -52,41 +54,24 @@
 	signalCold
 	signalSlow
 	signalShed
+	signals // number of signals
 )
 
 var signalNames = [...]string{"failed", "failed while warming up", "were slow", "were shed"}
 
 // stream is the judgement of one move in one data centre.
 type stream struct {
-	local     detector
-	localPrev *view
-	localAt   time.Duration
-	eval      [signals]detector
-	evalPrev  *view
-	evalAt    time.Duration
-	roll      rolling
-	localRoll rolling
-}
-
-// rolling holds decayed counts of calls by group.
-type rolling struct {
-	fresh, old, control float64
-	at                  time.Duration
-}
-
-func (r *rolling) add(d *view, now time.Duration) {
-	k := math.Exp2(-float64(now-r.at) / float64(rollHalfLife))
-	r.at = now
-	t := d.total()
-	r.fresh = r.fresh*k + float64(t.Calls)
-	r.old = r.old*k + float64(d.old.Calls)
-	r.control = r.control*k + float64(d.control.Calls)
+	seen  *tally // what this node saw
+	local detector
+	all   *tally // what all nodes saw, while this node is the evaluator
+	eval  [signals]detector
 }
 
 // duty is whether this node judges a move for its data centre.
 type duty struct {
 	on      bool
 	since   time.Duration
+	checked time.Duration
 	skip    bool // took over in the middle of the move
 	watched bool // the budget after the watch period has begun
 }
@@ -105,7 +90,7 @@
 func (p *progress) stream(dc mesh.DataCentre, now time.Duration) *stream {
 	s, ok := p.streams[dc]
 	if !ok {
-		s = &stream{localAt: now, evalAt: now}
+		s = &stream{seen: newTally(now), all: newTally(now)}
 		p.streams[dc] = s
 	}
 	return s
@@ -121,8 +106,11 @@
 	if side != SideNew {
 		target = ""
 	}
-	c.own.row(p.id, rowKey{c.cfg.Self, p.instance, side, o.DataCentre, target}).add(o)
-	if side == SideNew && !o.Cold && (o.Kind == OutcomeFailed || o.Kind == OutcomeEarlyEnd || o.Kind == OutcomeNoAnswer) {
+	var delta Counters
+	delta.add(o)
+	c.count(p, side, o.DataCentre, target, &delta)
+	if side == SideNew && delta.bad() > 0 {
+		c.pace.failures++
 		c.judgeLocal(p, o.DataCentre)
 		if p.state == StateTakenBack {
 			c.publish()
@@ -130,36 +118,68 @@
 	}
 }
 
-// judge runs all tests of a move on the evidence since the last time.
+// count adds what this node saw.
+func (c *Controller) count(p *progress, side Side, dc mesh.DataCentre, target mesh.HostID, delta *Counters) {
+	c.own.row(p.id, rowKey{c.cfg.Self, p.instance, side, dc, target}).combine(delta, sum)
+	s := p.stream(dc, c.mono)
+	s.seen.add(side, target, delta)
+	if p.duty.on {
+		s.all.add(side, target, delta)
+	}
+}
+
+// merge joins what another node saw.
+func (c *Controller) merge(p *progress, from mesh.HostID, e *Evidence) {
+	s := p.stream(e.DataCentre, c.mono)
+	for i := range e.Targets {
+		t := &e.Targets[i]
+		gain := c.merged.join(p.id, rowKey{from, e.Instance, e.Side, e.DataCentre, t.Host}, &t.Counters)
+		if p.duty.on {
+			s.all.add(e.Side, t.Host, gain)
+		}
+	}
+}
+
+// countControl adds the calls to other services since the last time.
+func (c *Controller) countControl(p *progress) {
+	for dc, n := range c.control.others(p.rule.Service) {
+		delta := *n
+		delta.combineScalars(c.own.row(p.id, rowKey{c.cfg.Self, p.instance, SideControl, dc, ""}), minus)
+		c.count(p, SideControl, dc, "", &delta)
+	}
+}
+
+// judge runs all tests of a move that are due.
 func (c *Controller) judge(p *progress) {
 	if !p.judged() || p.step < 0 {
 		return
 	}
-	c.storeControl(p)
-	for dc := range views(p.id, c.own) {
-		c.judgeLocal(p, dc)
+	if c.mono-p.duty.checked >= evidencePeriod {
+		p.duty.checked = c.mono
+		c.countControl(p)
+		c.takeDuty(p)
+	}
+	judged := false
+	for dc, s := range p.streams {
+		if s.seen.due(c.mono) {
+			c.judgeLocal(p, dc)
+			judged = true
+		}
+		if p.judged() && p.duty.on && s.all.due(c.mono) {
+			c.judgeCentre(p, dc, s)
+			judged = true
+		}
 		if !p.judged() {
 			return
 		}
 	}
-	c.takeDuty(p)
-	if p.duty.on {
-		c.judgeCentre(p)
-	}
-	if p.judged() {
+	if judged || p.absent {
 		c.hold(p)
 	}
 }
 
-// storeControl refreshes the counters of the control group.
-func (c *Controller) storeControl(p *progress) {
-	c.control.refresh()
-	for dc, n := range c.control.others(p.rule.Service) {
-		c.own.row(p.id, rowKey{c.cfg.Self, p.instance, SideControl, dc, ""}).combine(n, maximum)
-	}
-}
-
-// takeDuty decides whether this node is the evaluator of the move.
+// takeDuty decides whether this node is the evaluator of the move. An evaluator
+// from the first step on counts what was sent before it took up the duty.
 func (c *Controller) takeDuty(p *progress) {
 	on := true
 	if c.cfg.Hosts != nil {
@@ -167,23 +187,27 @@
 	}
 	if on && !p.duty.on {
 		p.duty.since, p.duty.skip = c.mono, p.step > 0
+		for dc, s := range p.streams {
+			s.all = newTally(c.mono)
+			count := func(k rowKey, n *Counters) { s.all.add(k.side, k.target, n) }
+			c.own.each(p.id, dc, count)
+			c.merged.each(p.id, dc, count)
+		}
 	}
 	p.duty.on = on
 }
 
 // judgeLocal runs the failure test on what this node saw itself.
 func (c *Controller) judgeLocal(p *progress, dc mesh.DataCentre) {
+	if p.full() {
+		c.countControl(p) // a common fault must show in the same batch
+	}
 	s := p.stream(dc, c.mono)
-	v := views(p.id, c.own)[dc]
-	d := v.since(s.localPrev)
-	record := s.localPrev
-	s.localPrev = v
-	s.localRoll.add(d, c.mono)
-	b := p.failures(d, record, &s.localRoll)
-	s.local.update(b, p.weight(c.mono-s.localAt))
-	s.localAt = c.mono
+	elapsed := s.seen.close(c.mono)
+	s.local.update(p.failures(s.seen), p.weight(elapsed))
+	s.seen.clear()
 	if s.local.value(p.hosts[dc].fresh) >= localThreshold {
-		c.condemn(p, dc, signalFailure, v)
+		c.condemn(p, dc, signalFailure)
 	}
 }
 
@@ -192,28 +216,21 @@
 	return math.Max(0, float64(elapsed)/float64(p.life()))
 }
 
-// judgeCentre runs the evaluator's tests for every data centre it has evidence of.
-func (c *Controller) judgeCentre(p *progress) {
-	for dc, v := range views(p.id, c.own, c.merged) {
-		s := p.stream(dc, c.mono)
-		d := v.since(s.evalPrev)
-		record := s.evalPrev
-		s.evalPrev = v
-		elapsed := c.mono - s.evalAt
-		s.evalAt = c.mono
-		if p.duty.skip && c.mono-p.duty.since < takeoverPause {
+// judgeCentre runs the evaluator's tests for a data centre.
+func (c *Controller) judgeCentre(p *progress, dc mesh.DataCentre, s *stream) {
+	elapsed := s.all.close(c.mono)
+	defer s.all.clear()
+	if p.duty.skip && c.mono-p.duty.since < takeoverPause {
+		return
+	}
+	for sig, b := range p.batches(s.all, dc) {
+		if b == nil {
 			continue
 		}
-		s.roll.add(d, c.mono)
-		for sig, b := range p.batches(d, record, s, dc) {
-			if b == nil {
-				continue
-			}
-			s.eval[sig].update(b, p.weight(elapsed))
-			if s.eval[sig].value(p.hosts[dc].fresh) >= evaluatorThreshold {
-				c.condemn(p, dc, signal(sig), v)
-				return
-			}
+		s.eval[sig].update(b, p.weight(elapsed))
+		if s.eval[sig].value(p.hosts[dc].fresh) >= p.threshold(signal(sig)) {
+			c.condemn(p, dc, signal(sig))
+			return
 		}
 	}
 }
@@ -241,8 +258,8 @@
 }
 
 // condemn takes the version back, or only reports the fault after the watch period.
-func (c *Controller) condemn(p *progress, dc mesh.DataCentre, sig signal, v *view) {
-	text := p.sentence(dc, sig, v)
+func (c *Controller) condemn(p *progress, dc mesh.DataCentre, sig signal) {
+	text := c.sentence(p, dc, sig)
 	if p.state == StateDone {
 		if p.fault == "" {
 			p.fault = text
@@ -268,16 +285,24 @@
 }
 
 // sentence puts the evidence in one sentence with numbers.
-func (p *progress) sentence(dc mesh.DataCentre, sig signal, v *view) string {
-	fresh := v.total()
-	n, bad := fresh.group(sig, slowEdge(&v.old))
-	on, obad := v.old.group(sig, slowEdge(&v.old))
+func (c *Controller) sentence(p *progress, dc mesh.DataCentre, sig signal) string {
+	t := newTally(0)
+	count := func(k rowKey, n *Counters) { t.group(k.side, k.target).combine(n, sum) }
+	c.own.each(p.id, dc, count)
+	c.merged.each(p.id, dc, count)
+	fresh := Counters{}
+	for _, n := range t.fresh {
+		fresh.combine(n, sum)
+	}
+	edge := slowEdge(&t.old)
+	n, bad := fresh.judged(sig, edge)
+	oldN, oldBad := t.old.judged(sig, edge)
 	return fmt.Sprintf("in data centre %s, %d of %d calls to %s %s on route %q, against %d of %d calls to %s",
-		dc, bad, n, p.rule.Target(), signalNames[sig], p.rule.Route(), obad, on, p.rule.From)
+		dc, bad, n, p.rule.Target(), signalNames[sig], p.rule.Route(), oldBad, oldN, p.rule.From)
 }
 
-// group returns the calls and the bad ones that a signal looks at.
-func (c *Counters) group(sig signal, edge int) (n, bad uint64) {
+// judged returns the calls and the bad ones that a signal looks at.
+func (c *Counters) judged(sig signal, edge int) (n, bad uint64) {
 	switch sig {
 	case signalCold:
 		return c.Cold, c.ColdFailed
--- a/pkg/move/report.go
+++ b/pkg/move/report.go
@@ -53,14 +53,14 @@
 	return out
 }
 
-// tally is who has confirmed the end of a move.
-type tally struct {
+// confirmed is who has confirmed the end of a move.
+type confirmed struct {
 	confirmed int
 	missing   []mesh.HostID
 	waiting   []mesh.DataCentre // unreachable data centres
 }
 
-func (t *tally) complete() bool {
+func (t *confirmed) complete() bool {
 	return t.confirmed > 0 && len(t.missing) == 0 && len(t.waiting) == 0
 }
 
@@ -96,8 +96,8 @@
 }
 
 // count compares each host in membership with the end that the move must reach.
-func count(in *ReportInput, m *ReportMove) tally {
-	var t tally
+func count(in *ReportInput, m *ReportMove) confirmed {
+	var t confirmed
 	for _, h := range in.Hosts {
 		if slices.Contains(in.Unreachable, h.DataCentre) {
 			t.missing = append(t.missing, h.ID)
@@ -124,7 +124,7 @@
 type writer struct {
 	in    *ReportInput
 	move  *ReportMove
-	tally tally
+	tally confirmed
 	out   []source.Report
 }
 
--- a/pkg/move/store.go
+++ b/pkg/move/store.go
@@ -38,14 +38,13 @@
 	return c
 }
 
-func (s *store) merge(from mesh.HostID, list []Evidence) {
-	for i := range list {
-		e := &list[i]
-		for j := range e.Targets {
-			t := &e.Targets[j]
-			s.row(e.Move, rowKey{from, e.Instance, e.Side, e.DataCentre, t.Host}).combine(&t.Counters, maximum)
-		}
-	}
+// join raises a row to the maximum of each counter and returns what it gained.
+func (s *store) join(move mesh.MoveID, k rowKey, c *Counters) *Counters {
+	row := s.row(move, k)
+	gain := c.clone()
+	gain.combine(row, minus)
+	row.combine(c, maximum)
+	return &gain
 }
 
 // list returns the rows of a move, which all come from one node and instance, in
@@ -76,56 +75,13 @@
 	return list
 }
 
-// view is the sum over all nodes for one move and data centre.
-type view struct {
-	fresh   map[mesh.HostID]*Counters // new version, by target host
-	old     Counters
-	control Counters
-}
-
-// views sums the rows of a move in several stores by data centre of the targets.
-func views(move mesh.MoveID, stores ...*store) map[mesh.DataCentre]*view {
-	out := map[mesh.DataCentre]*view{}
-	for _, s := range stores {
-		for k, c := range s.moves[move] {
-			if out[k.dc] == nil {
-				out[k.dc] = &view{fresh: map[mesh.HostID]*Counters{}}
-			}
-			out[k.dc].add(k, c)
-		}
-	}
-	return out
-}
-
-func (v *view) add(k rowKey, c *Counters) {
-	switch k.side {
-	case SideNew:
-		if v.fresh[k.target] == nil {
-			v.fresh[k.target] = &Counters{}
-		}
-		v.fresh[k.target].combine(c, sum)
-	case SideOld:
-		v.old.combine(c, sum)
-	case SideControl:
-		v.control.combine(c, sum)
-	}
-}
-
-// since returns the part of v that prev does not hold.
-func (v *view) since(prev *view) *view {
-	d := &view{fresh: map[mesh.HostID]*Counters{}, old: v.old.clone(), control: v.control.clone()}
-	if prev != nil {
-		d.old.combine(&prev.old, minus)
-		d.control.combine(&prev.control, minus)
-	}
-	for h, c := range v.fresh {
-		n := c.clone()
-		if prev != nil && prev.fresh[h] != nil {
-			n.combine(prev.fresh[h], minus)
+// each calls f for all rows of a move in one data centre.
+func (s *store) each(move mesh.MoveID, dc mesh.DataCentre, f func(rowKey, *Counters)) {
+	for k, c := range s.moves[move] {
+		if k.dc == dc {
+			f(k, c)
 		}
-		d.fresh[h] = &n
 	}
-	return d
 }
 
 func (s *store) drop(move mesh.MoveID) { delete(s.moves, move) }
