--- a/internal/loadgen/command.go
+++ b/internal/loadgen/command.go
@@ -36,7 +36,7 @@
 	Keys        int           `long:"keys" env:"NUTMEGHOIST_LOAD_KEYS" description:"number of distinct call keys; 0 sends none"`
 	Seed        uint64        `long:"seed" env:"NUTMEGHOIST_LOAD_SEED" default:"1" description:"seed of arrivals and mix"`
 	Order       string        `long:"order-prefix" env:"NUTMEGHOIST_LOAD_ORDER_PREFIX" description:"prefix of the order numbers; the default is random"`
-	RunsFiles   []string      `long:"runs-file" env:"NUTMEGHOIST_LOAD_RUNS_FILES" env-delim:"," description:"runs file of a target stand-in, used instead of its --target; repeat for several"`
+	RunsFiles   []string      `long:"runs-file" env:"NUTMEGHOIST_LOAD_RUNS_FILES" env-delim:"," description:"file with the output of a target stand-in that prints its runs, instead of its --target; repeat for several"`
 	Targets     []string      `long:"target" env:"NUTMEGHOIST_LOAD_TARGETS" env-delim:"," description:"base URL of a target stand-in whose runs are compared with the outcomes; repeat for several"`
 }
 
