--- a/cmd/nutmeghoist-measure/main.go
+++ b/cmd/nutmeghoist-measure/main.go
@@ -14,6 +14,8 @@
 
 	"nutmeghoist.example/nutmeghoist/internal/bench/demo"
 	"nutmeghoist.example/nutmeghoist/internal/bench/distribution"
+	"nutmeghoist.example/nutmeghoist/internal/bench/drill"
+	"nutmeghoist.example/nutmeghoist/internal/bench/moves"
 	"nutmeghoist.example/nutmeghoist/internal/bench/serving"
 )
 
@@ -62,6 +64,12 @@
 		{"distribution", "measure how a configuration spreads", func(full bool) error {
 			return distribution.Run(ctx, distribution.Options{BinDir: binDir, Full: full}, os.Stdout)
 		}},
+		{"drill", "run moves while the platform or a data centre is out of reach", func(bool) error {
+			return drill.Run(ctx, binDir, os.Stdout)
+		}},
+		{"moves", "measure the decisions of moves on a virtual clock", func(bool) error {
+			return moves.Run(os.Stdout, moves.Options{})
+		}},
 		{"serving", "measure the call path", func(bool) error {
 			return serving.Run(ctx, binDir, os.Stdout)
 		}},
--- /dev/null
+++ b/internal/bench/cluster/accept.go
@@ -0,0 +1,63 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+
+	"github.com/google/uuid"
+
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// Source reads and accepts configurations at the platform, past the relay.
+func (c *Cluster) Source() *source.Source {
+	client := platform.NewClient(c.PlatformURL(), nil)
+	return source.New(client, client.Objects())
+}
+
+// Accept makes a rules text the next revision, without the checks that need a node.
+func (c *Cluster) Accept(ctx context.Context, text string) (source.Head, error) {
+	s := c.Source()
+	base, err := s.Head(ctx)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return base, err
+	}
+	rs, findings := rules.Parse("rules", []byte(text))
+	if err := findings.Err(); err != nil {
+		return base, err
+	}
+	sub := source.Submission{Text: []byte(text), Base: base, Author: "bench", Token: uuid.NewString()}
+	for i := range rs {
+		if rs[i].IsMove() {
+			sub.Moves = append(sub.Moves, source.PendingMove{Move: rs[i].MoveID(), By: rs[i].By})
+		}
+	}
+	return s.Accept(ctx, sub)
+}
+
+// InForce reports whether a revision is in force on the given nodes.
+func (c *Cluster) InForce(ctx context.Context, revision uint64, nodes []*Node) bool {
+	for _, n := range nodes {
+		s, err := n.Status(ctx)
+		if err != nil || s.Version.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// KnowsTargets reports whether all running nodes know all targets as ready.
+func (c *Cluster) KnowsTargets(ctx context.Context) bool {
+	for _, n := range c.Nodes {
+		if !n.Running() {
+			continue
+		}
+		s, err := n.Status(ctx)
+		if err != nil || countTargets(s.Hosts) != len(c.Targets) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/bench/demo/count.go
+++ b/internal/bench/cluster/count.go
@@ -1,4 +1,4 @@
-package demo
+package cluster
 
 import "nutmeghoist.example/nutmeghoist/pkg/membership"
 
