--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -30,6 +30,7 @@
 	Address      string        `long:"address" env:"NUTMEGHOIST_TARGET_ADDRESS" default:"127.0.0.1:0" description:"IP:port for calls and the control paths"`
 	Control      string        `long:"control-address" env:"NUTMEGHOIST_TARGET_CONTROL_ADDRESS" description:"IP:port for the control paths alone"`
 	Node         string        `long:"node" env:"NUTMEGHOIST_TARGET_NODE" description:"base URL of the node's announce address; empty announces nothing"`
+	Callers      string        `long:"callers" env:"NUTMEGHOIST_TARGET_CALLERS" description:"base URL where the target places calls of its own, as the header Call-Next asks for"`
 	Slots        int           `long:"slots" env:"NUTMEGHOIST_TARGET_SLOTS" default:"12" description:"calls that run at the same time"`
 	Connections  int           `long:"connections" env:"NUTMEGHOIST_TARGET_CONNECTIONS" default:"130" description:"connections that the target takes"`
 	Faults       string        `long:"faults" env:"NUTMEGHOIST_TARGET_FAULTS" default:"{}" description:"JSON of the faults at the start, as for POST /faults"`
@@ -95,7 +96,7 @@
 	}
 	o := Options{
 		ID: mesh.TargetID(s.ID), Service: mesh.ServiceName(s.Service), Version: mesh.TargetVersion(s.Version),
-		Address: s.Address, Control: s.Control, Node: s.Node, Slots: s.Slots, Connections: s.Connections,
+		Address: s.Address, Control: s.Control, Node: s.Node, Callers: s.Callers, Slots: s.Slots, Connections: s.Connections,
 		Faults: faults, Seed: s.Seed,
 		AnnouncePeriod: s.Period, DrainDelay: s.DrainDelay, DrainTimeout: s.DrainTimeout,
 	}
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -188,6 +188,11 @@
 		http.Error(w, "deadline exceeded after the call was started", http.StatusGatewayTimeout)
 		return
 	}
+	if err := t.callNext(ctx, r, order); err != nil {
+		t.counters.add(&t.counters.stats.Failed)
+		http.Error(w, "after the call was started: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
 	if d.fails {
 		t.counters.add(&t.counters.stats.Failed)
 		w.Header().Set(answer.HeaderVersion, string(t.o.Version))
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -255,6 +255,34 @@
 	}
 }
 
+// Guards against a chain that loses the headers of its path or hides a failure below.
+func TestChain(t *testing.T) {
+	below, _, _ := start(t, Options{ID: "t2"})
+	var depths []string
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		depths = append(depths, r.Header.Get("Nutmeghoist-Depth")+r.URL.Path+r.Header.Get(HeaderNext))
+		r.Header.Del(HeaderNext)
+		below.Handler().ServeHTTP(w, r)
+	}))
+	defer node.Close()
+	target, _, _ := start(t, Options{Callers: node.URL})
+	for _, want := range []int{200, 500} {
+		req, _ := http.NewRequest(http.MethodGet, "http://"+target.Addr()+"/a", nil)
+		req.Header.Set(answer.HeaderOrder, "o1")
+		req.Header.Set(HeaderNext, "/b /c")
+		req.Header.Set("Nutmeghoist-Depth", "1")
+		resp, err := newClient().Do(req)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("got %v, %v, want %d", resp, err, want)
+		}
+		resp.Body.Close()
+		below.SetFaults(Faults{FailShare: 1})
+	}
+	if depths[0] != "1/b/c" || below.Runs()["o1.1"] != 2 || target.Runs()["o1"] != 2 {
+		t.Fatalf("got %q, %v, %v", depths, below.Runs(), target.Runs())
+	}
+}
+
 // Guards against runs that are forgotten when a target is killed.
 func TestRunsOutliveAKill(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "runs")
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -30,6 +30,7 @@
 	Address     string // IP:port to serve on; port 0 takes a free one
 	Control     string // IP:port for the control paths alone, optional
 	Node        string // base URL of the node's announce address; empty announces nothing
+	Callers     string // base URL where the target places calls of its own, for HeaderNext
 	Slots       int    // calls it runs at the same time; 0 means no limit
 	Connections int
 	Faults      Faults
@@ -68,6 +69,7 @@
 	slots    chan struct{} // nil without a limit
 	server   *http.Server
 	control  *http.Server
+	caller   *http.Client // for calls of its own
 	listener *listener
 	stopping atomic.Bool
 	left     chan struct{} // closed when the target must leave the mesh
@@ -92,6 +94,7 @@
 		o: o, started: time.Now(), faults: o.Faults, set: time.Now(), rand: rand.New(rand.NewPCG(o.Seed, 1)),
 		left: make(chan struct{}), dead: make(chan struct{}),
 	}
+	t.caller = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: max(o.Slots, http.DefaultMaxIdleConnsPerHost)}}
 	if o.Slots > 0 {
 		t.slots = make(chan struct{}, o.Slots)
 	}
@@ -131,6 +134,7 @@
 			return err
 		}
 	}
+	defer t.caller.CloseIdleConnections()
 	defer t.control.Close()
 	served := make(chan error, 1)
 	go func() { served <- t.server.Serve(t.listener) }()
