--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -181,12 +181,13 @@
 	return max(coldWeight, float64(age)/float64(slowStart))
 }
 
-// score is the load of the target relative to what it can take.
+// score is the load of the target relative to what it can take. The slow start
+// is left to draw: counted twice, it kept cold targets idle in a quiet mesh.
 func (c *Candidate) score(now time.Time) float64 {
 	load := float64(c.Stat.load(now) + 1)
 	limit := float64(max(1, c.Slots))
 	if c.Stat.shedding(now) {
 		load += shedScore * limit
 	}
-	return load / (limit * c.weight(now))
+	return load / limit
 }
--- /dev/null
+++ b/pkg/routing/set_test.go
@@ -0,0 +1,195 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+)
+
+var start = time.Date(2026, 12, 5, 6, 0, 0, 0, time.UTC)
+
+// fixture builds a set: names starting with "o" are in the own data centre,
+// all others in another.
+func fixture(names ...string) (*Set, map[string]*Candidate) {
+	var list []snapshot.Target
+	for _, n := range names {
+		t := snapshot.Target{Host: mesh.HostID(n), DataCentre: "other", Suspect: n[len(n)-1] == '?'}
+		t.ID, t.Slots, t.State = "t", 12, membership.TargetReady
+		if n[0] == 'o' {
+			t.DataCentre = "own"
+		}
+		list = append(list, t)
+	}
+	s := NewTracker().NewSet("own", list, start)
+	by := make(map[string]*Candidate)
+	for _, c := range append(append([]*Candidate(nil), s.own...), s.other...) {
+		by[string(c.Host)] = c
+	}
+	return s, by
+}
+
+func signals(c *Candidate, sig Signal, n int) {
+	for range n {
+		c.Stat.Signal(sig, 0, start)
+	}
+}
+
+// shares returns how often each target is picked in 2000 picks.
+func shares(s *Set, now time.Time, tried *Tried) map[string]float64 {
+	rng := rand.New(rand.NewPCG(1, 2))
+	got := make(map[string]float64)
+	for range 2000 {
+		name := ""
+		if c := s.Pick(now, rng, tried); c != nil {
+			name = string(c.Host)
+		}
+		got[name] += 1.0 / 2000
+	}
+	return got
+}
+
+// Guards against calls to targets that cannot take them, calls that leave the
+// data centre without need, and an overload that is passed on.
+func TestPick(t *testing.T) {
+	cases := []struct {
+		name    string
+		targets []string
+		arrange func(map[string]*Candidate, *Tried)
+		after   time.Duration
+		want    []string // the targets that are picked; "" is none
+	}{
+		{"own data centre first", []string{"o1", "o2", "r1"}, nil, 0, []string{"o1", "o2"}},
+		{"no target", nil, nil, 0, []string{""}},
+		{"suspect is avoided", []string{"o1?", "o2", "r1"}, nil, 0, []string{"o2"}},
+		{"remote before a suspect", []string{"o1?", "r1"}, nil, 0, []string{"r1"}},
+		{"suspect when there is no other", []string{"o1?"}, nil, 0, []string{"o1?"}},
+		{"tried targets are excluded", []string{"o1", "o2"}, func(c map[string]*Candidate, tr *Tried) { tr.Targets = []*Candidate{c["o1"]} }, 0, []string{"o2"}},
+		{"fails over when the own are tried", []string{"o1", "r1"}, func(c map[string]*Candidate, tr *Tried) { tr.Targets = []*Candidate{c["o1"]} }, 0, []string{"r1"}},
+		{"a refusal for load is not passed on", []string{"o1", "r1"}, func(c map[string]*Candidate, tr *Tried) {
+			tr.Targets, tr.Shed = []*Candidate{c["o1"]}, true
+		}, 0, []string{""}},
+		{"fails over when the own are unreachable", []string{"o1", "o2", "r1"}, func(c map[string]*Candidate, _ *Tried) {
+			signals(c["o1"], SignalUnreachable, 2)
+			signals(c["o2"], SignalUnreachable, 2)
+		}, 0, []string{"r1"}},
+		{"no fail-over to a target near its limit", []string{"o1", "r1", "r2"}, func(c map[string]*Candidate, tr *Tried) {
+			signals(c["o1"], SignalUnreachable, 2)
+			tr.Targets = []*Candidate{c["o1"]}
+			c["r1"].Stat.ReportLoad(Load{InFlight: 11, Limit: 12}, start)
+			signals(c["r2"], SignalShed, 1)
+		}, 0, []string{""}},
+		{"an old load report does not count", []string{"o1", "r1"}, func(c map[string]*Candidate, tr *Tried) {
+			tr.Targets = []*Candidate{c["o1"]}
+			c["r1"].Stat.ReportLoad(Load{InFlight: 12, Limit: 12}, start)
+		}, 2 * time.Second, []string{"r1"}},
+		{"two silences do not eject", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) { signals(c["o1"], SignalNoAnswer, 2) }, 0, []string{"o1", "o2"}},
+		{"three silences eject", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) { signals(c["o1"], SignalNoAnswer, 3) }, 0, []string{"o2"}},
+		{"an answer between silences clears them", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) {
+			signals(c["o1"], SignalNoAnswer, 2)
+			signals(c["o1"], SignalAnswer, 1)
+			signals(c["o1"], SignalNoAnswer, 2)
+		}, 0, []string{"o1", "o2"}},
+		{"server errors eject", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) { signals(c["o1"], SignalServerError, 5) }, 0, []string{"o2"}},
+		{"a good health report does not undo an ejection", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) {
+			signals(c["o1"], SignalNoAnswer, 3)
+			c["o1"].Stat.Hint(true, start)
+		}, 0, []string{"o2"}},
+		{"a bad health report does not outrank an answer", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) {
+			signals(c["o1"], SignalAnswer, 1)
+			c["o1"].Stat.Hint(false, start)
+		}, 0, []string{"o1", "o2"}},
+		{"a bad health report counts without evidence", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) { c["o1"].Stat.Hint(false, start) }, 0, []string{"o2"}},
+		{"an old health report does not count", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) { c["o1"].Stat.Hint(false, start) }, 6 * time.Second, []string{"o1", "o2"}},
+		{"at most half is ejected", []string{"o1", "o2", "o3", "o4"}, func(c map[string]*Candidate, _ *Tried) {
+			for i, n := range []string{"o1", "o2", "o3", "o4"} {
+				signals(c[n], SignalNoAnswer, 3)
+				c[n].Stat.ejectedUntil.Add(int64(i))
+			}
+		}, 0, []string{"o1", "o2"}},
+		{"one probe after an ejection", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) {
+			signals(c["o1"], SignalNoAnswer, 3)
+			c["o1"].Stat.Begin()
+		}, 2 * time.Second, []string{"o2"}},
+		{"back after an ejection", []string{"o1", "o2"}, func(c map[string]*Candidate, _ *Tried) { signals(c["o1"], SignalNoAnswer, 3) }, 2 * time.Second, []string{"o1", "o2"}},
+	}
+	for _, tc := range cases {
+		s, by := fixture(tc.targets...)
+		tried := &Tried{}
+		if tc.arrange != nil {
+			tc.arrange(by, tried)
+		}
+		got := shares(s, start.Add(tc.after), tried)
+		for _, name := range tc.want {
+			if got[name] == 0 {
+				t.Errorf("%s: %q is never picked: %v", tc.name, name, got)
+			}
+		}
+		if len(got) != len(tc.want) {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Guards against a cold target that gets its full share at once, and against a
+// host whose clock is ahead and whose targets never warm up.
+func TestSlowStart(t *testing.T) {
+	list := make([]snapshot.Target, 6)
+	for i := range list {
+		list[i].Host, list[i].DataCentre = mesh.HostID(fmt.Sprint("o", i)), "own"
+		list[i].ID, list[i].Slots, list[i].State = "t", 12, membership.TargetReady
+	}
+	list[0].ReadySince = start.Add(time.Hour)
+	s := NewTracker().NewSet("own", list, start)
+	for _, tc := range []struct {
+		age      time.Duration
+		min, max float64
+	}{{0, 0.001, 0.04}, {5 * time.Second, 0.04, 0.13}, {10 * time.Second, 0.13, 0.2}} {
+		if got := shares(s, start.Add(tc.age), &Tried{})["o0"]; got < tc.min || got > tc.max {
+			t.Errorf("share at %s is %.3f, want %.3f to %.3f", tc.age, got, tc.min, tc.max)
+		}
+	}
+}
+
+// Guards against a busy target that is picked as often as an idle one.
+func TestPickPrefersLessLoaded(t *testing.T) {
+	s, by := fixture("o1", "o2", "o3")
+	by["o1"].Stat.ReportLoad(Load{InFlight: 12, Queued: 3, Limit: 12}, start)
+	if got := shares(s, start, &Tried{}); got["o1"] > 0.01 {
+		t.Errorf("the busy target got %.3f", got["o1"])
+	}
+	signals(by["o2"], SignalShed, 1)
+	if got := shares(s, start, &Tried{}); got["o3"] < 0.6 {
+		t.Errorf("the only target that neither sheds nor is busy got %.3f", got["o3"])
+	}
+}
+
+// Guards against evidence that leaves a set without a target although one is
+// left that was not tried.
+func TestPickAlwaysFindsAnUntriedOwnTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"o1", "o2", "o3?", "r1", "r2?"}[:rapid.IntRange(1, 5).Draw(t, "targets")]
+		s, by := fixture(names...)
+		now := start
+		for range rapid.IntRange(0, 60).Draw(t, "events") {
+			c := by[rapid.SampledFrom(names).Draw(t, "target")]
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			c.Stat.Signal(Signal(rapid.IntRange(1, 5).Draw(t, "signal")), 0, now)
+			c.Stat.Hint(rapid.Bool().Draw(t, "healthy"), now)
+		}
+		tried := &Tried{Shed: rapid.Bool().Draw(t, "shed")}
+		c := s.Pick(now, rand.New(rand.NewPCG(1, 1)), tried)
+		if c == nil && (len(tried.Targets) < len(s.own)) && !tried.Shed {
+			t.Fatal("no target is picked")
+		}
+		if c != nil && tried.Shed && c.DataCentre != "own" {
+			t.Fatal("a call that was refused for load left the data centre")
+		}
+	})
+}
