--- a/pkg/source/accept_test.go
+++ b/pkg/source/accept_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,7 +47,7 @@
 		won := accept(t, s, submission(base, "t2"))
 		_, err := s.Accept(t.Context(), submission(base, "t3"))
 		var race *source.RaceError
-		if !errors.As(err, &race) || race.Base != base || race.Current != won || !errors.Is(err, platform.ErrConflict) {
+		if !errors.As(err, &race) || !reflect.DeepEqual(race.Base, base) || !reflect.DeepEqual(race.Current, won) || !errors.Is(err, platform.ErrConflict) {
 			t.Fatalf("got %v", err)
 		}
 		if text, err := s.Text(t.Context(), won.Hash); err != nil || string(text) != "text of t2" {
@@ -56,10 +57,10 @@
 		for i := range 3 {
 			head = accept(t, s, submission(head, fmt.Sprint("later-", i)))
 		}
-		if again := accept(t, s, submission(base, "t2")); again != won {
+		if again := accept(t, s, submission(base, "t2")); !reflect.DeepEqual(again, won) {
 			t.Fatalf("repeated submission: got %+v, want %+v", again, won)
 		}
-		if h, err := s.Head(t.Context()); err != nil || h != head {
+		if h, err := s.Head(t.Context()); err != nil || !reflect.DeepEqual(h, head) {
 			t.Fatalf("head is %+v, %v", h, err)
 		}
 	})
@@ -75,7 +76,7 @@
 				t.Errorf("base %+v: got %+v, %v; want a refusal", base, h, err)
 			}
 		}
-		if got, err := s.Head(t.Context()); err != nil || got != head {
+		if got, err := s.Head(t.Context()); err != nil || !reflect.DeepEqual(got, head) {
 			t.Errorf("head is %+v, %v", got, err)
 		}
 	})
@@ -150,7 +151,7 @@
 				}
 				store.SetFaults(faults{})
 				head, _ := direct.Head(t.Context())
-				if head.Token != c.winner || err == nil && head != h {
+				if head.Token != c.winner || err == nil && !reflect.DeepEqual(head, h) {
 					t.Fatalf("got %+v, head is %+v; want that of %s", h, head, c.winner)
 				}
 				if again, err := direct.Accept(t.Context(), submission(base, "mine")); (err == nil) != (c.winner != "rival") || err == nil && again.Revision != 2 {
--- a/pkg/source/contend_test.go
+++ b/pkg/source/contend_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"reflect"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -106,7 +107,7 @@
 	}
 	for token, v := range verdicts {
 		h, accepted := history[token]
-		if v.err == nil && (!accepted || v.head != h) {
+		if v.err == nil && (!accepted || !reflect.DeepEqual(v.head, h)) {
 			return fmt.Errorf("%s: accepted as %+v, history has %+v", token, v.head, h)
 		}
 		if v.err != nil && accepted && !errors.Is(v.err, platform.ErrOutcomeUnknown) {
