--- a/pkg/source/accept.go
+++ b/pkg/source/accept.go
@@ -75,11 +75,9 @@
 	if len(sub.Text) > MaxTextSize {
 		return Head{}, fmt.Errorf("accept: the text has %d bytes, at most %d are allowed", len(sub.Text), MaxTextSize)
 	}
-	now := time.Now().UTC()
 	a := accept{Source: s, sub: sub, head: Head{
 		Revision: sub.Base.Revision + 1, Hash: platform.Hash(sub.Text), Base: sub.Base.Revision,
-		Token: sub.Token, Author: sub.Author, AcceptedAt: now,
-		Moves: moveStarts(sub.Base.Moves, sub.Moves, now),
+		Token: sub.Token, Author: sub.Author, AcceptedAt: time.Now().UTC(),
 	}}
 	h, err := a.run(ctx)
 	if err != nil {
@@ -145,6 +143,8 @@
 	if a.sub.Base.Hash != "" && current.Hash != a.sub.Base.Hash {
 		return Head{}, &RaceError{Base: a.sub.Base, Current: current}
 	}
+	// The platform's head is the base here; a caller's copy may lack the moves.
+	a.head.Moves = moveStarts(current.Moves, a.sub.Moves, a.head.AcceptedAt)
 	err = a.commit(ctx, version)
 	switch {
 	case err == nil:
--- a/pkg/source/accept_test.go
+++ b/pkg/source/accept_test.go
@@ -82,6 +82,21 @@
 	})
 }
 
+// Guards against a schedule that restarts because the submitter knows only the
+// revision of its base.
+func TestAcceptTakesMovesFromThePlatform(t *testing.T) {
+	bubble(t, func(t *testing.T, _ *platformtest.Store, s *source.Source) {
+		sub := submission(source.Head{}, "t1")
+		sub.Moves = []source.PendingMove{{Move: "m", By: time.Now().Add(time.Hour)}}
+		first := accept(t, s, sub)
+		time.Sleep(time.Minute)
+		sub.Base, sub.Token = source.Head{Revision: 1}, "t2"
+		if second := accept(t, s, sub); !reflect.DeepEqual(second.Moves, first.Moves) || len(first.Moves) != 1 {
+			t.Fatalf("got %+v after %+v", second.Moves, first.Moves)
+		}
+	})
+}
+
 // hooked runs a hook before each commit, so that an event falls between the
 // read of the head and the commit.
 type hooked struct {
