Have Floor wait for the links to all neighbours

The first link of a restarted host often leads to a seed that never heard its heartbeats; the test of a restart with an epoch that only neighbours know failed then. Floor now asks once the neighbours of the synced records are linked, at most 3 s after the first link.

--- a/pkg/distribution/floor.go
+++ b/pkg/distribution/floor.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"time"
 
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
 )
@@ -20,9 +22,17 @@
 // ErrNoNeighbour means that no neighbour answered.
 var ErrNoNeighbour = errors.New("no neighbour answered")
 
-// Floor asks all linked neighbours, waiting for a first link if there is none.
-// It returns when all have answered or the context ends, with an error only if
-// none answered.
+// floorWait bounds how long Floor waits, after the first link, for the links
+// to the other neighbours. A new host first learns who they are.
+const (
+	floorWait = 3 * time.Second
+	floorPoll = 50 * time.Millisecond
+)
+
+// Floor asks all neighbours. It waits until links to them are open, since the
+// first link of a restarted host often leads to a seed that never heard its
+// heartbeats. It returns when all have answered or the context ends, with an
+// error only if none answered.
 func (g *Gossip) Floor(ctx context.Context) (Floor, error) {
 	links, err := g.awaitLinks(ctx)
 	if err != nil {
@@ -62,21 +72,41 @@
 }
 
 func (g *Gossip) awaitLinks(ctx context.Context) ([]*link, error) {
+	var first time.Time
 	for {
-		g.mu.Lock()
-		links, up := g.openLinks(), g.linkUp
-		g.mu.Unlock()
-		if len(links) > 0 {
+		links, complete := g.neighbourLinks()
+		switch {
+		case len(links) == 0:
+		case first.IsZero():
+			first = time.Now()
+		}
+		if complete || len(links) > 0 && time.Since(first) > floorWait {
 			return links, nil
 		}
-		select {
-		case <-up:
-		case <-ctx.Done():
+		if !sleep(ctx, floorPoll) {
+			if len(links) > 0 {
+				return links, nil
+			}
 			return nil, errors.Join(ErrNoNeighbour, ctx.Err())
 		}
 	}
 }
 
+// neighbourLinks returns the open links, and whether they lead to all
+// neighbours that the records of a peer call for.
+func (g *Gossip) neighbourLinks() (links []*link, complete bool) {
+	wanted := membership.Neighbours(g.cfg.Members.Hosts(), g.self)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	complete = g.synced && len(g.links) > 0
+	for _, h := range wanted {
+		if h.Status == membership.StatusAlive && g.links[h.ID] == nil {
+			complete = false
+		}
+	}
+	return g.openLinks(), complete
+}
+
 // askFloor returns nil when the peer does not answer.
 func (l *link) askFloor(ctx context.Context) *floorAnswer {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -23,7 +23,6 @@
 
 	mu       sync.Mutex
 	links    map[mesh.HostID]*link
-	linkUp   chan struct{} // closed and replaced when a link opens
 	dialing  map[mesh.HostID]bool
 	wanted   map[mesh.HostID]bool // the neighbours this host links to
 	synced   bool                 // a repair with some peer has completed
@@ -56,7 +55,6 @@
 		cfg:         cfg,
 		self:        cfg.Members.Self().ID,
 		links:       make(map[mesh.HostID]*link),
-		linkUp:      make(chan struct{}),
 		dialing:     make(map[mesh.HostID]bool),
 		vetoes:      make(map[source.VetoKey]source.Veto),
 		heard:       make(map[mesh.HostID]mesh.ConfigVersion),
--- a/pkg/distribution/link.go
+++ b/pkg/distribution/link.go
@@ -59,8 +59,6 @@
 		return
 	}
 	g.links[peer] = l
-	close(g.linkUp)
-	g.linkUp = make(chan struct{})
 	g.mu.Unlock()
 	if old != nil {
 		old.conn.Close(CloseDuplicate)
