--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -19,6 +19,7 @@
 // quicNode is one engine on a QUIC transport.
 type quicNode struct {
 	tr     *peer.Transport
+	addr   string
 	table  *membership.Table
 	gossip *distribution.Gossip
 	active atomic.Uint64
@@ -27,6 +28,12 @@
 // quicMesh starts count nodes in dcs data centres and waits until they know
 // each other.
 func quicMesh(t testing.TB, count, dcs int) []*quicNode {
+	t.Helper()
+	return quicMeshAt(t, count, dcs, func(_ int, addr string) string { return addr })
+}
+
+// quicMeshAt lets a test put something in front of a node's address.
+func quicMeshAt(t testing.TB, count, dcs int, front func(i int, addr string) string) []*quicNode {
 	t.Helper()
 	a := newAuthority(t)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -46,13 +53,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		n := &quicNode{tr: tr}
+		n := &quicNode{tr: tr, addr: front(i, tr.Addr())}
 		n.table = membership.NewTable(membership.Host{
-			ID: id, DataCentre: mesh.DataCentre(fmt.Sprintf("dc%d", i%dcs)), PeerAddress: tr.Addr(), Incarnation: 1,
+			ID: id, DataCentre: mesh.DataCentre(fmt.Sprintf("dc%d", i%dcs)), PeerAddress: n.addr, Incarnation: 1,
 		}, membership.Options{})
 		var seeds []string
 		if i > 0 {
-			seeds = []string{nodes[0].tr.Addr()}
+			seeds = []string{nodes[0].addr}
 		}
 		n.gossip, err = distribution.New(distribution.Config{
 			Members: n.table, Transport: tr, Seeds: seeds,
