--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -48,14 +48,16 @@
 	}
 }
 
-// rulesText returns rules of about 50 KB that compress as real ones do.
+// rulesText returns rules of about 50 KB that compress as real ones do. Each
+// revision edits one line of the one before.
 func rulesText(revision int) []byte {
-	rng := rand.New(rand.NewPCG(uint64(revision), 1))
+	rng := rand.New(rand.NewPCG(1, 1))
 	var t bytes.Buffer
 	for i := range 500 {
 		fmt.Fprintf(&t, "route GET,POST /service-%d/%x to service%d v-%d class normal timeout %ds # op%d: note %x\n",
 			i, rng.Uint32(), i%140, rng.IntN(90), 1+rng.IntN(9), i%7, rng.Uint64())
 	}
+	fmt.Fprintf(&t, "route GET /edited to service1 v-%d # op1: edit\n", revision)
 	return t.Bytes()
 }
 
--- a/pkg/distribution/fetch.go
+++ b/pkg/distribution/fetch.go
@@ -140,7 +140,8 @@
 func (l *link) object(ctx context.Context, hash string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	req, err := encMode().Marshal(request{Object: hash})
+	held, base, _ := l.g.Head()
+	req, err := encMode().Marshal(request{Object: hash, Base: held.Hash})
 	if err != nil {
 		return nil, err
 	}
@@ -148,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	text, err := l.g.codec.unpackText(packed)
+	text, err := l.g.codec.unpackText(packed, base)
 	if err == nil {
 		err = checkText(hash, text)
 	}
--- a/pkg/distribution/form.go
+++ b/pkg/distribution/form.go
@@ -134,6 +134,10 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if g.linked(id) || isRemoteDuplicate(err) {
+		wake(g.reform)
+		return true // the peer opened a link at the same time, which both keep
+	}
 	g.fault(FaultDialFailed, id, err)
 	if suspect && !errors.Is(err, ErrBusy) {
 		g.cfg.Members.Suspect(id)
@@ -141,6 +145,18 @@
 	return false
 }
 
+func (g *Gossip) linked(id mesh.HostID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.links[id] != nil
+}
+
+// isRemoteDuplicate reports whether the peer closed a link for one it prefers.
+func isRemoteDuplicate(err error) bool {
+	var closed *ClosedError
+	return errors.As(err, &closed) && closed.Remote && closed.Reason == CloseDuplicate
+}
+
 func (g *Gossip) dial(ctx context.Context, to Endpoint) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/pkg/distribution/handle.go
+++ b/pkg/distribution/handle.go
@@ -171,7 +171,7 @@
 	}
 	switch {
 	case r.Object != "":
-		if packed := g.packed(r.Object); packed != nil {
+		if packed := g.packed(r.Object, r.Base); packed != nil {
 			return packed, nil
 		}
 		return nil, errNotHeld
--- a/pkg/distribution/heads.go
+++ b/pkg/distribution/heads.go
@@ -23,6 +23,9 @@
 	text      []byte
 	packed    []byte
 	has       bool
+	prevHash  string // of the text before, which most neighbours hold
+	prevText  []byte
+	delta     []byte      // text against prevText; made when first asked for
 	offer     source.Head // newest head heard of; its text may be missing
 	tellers   []*link     // the links that told of offer
 	delivered uint64
@@ -62,6 +65,7 @@
 		}
 		return nil
 	}
+	s.prevHash, s.prevText, s.delta = s.head.Hash, s.text, nil
 	s.head, s.text, s.packed, s.has = head, text, packed, true
 	if head.Revision >= s.offer.Revision {
 		s.offer, s.tellers = head, nil
@@ -182,12 +186,24 @@
 	}
 }
 
-// packed returns the compressed text with the hash, or nil.
-func (g *Gossip) packed(hash string) []byte {
+// packed returns the compressed text with the hash, or nil. It is a delta when
+// the peer holds the text before.
+func (g *Gossip) packed(hash, base string) []byte {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.objects.has && g.objects.head.Hash == hash {
-		return g.objects.packed
+	s := &g.objects
+	if !s.has || s.head.Hash != hash {
+		return nil
 	}
-	return nil
+	if base == "" || base != s.prevHash || s.prevText == nil {
+		return s.packed
+	}
+	if s.delta == nil {
+		delta, err := packDelta(s.prevText, s.text)
+		if err != nil || len(delta) >= len(s.packed) {
+			delta = s.packed
+		}
+		s.delta = delta
+	}
+	return s.delta
 }
--- a/pkg/distribution/link.go
+++ b/pkg/distribution/link.go
@@ -109,8 +109,10 @@
 // write sends what is queued, and heartbeats. It closes a link that makes no
 // progress, which ends read.
 func (l *link) write(ctx context.Context) {
-	t := time.NewTimer(HeartbeatPeriod)
+	t, flush := time.NewTimer(HeartbeatPeriod), time.NewTimer(HeartbeatPeriod)
 	defer t.Stop()
+	defer flush.Stop()
+	flushing := false
 	for {
 		select {
 		case <-l.done:
@@ -123,7 +125,16 @@
 			}
 			t.Reset(l.nextCheck())
 		case <-l.wakeup:
+			if l.onlyRecords() {
+				if !flushing {
+					flushing = true
+					flush.Reset(l.g.jitter(recordDelay))
+				}
+				continue
+			}
+		case <-flush.C:
 		}
+		flushing = false
 		for {
 			frame, err := l.nextFrame()
 			if err != nil {
--- a/pkg/distribution/link_test.go
+++ b/pkg/distribution/link_test.go
@@ -17,6 +17,7 @@
 	once   sync.Once
 	closed chan struct{}
 	reason CloseReason
+	dial   error // of Dial, which hangs without one
 }
 
 func newStub(peer mesh.HostID, dialed bool) *stubLink {
@@ -29,7 +30,10 @@
 func (s *stubLink) Request(context.Context, []byte) ([]byte, error) { return nil, errNotHeld }
 func (s *stubLink) Serve(ctx context.Context, _ Handler) error      { <-ctx.Done(); return nil }
 
-func (s *stubLink) Dial(ctx context.Context, _ Endpoint) (l Link, e error) {
+func (s *stubLink) Dial(ctx context.Context, _ Endpoint) (Link, error) {
+	if s.dial != nil {
+		return nil, s.dial
+	}
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
@@ -98,3 +102,38 @@
 		}
 	}
 }
+
+// Guards against a live host that is suspected because both dialled at once
+// and the link of this host lost, or because its limits are reached.
+func TestWhichDialsMakeSuspects(t *testing.T) {
+	for _, c := range []struct {
+		err    error
+		linked bool
+		want   membership.Status
+	}{
+		{nil, false, membership.StatusSuspect}, // hangs until its time is over
+		{ErrUnauthorized, false, membership.StatusSuspect},
+		{&ClosedError{Reason: CloseShutdown, Remote: true}, false, membership.StatusSuspect},
+		{&ClosedError{Reason: CloseDuplicate, Remote: true}, false, membership.StatusAlive},
+		{ErrBusy, false, membership.StatusAlive},
+		{nil, true, membership.StatusAlive},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			table := membership.NewTable(membership.Host{ID: "a"}, membership.Options{})
+			table.Merge([]membership.Host{{ID: "b", Status: membership.StatusAlive}})
+			transport := newStub("", false)
+			transport.dial = c.err
+			g, err := New(Config{Members: table, Transport: transport, Active: func() (v mesh.ConfigVersion) { return }})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.linked {
+				g.links["b"] = &link{}
+			}
+			g.dialHost(t.Context(), "b", true)
+			if h, _ := table.Get("b"); h.Status != c.want {
+				t.Errorf("%v, linked %v: status %d, not %d", c.err, c.linked, h.Status, c.want)
+			}
+		})
+	}
+}
--- a/pkg/distribution/message.go
+++ b/pkg/distribution/message.go
@@ -5,7 +5,6 @@
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/klauspost/compress/zstd"
 
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -44,6 +43,7 @@
 type request struct {
 	Object string `cbor:"1,keyasint,omitempty"` // hash of a rules text
 	Floor  bool   `cbor:"2,keyasint,omitempty"`
+	Base   string `cbor:"3,keyasint,omitempty"` // hash of a text that the asking host holds
 }
 
 // floorAnswer is the response to a floor request.
@@ -89,27 +89,6 @@
 	})
 )
 
-// codec compresses and decompresses. Each engine has its own, since the
-// library's objects hold channels, which must not cross synctest bubbles.
-type codec struct {
-	enc *zstd.Encoder
-	dec *zstd.Decoder
-}
-
-func newCodec() (*codec, error) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
-		zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(128<<10))
-	if err != nil {
-		return nil, fmt.Errorf("zstd encoder: %w", err)
-	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(MaxText))
-	if err != nil {
-		return nil, fmt.Errorf("zstd decoder: %w", err)
-	}
-	return &codec{enc: enc, dec: dec}, nil
-}
-
 // encodeFrame encodes a message and compresses it when that helps.
 func (c *codec) encodeFrame(m *message) ([]byte, error) {
 	b, err := encMode().Marshal(m)
@@ -198,15 +177,3 @@
 	}
 	return h, nil
 }
-
-// packText compresses a rules text.
-func (c *codec) packText(text []byte) []byte { return c.enc.EncodeAll(text, nil) }
-
-// unpackText reverses packText; the result is at most MaxText bytes.
-func (c *codec) unpackText(packed []byte) ([]byte, error) {
-	text, err := c.dec.DecodeAll(packed, nil)
-	if err != nil {
-		return nil, fmt.Errorf("decompress object: %w", err)
-	}
-	return text, nil
-}
--- a/pkg/distribution/outbox.go
+++ b/pkg/distribution/outbox.go
@@ -1,6 +1,8 @@
 package distribution
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
@@ -12,6 +14,11 @@
 // leaves room below MaxFrame for one record of the largest size.
 const frameBudget = 32 << 10
 
+// recordDelay is the longest time that host records wait for others to share
+// a frame with. Since each link draws its own delay, one of two neighbours
+// that learn the same record at once usually hears it before it sends it.
+const recordDelay = 25 * time.Millisecond
+
 // outbox holds what is to be sent over a link. It keeps only the newest of
 // each item, so a slow link cannot make it grow.
 type outbox struct {
@@ -57,6 +64,14 @@
 	})
 }
 
+// onlyRecords reports whether nothing but host records is queued.
+func (l *link) onlyRecords() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := &l.out
+	return len(o.hosts) > 0 && !o.heartbeat && !o.head && o.ack == 0 && len(o.vetoes) == 0 && o.repair == nil
+}
+
 func sameRecord(a, b *membership.Host) bool {
 	return a.Incarnation == b.Incarnation && a.Sequence == b.Sequence && a.Status == b.Status
 }
@@ -79,6 +94,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := &l.out
+	for id, h := range o.hosts {
+		if s, ok := l.seen[id]; ok && sameRecord(&s, &h) {
+			delete(o.hosts, id)
+		}
+	}
 	if !o.heartbeat && !o.head && o.ack == 0 && len(o.hosts) == 0 && len(o.vetoes) == 0 && o.repair == nil {
 		return nil
 	}
