Read small request bodies ahead on both nodes, end large ones in the handler

In full-duplex mode net/http drains what is left of a request body after it has stopped its watch for the next request; at the end of the body it starts the watch again and panics on the next read. Every refused hop with a body lost its connection that way. Bodies of up to 64 KiB are now read ahead without that mode, and larger ones are drained before the handler returns.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -13,55 +13,59 @@
 // maxBuffered bounds the part of a request body that is kept for a retry.
 const maxBuffered = 64 << 10
 
-// lingerTime is how long the node still takes a body that no target wants, so
-// that the caller can read its answer before the connection closes.
-const lingerTime = 250 * time.Millisecond
+// lingerTime and maxLinger bound how long and how much the node still takes of a
+// body that no target wants, so that the caller can read its answer before the
+// connection closes.
+const (
+	lingerTime = 250 * time.Millisecond
+	maxLinger  = 256 << 10
+)
 
 var (
 	errBodyClosed   = errors.New("request body is closed")
 	errBodyConsumed = errors.New("request body was consumed and cannot be sent again")
 )
 
-// requestBody gives a caller's request body to several attempts in turn. It
+// requestBody gives an incoming request body to several attempts in turn. It
 // keeps what was read, up to maxBuffered; a body of which more was read cannot
 // be sent again.
 type requestBody struct {
-	length  int64     // as declared by the caller; -1 when unknown
+	length  int64     // as declared; -1 when unknown
 	src     io.Reader // nil when kept is the whole body
 	control *http.ResponseController
 
 	closed   atomic.Bool
+	aborted  atomic.Bool // the connection is about to be closed
 	overflow atomic.Bool
 	ended    atomic.Bool
 
-	mu    sync.Mutex // held while the caller's body is read
+	mu    sync.Mutex // held while src is read
 	kept  []byte
 	total int64 // bytes read from src
 }
 
-// readBody takes the request body. A small body of known length is read at
-// once, so that a slow caller holds no slot of a target.
-func (c *call) readBody() error {
-	n := c.r.ContentLength
-	c.body = &requestBody{length: n}
+// newRequestBody takes the body of a request. A small body of known length is
+// read at once, so that a slow caller holds no slot of a target.
+func newRequestBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*requestBody, error) {
+	n := r.ContentLength
+	b := &requestBody{length: n}
 	if n == 0 {
-		return nil
+		return b, nil
 	}
-	rc := http.NewResponseController(c.w)
-	c.body.control = rc
+	b.control = http.NewResponseController(w)
 	// Test recorders support no deadlines.
-	_ = rc.SetReadDeadline(c.deadline.Add(lingerTime))
+	_ = b.control.SetReadDeadline(deadline.Add(lingerTime))
 	if n > 0 && n <= maxBuffered {
-		c.body.kept = make([]byte, n)
-		_, err := io.ReadFull(c.r.Body, c.body.kept)
+		b.kept = make([]byte, n)
+		_, err := io.ReadFull(r.Body, b.kept)
 		// Without the reset the deadline would end the watch for a caller that
 		// leaves, and cancel the call.
-		_ = rc.SetReadDeadline(time.Time{})
-		return err
+		_ = b.control.SetReadDeadline(time.Time{})
+		return b, err
 	}
-	_ = rc.EnableFullDuplex()
-	c.body.src = c.r.Body
-	return nil
+	_ = b.control.EnableFullDuplex()
+	b.src = r.Body
+	return b, nil
 }
 
 // open returns the body for the next attempt.
@@ -78,16 +82,22 @@
 // replayable reports whether the body can be sent from its start.
 func (b *requestBody) replayable() bool { return !b.overflow.Load() }
 
-// close ends all reads; the caller's body must not be read once its handler
-// has returned.
+// close ends all reads before the handler returns. It takes the rest of the
+// body itself: when net/http does so in full-duplex mode and reaches the end,
+// it panics because of its own watch for the next request.
 func (b *requestBody) close() {
 	if b.src == nil {
 		return
 	}
 	b.closed.Store(true)
-	if !b.ended.Load() {
-		_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
+	if b.aborted.Load() || b.ended.Load() {
+		return
 	}
+	_ = b.control.Flush() // the answer is complete
+	_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, _ = io.CopyN(io.Discard, b.src, maxLinger)
 }
 
 // bodyReader reads the body for one attempt.
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -59,11 +59,13 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	if err := c.readBody(); err != nil {
+	body, err := newRequestBody(w, r, c.deadline)
+	if err != nil {
 		c.finish(ReasonBody, 0)
 		return
 	}
-	defer c.body.close()
+	c.body = body
+	defer body.close()
 	c.run()
 }
 
--- a/internal/proxy/peer.go
+++ b/internal/proxy/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,6 +23,7 @@
 	r     *http.Request
 	state callState
 	id    mesh.TargetID
+	body  *requestBody
 }
 
 func (p *Proxy) servePeer(w http.ResponseWriter, r *http.Request) {
@@ -42,6 +42,14 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), o.deadline)
 	defer cancel()
+	body, err := newRequestBody(w, r, o.deadline)
+	if err != nil {
+		h.finish(&result{kind: resultNotRun, reason: ReasonBody})
+		return
+	}
+	h.body = body
+	defer body.close()
+	o.body = body.open()
 	h.state.on(eventQueue)
 	res := p.tryLocal(ctx, o, h.id, sv, func() bool { return h.state.on(eventDispatch) })
 	if res.kind == resultAnswer {
@@ -65,22 +73,12 @@
 		return nil, sv, false
 	}
 	return &order{
-		r: h.r, body: h.body(), length: h.r.ContentLength, class: class,
+		r: h.r, length: h.r.ContentLength, class: class,
 		deadline: now.Add(time.Duration(ms) * time.Millisecond),
 		depth:    depth, budget: budget, key: hd.Get(headerCall),
 	}, sv, true
 }
 
-// body returns the body as it comes from the other node. It is sent at most
-// once, so that nothing of it is kept.
-func (h *hop) body() io.ReadCloser {
-	if h.r.ContentLength == 0 {
-		return http.NoBody
-	}
-	_ = http.NewResponseController(h.w).EnableFullDuplex() // test recorders do not support it
-	return h.r.Body
-}
-
 func (h *hop) pass(res *result) {
 	h.state.on(eventAnswer)
 	h.writeLoad(res)
@@ -88,6 +86,7 @@
 	_ = res.resp.Body.Close()
 	res.done(admission.Done{Answer: err == nil})
 	if err != nil {
+		h.body.aborted.Store(true)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -165,6 +165,7 @@
 	c.observe(t, kind, now.Sub(res.started)-res.wait)
 	if err != nil {
 		c.p.counters.inc(kindAborted, abortReason(kind))
+		c.body.aborted.Store(true)
 		panic(http.ErrAbortHandler)
 	}
 }
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,270 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+)
+
+// Guards against refusals without a true reason, and calls that loop.
+func TestRefusalsBeforeRouting(t *testing.T) {
+	m := newMesh(t, rules.Rule{Prefix: "/orders"})
+	n := m.node("a", "dc1")
+	for _, tc := range []struct {
+		path   string
+		header []string
+		status int
+		reason Reason
+	}{
+		{"/menus", nil, 404, ReasonNoRoute},
+		{"/orders", nil, 503, ReasonNoTarget},
+		{"/orders", []string{headerDepth, "24"}, 508, ReasonDepth},
+		{"/orders", []string{headerDepth, "-1"}, 400, ReasonBadRequest},
+		{"/orders", []string{headerTimeout, "soon"}, 400, ReasonBadRequest},
+		{"/orders", []string{headerTimeout, "0"}, 503, ReasonDeadline},
+		{"/orders", []string{headerClass, "vip"}, 400, ReasonBadRequest},
+		{"/orders", []string{headerRetryBudget, "x"}, 400, ReasonBadRequest},
+	} {
+		resp, err := m.call(n, "POST", tc.path, "x", tc.header...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		if resp.StatusCode != tc.status || Reason(resp.Header.Get(headerReason)) != tc.reason || !strings.Contains(string(body), `"outcome":"not-run"`) {
+			t.Errorf("%s %v: got %d %s %s", tc.path, tc.header, resp.StatusCode, resp.Header.Get(headerReason), body)
+		}
+	}
+	n.cfg.Snapshot = func() *snapshot.Snapshot { return nil }
+	n.routes.Store(nil)
+	checkFault(t, m, n, "GET", nil, 503, outcomeNotRun, ReasonNotReady)
+}
+
+// Guards against a proxy that holds back a body until it is complete, in
+// either direction and across two nodes.
+func TestBodiesStreamBothWays(t *testing.T) {
+	m := newMesh(t, rules.Rule{Prefix: "/"})
+	a, b := m.node("a", "dc1"), m.node("b", "dc1")
+	m.target(b, "t", 4, func(w http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(w)
+		_ = rc.EnableFullDuplex()
+		in := bufio.NewReader(r.Body)
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(w, "got "+line)
+			_ = rc.Flush()
+		}
+	})
+	for _, n := range []*testNode{a, b} {
+		pr, pw := io.Pipe()
+		req, _ := http.NewRequestWithContext(t.Context(), "POST", n.caller.URL+"/orders", pr)
+		go func() { _, _ = io.WriteString(pw, "1\n") }()
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewReader(resp.Body)
+		for i := 1; i < 4; i++ {
+			if line, err := in.ReadString('\n'); err != nil || line != "got "+strconv.Itoa(i)+"\n" {
+				t.Fatalf("node %s: got %q %v", n.id, line, err)
+			}
+			if i < 3 {
+				_, _ = io.WriteString(pw, strconv.Itoa(i+1)+"\n")
+			}
+		}
+		pw.Close()
+		if rest, err := io.ReadAll(in); err != nil || len(rest) > 0 {
+			t.Errorf("node %s: got %q %v at the end", n.id, rest, err)
+		}
+	}
+}
+
+// Guards against a retry that sends only the rest of a body, and against a
+// body that is kept without bound.
+func TestBodyIsSentAgainWholeOrNotAtAll(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		size   int
+		length bool // declared
+		status int
+	}{
+		{"small", 1000, true, 200},
+		{"small chunked", 1000, false, 200},
+		{"large", 400 << 10, true, 502},
+		{"large chunked", 400 << 10, false, 502},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := newMesh(t, rules.Rule{Prefix: "/"})
+			n := m.node("a", "dc1")
+			// The target reads the whole body and dies, so that an idempotent call is
+			// tried again at the target in the other data centre.
+			raw := newRawTarget(t, func(net.Conn, int, int) bool { return false })
+			m.add(n, "bad", 4, raw.addr)
+			spare := m.node("c", "dc2")
+			m.target(spare, "good", 4, func(w http.ResponseWriter, r *http.Request) {
+				k, _ := io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(w, strconv.FormatInt(k, 10))
+			})
+			var body io.Reader = strings.NewReader(strings.Repeat("x", tc.size))
+			if !tc.length {
+				body = io.MultiReader(body)
+			}
+			req, _ := http.NewRequestWithContext(t.Context(), "PUT", n.caller.URL+"/orders", body)
+			resp, err := n.caller.Client().Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, _ := io.ReadAll(resp.Body)
+			if resp.StatusCode != tc.status || (tc.status == 200 && string(got) != strconv.Itoa(tc.size)) {
+				t.Errorf("got %d %s", resp.StatusCode, got)
+			}
+		})
+	}
+}
+
+// Guards against a slot that stays taken after its caller has left, and
+// against a queued call that runs although its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	m := newMesh(t, rules.Rule{Prefix: "/"})
+	entry, owner := m.node("a", "dc1"), m.node("b", "dc1")
+	var runs atomic.Int64
+	started, left := make(chan bool, 2), make(chan bool, 2)
+	m.target(owner, "t", 1, func(_ http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		started <- true
+		<-r.Context().Done()
+		left <- true
+	})
+	limiter := owner.targets["t"].limiter
+	leave := func(running func() bool) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		done := make(chan error)
+		go func() {
+			req, _ := http.NewRequestWithContext(ctx, "POST", entry.caller.URL+"/orders", nil)
+			_, err := entry.caller.Client().Do(req)
+			done <- err
+		}()
+		waitFor(t, running)
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	}
+	leave(func() bool { // the first call holds the slot while the second waits and leaves
+		if limiter.Load().InFlight == 1 && limiter.Load().Queued == 0 && runs.Load() == 1 {
+			leave(func() bool { return limiter.Load().Queued == 1 })
+			waitFor(t, func() bool { return limiter.Load().Queued == 0 })
+			return true
+		}
+		return false
+	})
+	<-started
+	<-left
+	waitFor(t, func() bool { return limiter.Load().InFlight == 0 && entry.InFlight() == 0 && owner.InFlight() == 0 })
+	if runs.Load() != 1 {
+		t.Errorf("the target ran %d calls, want 1", runs.Load())
+	}
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("condition did not come true within 5 s")
+		}
+	}
+}
+
+// Guards against interleavings of faults and calls that break a promise: for
+// each order the target keeps whether it ran, and every answer is compared.
+func TestPromisesHoldUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.IntRange(0, 6), 8, 30).Draw(rt, "faults")
+		m := newMesh(t, rules.Rule{Prefix: "/", Timeout: 300 * time.Millisecond})
+		nodes := []*testNode{m.node("a", "dc1"), m.node("b", "dc1")}
+		var mu sync.Mutex
+		ran := make(map[string]int)
+		next := 0
+		for i, n := range nodes {
+			s := m.target(n, "t", 2, func(w http.ResponseWriter, r *http.Request) {
+				id := r.Header.Get("Order-Number")
+				mu.Lock()
+				fault := faults[next%len(faults)]
+				next++
+				if fault != 1 {
+					ran[id]++
+				}
+				mu.Unlock()
+				misbehave(w, fault, id)
+			})
+			defer s.Close()
+			defer nodes[i].caller.Close()
+			defer nodes[i].peer.Close()
+		}
+		var wg sync.WaitGroup
+		for i := range 24 {
+			wg.Go(func() {
+				id := strconv.Itoa(i)
+				resp, err := m.call(nodes[i%2], "POST", "/orders", id, "Order-Number", id, "Idempotency-Key", id)
+				if err != nil {
+					return // aborted
+				}
+				body, err := io.ReadAll(resp.Body)
+				mu.Lock()
+				defer mu.Unlock()
+				switch outcome := resp.Header.Get(headerOutcome); {
+				case err != nil:
+				case outcome == outcomeNotRun && ran[id] > 0:
+					rt.Errorf("order %s is told not run, but ran", id)
+				case outcome == "" && (string(body) != "order "+id || ran[id] != 1):
+					rt.Errorf("order %s got %q after %d runs", id, body, ran[id])
+				}
+			})
+		}
+		wg.Wait()
+		for id, n := range ran {
+			if n > 1 {
+				rt.Errorf("order %s ran %d times", id, n)
+			}
+		}
+	})
+}
+
+// misbehave answers an order with one of the faults of a target.
+func misbehave(w http.ResponseWriter, fault int, id string) {
+	switch fault {
+	case 0:
+		panic(http.ErrAbortHandler)
+	case 1:
+		w.Header().Set(headerTargetNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case 2:
+		w.Header().Set("Connection", "close")
+	case 3:
+		w.Header().Set("Content-Length", "99")
+		_, _ = io.WriteString(w, "order")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case 4:
+		_ = http.NewResponseController(w).Flush()
+	}
+	_, _ = io.WriteString(w, "order "+id)
+}
