Leave silent connections and silent targets in time

A timeout closes the idle connections of the same pool, so that a silent pool costs one call and not one for each connection. The first attempt of an idempotent call moves on at half of its time when the target usually answers ten times faster.

--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -38,6 +38,11 @@
 	state      callState
 	tried      routing.Tried
 	loadTries  int // attempts that were refused for load
+
+	// Set during an attempt that is given up early when the target is silent.
+	last    *routing.Candidate
+	giveUp  context.CancelCauseFunc
+	silence *time.Timer
 }
 
 // CallerHandler returns the handler for calls from callers.
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -7,8 +7,6 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,7 +52,7 @@
 	tracker  *routing.Tracker
 	routes   atomic.Pointer[routeTable]
 	routesMu sync.Mutex
-	peers    *http.Transport
+	peers    sync.Map // call address to *http.Transport
 	local    sync.Map // mesh.TargetID to *upstream
 	counters counters
 	rng      *rand.Rand
@@ -76,7 +74,7 @@
 	if cfg.Log == nil {
 		cfg.Log = &log.Logger{Level: log.PanicLevel + 1}
 	}
-	p := &Proxy{
+	return &Proxy{
 		cfg:      cfg,
 		tracker:  routing.NewTracker(),
 		counters: newCounters(cfg.Metrics),
@@ -84,35 +82,6 @@
 		retries:  retry.NewBudget(),
 		flight:   flight{idle: make(chan struct{}, 1)},
 	}
-	p.peers = newTransport(p.dialPeer, 0, maxIdlePerPeer)
-	return p
-}
-
-// maxIdlePerPeer bounds the warm connections to one other node.
-const maxIdlePerPeer = 64
-
-var dialer = net.Dialer{Timeout: connectTimeout, KeepAlive: 15 * time.Second}
-
-// dialPeer opens a connection to another node, including the TLS handshake, so
-// that the tracked connection counts application bytes only.
-func (p *Proxy) dialPeer(ctx context.Context, network, addr string) (net.Conn, error) {
-	c, err := dialer.DialContext(ctx, network, addr)
-	if err != nil || p.cfg.PeerTLS == nil {
-		return c, err
-	}
-	conf := p.cfg.PeerTLS.Clone()
-	conf.NextProtos = []string{"http/1.1"}
-	if conf.ServerName == "" {
-		conf.ServerName, _, _ = net.SplitHostPort(addr)
-	}
-	tc := tls.Client(c, conf)
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	if err := tc.HandshakeContext(ctx); err != nil {
-		_ = c.Close()
-		return nil, err
-	}
-	return tc, nil
 }
 
 // HealthHint takes what a target of this host says about its own health.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -75,6 +75,9 @@
 	return req.WithContext(ctx), true
 }
 
+// errSilent ends an attempt that has no answer long after it usually comes.
+var errSilent = errors.New("no answer long after the usual time")
+
 // roundTrip sends a request once. A nil response comes with the result that
 // the failure amounts to.
 func roundTrip(t *http.Transport, req *http.Request) (*http.Response, result) {
@@ -86,12 +89,16 @@
 	}
 	reason := ReasonBrokenLink
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, context.DeadlineExceeded):
+	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, errSilent):
 		reason = ReasonTimeout
 	case cause != nil:
 		reason = ReasonCancelled
 	}
 	if !a.seal() {
+		if reason == ReasonTimeout {
+			// Whatever silenced this connection may have silenced the idle ones.
+			t.CloseIdleConnections()
+		}
 		return nil, result{kind: resultLost, reason: reason}
 	}
 	switch {
--- a/internal/proxy/routes.go
+++ b/internal/proxy/routes.go
@@ -47,13 +47,15 @@
 	for i := range snap.Rules {
 		t.names[&snap.Rules[i]] = snap.Rules[i].Route()
 	}
-	known := make(map[routing.Key]bool)
+	known, addresses := make(map[routing.Key]bool), make(map[string]bool)
 	for sv, targets := range snap.Targets {
 		t.sets[sv] = p.tracker.NewSet(p.cfg.DataCentre, targets, now)
 		for i := range targets {
 			known[routing.Key{Host: targets[i].Host, ID: targets[i].ID}] = true
+			addresses[targets[i].CallAddress] = true
 		}
 	}
 	p.tracker.Keep(func(k routing.Key) bool { return known[k] })
+	p.dropPeers(addresses)
 	return t
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -18,7 +19,7 @@
 	for t != nil {
 		c.state.on(eventQueue)
 		t.Stat.Begin()
-		res := c.try(t)
+		res := c.tryWatched(t)
 		if res.kind == resultAnswer {
 			c.pass(t, &res)
 			return
@@ -86,34 +87,60 @@
 
 // dispatch reports whether the call may be sent to a target now.
 func (c *call) dispatch() bool {
-	if c.idempotent {
-		return c.state.on(eventDispatchAgain)
+	if !c.idempotent {
+		return c.state.on(eventDispatch)
 	}
-	return c.state.on(eventDispatch)
+	if c.giveUp != nil {
+		patience := c.last.Stat.Patience(time.Until(c.deadline))
+		if patience > 0 {
+			c.silence = time.AfterFunc(patience, func() { c.giveUp(errSilent) })
+		}
+	}
+	return c.state.on(eventDispatchAgain)
+}
+
+// tryWatched is try for the first attempt of a call that may be tried again:
+// it gives up early on a target that is silent, for example because something
+// between the two ends has lost track of the connection.
+func (c *call) tryWatched(t *routing.Candidate) result {
+	if !c.idempotent || c.budget == 0 || len(c.tried.Targets) > 0 || c.set.Len() == 1 {
+		return c.try(c.ctx, t)
+	}
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	c.giveUp, c.last = cancel, t
+	res := c.try(ctx, t)
+	c.giveUp = nil
+	if c.silence == nil || c.silence.Stop() || res.kind != resultAnswer {
+		return res
+	}
+	// The answer came as the attempt was given up, and its body is cut off.
+	_ = res.resp.Body.Close()
+	res.done(admission.Done{})
+	return result{kind: resultLost, reason: ReasonTimeout, started: res.started}
 }
 
 // try sends the call to one target, directly or through its host's node.
-func (c *call) try(t *routing.Candidate) result {
+func (c *call) try(ctx context.Context, t *routing.Candidate) result {
 	o := order{
 		r: c.r, body: c.body.open(), length: c.body.length,
 		class: c.class, deadline: c.deadline, depth: c.depth, budget: c.budget, key: c.key,
 	}
 	if t.Host == c.p.cfg.Self {
-		return c.p.tryLocal(c.ctx, &o, t.ID, c.target, c.dispatch)
+		return c.p.tryLocal(ctx, &o, t.ID, c.target, c.dispatch)
 	}
-	return c.tryPeer(&o, t)
+	return c.tryPeer(ctx, &o, t)
 }
 
 // tryPeer sends the call to the node of the target's host.
-func (c *call) tryPeer(o *order, t *routing.Candidate) result {
-	req, ok := o.request(c.ctx, t.CallAddress)
+func (c *call) tryPeer(ctx context.Context, o *order, t *routing.Candidate) result {
+	req, ok := o.request(ctx, t.CallAddress)
 	if !ok || !c.dispatch() {
 		return result{kind: resultNotRun, reason: ReasonDeadline}
 	}
 	req.Header[headerTarget] = []string{string(t.ID)}
 	req.Header[headerVersion] = []string{c.target.String()}
 	started := time.Now()
-	resp, res := roundTrip(c.p.peers, req)
+	resp, res := roundTrip(c.p.peer(t.CallAddress), req)
 	res.started = started
 	if resp == nil {
 		return res
@@ -161,6 +188,7 @@
 		t.Stat.Signal(routing.SignalServerError, 0, now)
 	default:
 		t.Stat.Signal(routing.SignalAnswer, 0, now)
+		t.Stat.Took(now.Sub(res.started))
 	}
 	c.observe(t, kind, now.Sub(res.started)-res.wait)
 	if err != nil {
--- a/pkg/routing/params.go
+++ b/pkg/routing/params.go
@@ -40,6 +40,12 @@
 	// hintAge is how long a health report counts.
 	hintAge = 5 * time.Second
 
+	// tookSamples is the weight of the past in the mean time to an answer.
+	tookSamples = 16
+	// silenceFactor times the mean must fit into half of the time left before a
+	// call is tried at another target. Rarely slow routes are not cut off by it.
+	silenceFactor = 10
+
 	// spillLoad is the share of a remote target's limit above which calls are
 	// not failed over to it, so that an overload is not passed on.
 	spillLoad = 0.8
--- a/pkg/routing/stat.go
+++ b/pkg/routing/stat.go
@@ -50,6 +50,8 @@
 	shedUntil    atomic.Int64
 	lastAnswer   atomic.Int64
 
+	took atomic.Int64 // mean time to an answer in nanoseconds
+
 	failing   atomic.Bool // the last answer was not a success
 	probation atomic.Bool // was ejected and has not answered since
 	hint      atomic.Pointer[hint]
@@ -119,6 +121,27 @@
 	}
 }
 
+// Took takes the time in which the target answered a call.
+func (s *Stat) Took(d time.Duration) {
+	mean := s.took.Load()
+	if mean == 0 {
+		mean = int64(d)
+	}
+	// A lost race loses one sample.
+	s.took.CompareAndSwap(mean, mean+(int64(d)-mean)/tookSamples)
+	s.took.CompareAndSwap(0, mean)
+}
+
+// Patience returns how long to wait for an answer before another target is
+// tried, when left is the time until the deadline; 0 means until the deadline.
+func (s *Stat) Patience(left time.Duration) time.Duration {
+	mean := time.Duration(s.took.Load())
+	if mean == 0 || mean*silenceFactor > left/2 {
+		return 0
+	}
+	return left / 2
+}
+
 // shed makes picks avoid the target for a while. The refusal itself is an
 // answer, so it does not speak against the target's health.
 func (s *Stat) shed(retryAfter time.Duration, now time.Time) {
