--- a/pkg/move/advance.go
+++ b/pkg/move/advance.go
@@ -45,6 +45,7 @@
 	for id, p := range c.moves {
 		if p.state == StateWithdrawn && !c.now.Before(p.schedule.WatchEnd()) {
 			delete(c.moves, id)
+			delete(c.pools, p.poolKey())
 		}
 	}
 }
--- a/pkg/move/apply.go
+++ b/pkg/move/apply.go
@@ -65,6 +65,7 @@
 			c.fire(p, eventWithdraw)
 			c.own.drop(id)
 			c.merged.drop(id)
+			c.sums.drop(id)
 		}
 	}
 }
--- a/pkg/move/batches.go
+++ b/pkg/move/batches.go
@@ -101,6 +101,8 @@
 	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(&d.roll), limit: slowLimit}
 	if p.full() {
 		b.otherBad = float64(d.control.Slow)
+		slow, all := d.record.slower(edge)
+		b.limit = math.Max(slowLimit, upperRate(float64(slow), float64(all)))
 	} else {
 		slow, _ := d.old.slower(edge)
 		b.otherBad = float64(slow)
--- a/pkg/move/control.go
+++ b/pkg/move/control.go
@@ -38,11 +38,24 @@
 	}
 }
 
-// refresh sets the edges from the latencies so far, once a second.
-func (c *control) refresh(now time.Duration) {
-	if now-c.refreshed < evidencePeriod {
-		return
+// maxEdgeAge bounds how long the edges stay while a move is at the full share.
+const maxEdgeAge = time.Hour
+
+// refresh sets the edges from the latencies so far, once a second. At the full
+// share the edges stay, like the record of the old version, so that a fault that
+// slows all services shows on both sides.
+func (c *Controller) refreshControl() {
+	age := c.mono - c.control.refreshed
+	full := false
+	for _, p := range c.moves {
+		full = full || (p.judged() && p.full())
+	}
+	if age >= maxEdgeAge || (age >= evidencePeriod && !full) {
+		c.control.refresh(c.mono)
 	}
+}
+
+func (c *control) refresh(now time.Duration) {
 	c.refreshed = now
 	for _, s := range c.services {
 		s.edge = slowEdge(&s.Counters)
--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -22,6 +22,9 @@
 	Instance uint64
 	// Hosts returns the live hosts of the data centre; nil means this host alone.
 	Hosts func() []mesh.HostID
+	// MeshHosts returns the live hosts of all data centres. With nil, versions are
+	// judged by data centre only.
+	MeshHosts func() []mesh.HostID
 	// OnVeto is called once for each version that this node takes back. It is
 	// called by Observe and Tick and must not block.
 	OnVeto func(source.Veto)
@@ -68,6 +71,8 @@
 	rulesChanged bool                        // since the table was published
 	own          *store                      // what this node saw
 	merged       *store                      // what other nodes sent
+	sums         *store                      // what the evaluators of data centres sent
+	pools        map[poolKey]*pool
 	control      *control
 	pace         pace
 	pending      []func() // callbacks to run after unlocking
@@ -87,6 +92,7 @@
 	veto     *source.Veto
 	fault    string
 	streams  map[mesh.DataCentre]*stream
+	centres  []mesh.DataCentre // keys of streams, sorted, so that runs repeat exactly
 	duty     duty
 }
 
@@ -113,6 +119,8 @@
 		calls:   map[callKey]callRef{},
 		own:     newStore(),
 		merged:  newStore(),
+		sums:    newStore(),
+		pools:   map[poolKey]*pool{},
 		control: newControl(),
 		pace:    pace{tokens: earlyTokens},
 	}
@@ -165,7 +173,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if from == c.cfg.Self {
-		return
+		return // its own calls are counted already
 	}
 	for i := range list {
 		e := &list[i]
@@ -190,7 +198,7 @@
 func (c *Controller) Tick(now time.Time) {
 	c.mu.Lock()
 	c.setTime(now)
-	c.control.refresh(c.mono)
+	c.refreshControl()
 	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
 		p := c.moves[id]
 		c.judge(p)
--- /dev/null
+++ b/pkg/move/pool.go
@@ -0,0 +1,165 @@
+package move
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// pool judges a target version over all routes and data centres together. Each
+// route and data centre is still compared within itself, only the likelihood
+// ratios are multiplied. This finds faults with little traffic, where no single
+// data centre sees enough calls.
+type pool struct {
+	duty duty
+	eval [signals]detector
+	at   time.Duration // monotonic time of the last judgement
+}
+
+type poolKey struct {
+	version mesh.ServiceVersion
+	attempt int
+}
+
+func (p *progress) poolKey() poolKey { return poolKey{p.rule.Target(), p.rule.Attempt} }
+
+// meshEvaluator returns the host that judges a version for the whole mesh.
+func meshEvaluator(k poolKey, hosts []mesh.HostID) mesh.HostID {
+	return Evaluator(mesh.MoveID(fmt.Sprintf("%s#%d", k.version, k.attempt)), hosts)
+}
+
+func (c *Controller) pool(p *progress) *pool {
+	k := p.poolKey()
+	if c.pools[k] == nil {
+		c.pools[k] = &pool{at: c.mono}
+	}
+	return c.pools[k]
+}
+
+// Outbox returns the evidence to send and the hosts to send it to: what this
+// node saw goes to the evaluator of its data centre, and the evaluator's sums go
+// to the evaluator of the mesh. Counters are cumulative, so a lost message is
+// made good by the next one.
+func (c *Controller) Outbox() map[mesh.HostID][]Evidence {
+	own := c.Evidence()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[mesh.HostID][]Evidence{}
+	if c.cfg.Hosts != nil {
+		hosts := c.cfg.Hosts()
+		for _, e := range own {
+			if to := Evaluator(e.Move, hosts); to != "" && to != c.cfg.Self {
+				out[to] = append(out[to], e)
+			}
+		}
+	}
+	if c.cfg.MeshHosts == nil {
+		return out
+	}
+	hosts := c.cfg.MeshHosts()
+	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
+		p := c.moves[id]
+		if !p.judged() || !p.duty.on {
+			continue
+		}
+		switch to := meshEvaluator(p.poolKey(), hosts); to {
+		case "":
+		case c.cfg.Self:
+			for _, e := range c.summary(p) {
+				c.merge(p, c.cfg.Self, &e)
+			}
+		default:
+			out[to] = append(out[to], c.summary(p)...)
+		}
+	}
+	return out
+}
+
+// summary sums what all nodes of the data centre saw of a move.
+func (c *Controller) summary(p *progress) []Evidence {
+	sums := newStore()
+	for _, s := range []*store{c.own, c.merged} {
+		for k, n := range s.moves[p.id] {
+			sums.row(p.id, rowKey{side: k.side, dc: k.dc, target: k.target}).combine(n, sum)
+		}
+	}
+	list := sums.list(p.id)
+	for i := range list {
+		list[i].Observer = c.cfg.DataCentre
+	}
+	return list
+}
+
+// mergeSummary joins the sums of a data centre. Two evaluators of one data
+// centre send sums over the same nodes, so the rows join by the maximum.
+func (c *Controller) mergeSummary(p *progress, e *Evidence) {
+	s := p.stream(e.DataCentre, c.mono)
+	for i := range e.Targets {
+		t := &e.Targets[i]
+		k := rowKey{from: mesh.HostID(e.Observer), side: e.Side, dc: e.DataCentre, target: t.Host}
+		gain := c.sums.join(p.id, k, &t.Counters)
+		if c.pool(p).duty.on {
+			s.mesh.add(e.Side, t.Host, gain)
+		}
+	}
+}
+
+// takePoolDuty decides whether this node judges the version for the mesh.
+func (c *Controller) takePoolDuty(p *progress) {
+	if c.cfg.MeshHosts == nil {
+		return
+	}
+	q := c.pool(p)
+	on := meshEvaluator(p.poolKey(), c.cfg.MeshHosts()) == c.cfg.Self
+	if on && !q.duty.on {
+		q.duty.since, q.duty.skip = c.mono, p.step > 0
+		for _, o := range c.moves {
+			if o.judged() && o.poolKey() == p.poolKey() {
+				for dc, s := range o.streams {
+					s.mesh = newTally(c.mono)
+					c.sums.each(o.id, dc, func(k rowKey, n *Counters) { s.mesh.add(k.side, k.target, n) })
+				}
+			}
+		}
+	}
+	q.duty.on = on
+}
+
+// judgePool runs the tests over the whole mesh with a batch of one route and data centre.
+func (c *Controller) judgePool(p *progress, dc mesh.DataCentre, s *stream) {
+	q := c.pool(p)
+	s.mesh.close(c.mono)
+	defer s.mesh.clear()
+	if q.duty.skip && c.mono-q.duty.since < takeoverPause {
+		return
+	}
+	weight := p.weight(c.mono - q.at)
+	q.at = c.mono
+	for sig, b := range p.batches(s.mesh, dc) {
+		if b == nil {
+			continue
+		}
+		q.eval[sig].update(b, weight)
+		if q.eval[sig].value(p.freshHosts()) >= threshold(meshBudget, signal(sig)) {
+			c.condemn(p, c.poolSentence(p, signal(sig)))
+			return
+		}
+	}
+}
+
+// poolSentence puts the evidence over all routes and data centres in one sentence.
+func (c *Controller) poolSentence(p *progress, sig signal) string {
+	t := newTally(0)
+	for _, o := range c.moves {
+		if o.poolKey() != p.poolKey() {
+			continue
+		}
+		for k, n := range c.sums.moves[o.id] {
+			t.group(k.side, k.target).combine(n, sum)
+		}
+	}
+	return "over all routes and data centres, " + t.comparison(p, sig)
+}
