--- a/internal/bench/moves/run.go
+++ b/internal/bench/moves/run.go
@@ -253,6 +253,9 @@
 
 // stepCalls runs the calls of one step; next holds the next arrival by data centre.
 func (r *run) stepCalls(next []time.Duration) {
+	if r.rate == 0 {
+		return
+	}
 	load := 1.0
 	if r.kind.load != nil {
 		load = r.kind.load(r.at())
--- a/pkg/move/batches.go
+++ b/pkg/move/batches.go
@@ -6,7 +6,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
 
-// minOverload is the part of shed calls from which a batch counts as overload.
+// minOverload is the part of shed calls from which the version counts as overloaded.
 const minOverload = 0.01
 
 // batches makes one batch for each signal; nil where the signal cannot be judged.
@@ -69,10 +69,10 @@
 	b.bad += float64(bad)
 }
 
-// overloaded reports that the new version sheds calls.
+// overloaded reports that the new version sheds calls or did so until recently;
+// missing answers show later than sheds.
 func (t *tally) overloaded() bool {
-	n := t.total()
-	return float64(n.Shed) > minOverload*float64(n.Calls+n.Shed)
+	return t.roll.shed > minOverload*(t.roll.fresh+t.roll.shed)
 }
 
 func (p *progress) coldFailures(d *tally) *batch {
@@ -91,18 +91,21 @@
 // slow makes the batch of calls above the slow edge of the old version. At the
 // full share an overload explains slow calls.
 func (p *progress) slow(d *tally) *batch {
-	if p.full() && (d.overloaded() || d.roll.control < 1) {
+	if p.full() && (d.overloaded() || d.roll.timed < 1) {
 		return nil
 	}
 	edge := slowEdge(&d.record)
 	if edge == 0 {
 		return nil
 	}
-	b := &batch{hosts: map[mesh.HostID][2]float64{}, share: p.proportion(&d.roll), limit: slowLimit}
+	slow, all := d.record.slower(edge)
+	b := &batch{
+		hosts: map[mesh.HostID][2]float64{}, share: p.proportion(&d.roll),
+		limit: math.Max(slowLimit, upperRate(float64(slow), float64(all))),
+	}
 	if p.full() {
 		b.otherBad = float64(d.control.Slow)
-		slow, all := d.record.slower(edge)
-		b.limit = math.Max(slowLimit, upperRate(float64(slow), float64(all)))
+		b.share = d.roll.fresh / (d.roll.fresh + d.roll.timed)
 	} else {
 		slow, _ := d.old.slower(edge)
 		b.otherBad = float64(slow)
--- a/pkg/move/control.go
+++ b/pkg/move/control.go
@@ -33,8 +33,11 @@
 		c.services[k] = s
 	}
 	s.Counters.add(o)
-	if s.edge > 0 && !o.Cold && o.Kind == OutcomeOK && bucket(o.Latency) >= s.edge {
-		s.Slow++
+	if s.edge > 0 && !o.Cold && o.Kind == OutcomeOK {
+		s.Timed++
+		if bucket(o.Latency) >= s.edge {
+			s.Slow++
+		}
 	}
 }
 
@@ -77,11 +80,13 @@
 	return out
 }
 
-// minLatencies is the number of latencies from which a quantile is taken.
+// minLatencies is the number of latencies from which the median is taken.
 const minLatencies = 50
 
-// slowEdge returns the first bucket that counts as slow: at least the square
-// root of two above the 90th percentile. It returns 0 with too little data.
+// slowEdge returns the first bucket that counts as slow: at least twice the
+// median. It returns 0 with too little data. The median is taken because a
+// higher quantile follows a disturbance that lasted for a tenth of the time, and
+// after that the disturbance no longer shows.
 func slowEdge(c *Counters) int {
 	_, all := c.slower(0)
 	if all < minLatencies {
@@ -90,8 +95,8 @@
 	var below uint64
 	for b, n := range c.Latency {
 		below += n
-		if below*10 >= all*9 {
-			return min(b+2, latencyBuckets-1)
+		if below*2 >= all {
+			return min(b+3, latencyBuckets-1)
 		}
 	}
 	return 0
--- a/pkg/move/evaluator.go
+++ b/pkg/move/evaluator.go
@@ -1,6 +1,8 @@
 package move
 
 import (
+	"encoding/binary"
+
 	"github.com/cespare/xxhash/v2"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -12,8 +14,11 @@
 func Evaluator(move mesh.MoveID, hosts []mesh.HostID) mesh.HostID {
 	var best mesh.HostID
 	var weight uint64
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], xxhash.Sum64String(string(move)))
 	for _, h := range hosts {
-		w := xxhash.Sum64String(string(move) + "\x00" + string(h))
+		binary.LittleEndian.PutUint64(b[8:], xxhash.Sum64String(string(h)))
+		w := xxhash.Sum64(b[:])
 		if best == "" || w > weight || (w == weight && h < best) {
 			best, weight = h, w
 		}
--- a/pkg/move/evidence.go
+++ b/pkg/move/evidence.go
@@ -34,10 +34,11 @@
 	EarlyEnds  uint64   `cbor:"3,keyasint,omitempty"`
 	NoAnswers  uint64   `cbor:"4,keyasint,omitempty"`
 	Shed       uint64   `cbor:"5,keyasint,omitempty"`
-	Cold       uint64   `cbor:"6,keyasint,omitempty"` // calls to targets that warm up, kept apart
-	ColdFailed uint64   `cbor:"7,keyasint,omitempty"` // server errors and early ends of cold targets
-	Slow       uint64   `cbor:"8,keyasint,omitempty"` // control side only: slower than that service usually is
-	Latency    []uint64 `cbor:"9,keyasint,omitempty"` // warm complete calls by latency bucket, without trailing zeros
+	Cold       uint64   `cbor:"6,keyasint,omitempty"`  // calls to targets that warm up, kept apart
+	ColdFailed uint64   `cbor:"7,keyasint,omitempty"`  // server errors and early ends of cold targets
+	Slow       uint64   `cbor:"8,keyasint,omitempty"`  // control side only: slower than that service usually is
+	Timed      uint64   `cbor:"9,keyasint,omitempty"`  // control side only: calls that were compared with their service's usual time
+	Latency    []uint64 `cbor:"10,keyasint,omitempty"` // warm complete calls by latency bucket, without trailing zeros
 }
 
 // TargetCounters are the counters of one target host.
@@ -134,8 +135,8 @@
 }
 
 // fields lists the scalar counters for the operations that treat all alike.
-func (c *Counters) fields() [8]*uint64 {
-	return [...]*uint64{&c.Calls, &c.Failed, &c.EarlyEnds, &c.NoAnswers, &c.Shed, &c.Cold, &c.ColdFailed, &c.Slow}
+func (c *Counters) fields() [9]*uint64 {
+	return [...]*uint64{&c.Calls, &c.Failed, &c.EarlyEnds, &c.NoAnswers, &c.Shed, &c.Cold, &c.ColdFailed, &c.Slow, &c.Timed}
 }
 
 func (c *Counters) combineScalars(d *Counters, f func(a, b uint64) uint64) {
--- a/pkg/move/judge.go
+++ b/pkg/move/judge.go
@@ -40,7 +40,7 @@
 const (
 	failureLimit = 0.01 // callers of a healthy service already see some failures
 	coldLimit    = 0.25 // failures of targets that warm up
-	slowLimit    = 0.05 // of the old version's calls, 10% are above its 90th percentile and fewer above the edge
+	slowLimit    = 0.05 // part of the calls above twice the median
 	shedLimit    = 0.05
 	shedLoad     = 1.2 // sheds count only when a target host has at most this multiple of the old version's load
 )
--- a/pkg/move/tally.go
+++ b/pkg/move/tally.go
@@ -23,7 +23,7 @@
 }
 
 // rolling holds decayed counts of calls by group.
-type rolling struct{ fresh, old, control float64 }
+type rolling struct{ fresh, shed, old, control, timed float64 }
 
 func newTally(now time.Duration) *tally {
 	return &tally{fresh: map[mesh.HostID]*Counters{}, at: now}
@@ -69,9 +69,12 @@
 func (t *tally) close(now time.Duration) time.Duration {
 	elapsed := now - t.at
 	k := math.Exp2(-float64(elapsed) / float64(rollHalfLife))
-	t.roll.fresh = t.roll.fresh*k + float64(t.total().Calls)
+	fresh := t.total()
+	t.roll.fresh = t.roll.fresh*k + float64(fresh.Calls)
+	t.roll.shed = t.roll.shed*k + float64(fresh.Shed)
 	t.roll.old = t.roll.old*k + float64(t.old.Calls)
 	t.roll.control = t.roll.control*k + float64(t.control.Calls)
+	t.roll.timed = t.roll.timed*k + float64(t.control.Timed)
 	t.at = now
 	return elapsed
 }
