--- a/internal/bench/moves/run.go
+++ b/internal/bench/moves/run.go
@@ -25,8 +25,7 @@
 // Time of the simulation.
 const (
 	step          = 100 * time.Millisecond
-	tickPeriod    = 200 * time.Millisecond // calls of Controller.Tick
-	slowTick      = time.Second            // the same where only the schedule matters, to bound the run time
+	slowTick      = time.Second // the same where only the schedule matters, to bound the run time
 	reportPeriod  = time.Second
 	callTimeout   = 2 * time.Second
 	medianLatency = 5 * time.Millisecond
@@ -43,14 +42,15 @@
 
 // run is one simulated move.
 type run struct {
-	kind   *kind
-	size   *size
-	policy policy
-	rate   float64 // calls of the moved service per second and data centre
-	window time.Duration
-	until  float64 // end as a part of the window
-	rng    *rand.Rand
-	roll   roll
+	kind     *kind
+	size     *size
+	policy   policy
+	rate     float64 // calls of the moved service per second and data centre
+	window   time.Duration
+	tickEach time.Duration
+	until    float64 // end as a part of the window
+	rng      *rand.Rand
+	roll     roll
 
 	nodes    []*node
 	byID     map[mesh.HostID]*node
@@ -212,7 +212,7 @@
 
 // tick advances the controllers, exchanges evidence and decides reports.
 func (r *run) tick() {
-	period := tickPeriod
+	period := r.tickEach
 	if r.policy != policyJudged || (r.now > r.window && !r.kind.bad) {
 		period = slowTick // nothing happens between two steps of the schedule
 	}
--- a/pkg/move/advance.go
+++ b/pkg/move/advance.go
@@ -1,5 +1,11 @@
 package move
 
+import (
+	"slices"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
 // resume puts a move at the step of its schedule, as after a restart: the share
 // is a function of the rule and the clock, so it is the same as before.
 func (c *Controller) resume(p *progress) {
@@ -46,6 +52,7 @@
 		if p.state == StateWithdrawn && !c.now.Before(p.schedule.WatchEnd()) {
 			delete(c.moves, id)
 			delete(c.pools, p.poolKey())
+			c.order = slices.DeleteFunc(c.order, func(o mesh.MoveID) bool { return o == id })
 		}
 	}
 }
--- a/pkg/move/apply.go
+++ b/pkg/move/apply.go
@@ -1,6 +1,9 @@
 package move
 
 import (
+	"maps"
+	"slices"
+
 	"nutmeghoist.example/nutmeghoist/pkg/chart"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -68,6 +71,7 @@
 			c.sums.drop(id)
 		}
 	}
+	c.order = slices.Sorted(maps.Keys(c.moves))
 }
 
 // applyMove starts a move or edits a known one. A move that returns after a
--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -1,8 +1,6 @@
 package move
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,7 +61,9 @@
 	now          time.Time
 	mono         time.Duration
 	first        time.Time
-	made         uint64 // number of moves started, part of their instance
+	made         uint64        // number of moves started, part of their instance
+	order        []mesh.MoveID // keys of moves, sorted
+	sentAll      time.Duration // when Outbox last sent all evidence
 	moves        map[mesh.MoveID]*progress
 	vetoes       map[mesh.ServiceVersion]source.Veto // the one with the highest attempt
 	calls        map[callKey]callRef
@@ -94,6 +94,9 @@
 	streams  map[mesh.DataCentre]*stream
 	centres  []mesh.DataCentre // keys of streams, sorted, so that runs repeat exactly
 	duty     duty
+
+	seenChanged   bool // since the last Outbox, by this node's calls
+	mergedChanged bool // the same by other nodes' evidence
 }
 
 // hostCount is the number of target hosts of each version in a data centre.
@@ -133,7 +136,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := make([]Status, 0, len(c.moves))
-	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
+	for _, id := range c.order {
 		p := c.moves[id]
 		list = append(list, Status{
 			Move: id, Service: p.rule.Service, Version: p.rule.Version, From: p.rule.From,
@@ -152,12 +155,12 @@
 }
 
 // Evidence returns what this node has seen of all moves. The counters are
-// cumulative, so a lost or repeated message does no harm.
+// cumulative, so a lost or repeated message does no harm. Outbox says where it goes.
 func (c *Controller) Evidence() []Evidence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []Evidence
-	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
+	for _, id := range c.order {
 		p := c.moves[id]
 		if p.judged() {
 			c.countControl(p)
@@ -199,7 +202,7 @@
 	c.mu.Lock()
 	c.setTime(now)
 	c.refreshControl()
-	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
+	for _, id := range c.order {
 		p := c.moves[id]
 		c.judge(p)
 		c.advance(p)
--- a/pkg/move/judge.go
+++ b/pkg/move/judge.go
@@ -126,6 +126,7 @@
 // count adds what this node saw.
 func (c *Controller) count(p *progress, side Side, dc mesh.DataCentre, target mesh.HostID, delta *Counters) {
 	c.own.row(p.id, rowKey{c.cfg.Self, p.instance, side, dc, target}).combine(delta, sum)
+	p.seenChanged = p.seenChanged || side != SideControl || p.full()
 	s := p.stream(dc, c.mono)
 	s.seen.add(side, target, delta)
 	if p.duty.on {
@@ -139,6 +140,7 @@
 		c.mergeSummary(p, e)
 		return
 	}
+	p.mergedChanged = true
 	s := p.stream(e.DataCentre, c.mono)
 	for i := range e.Targets {
 		t := &e.Targets[i]
--- a/pkg/move/pool.go
+++ b/pkg/move/pool.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -39,45 +37,64 @@
 	return c.pools[k]
 }
 
+// fullPeriod is how often unchanged evidence is sent again, to make good for a
+// lost message.
+const fullPeriod = 10 * time.Second
+
 // Outbox returns the evidence to send and the hosts to send it to: what this
 // node saw goes to the evaluator of its data centre, and the evaluator's sums go
-// to the evaluator of the mesh. Counters are cumulative, so a lost message is
-// made good by the next one.
+// to the evaluator of the mesh. Counters are cumulative, and only moves whose
+// counters changed since the last call are sent, all of them every 10 s.
 func (c *Controller) Outbox() map[mesh.HostID][]Evidence {
-	own := c.Evidence()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := map[mesh.HostID][]Evidence{}
-	if c.cfg.Hosts != nil {
-		hosts := c.cfg.Hosts()
-		for _, e := range own {
-			if to := Evaluator(e.Move, hosts); to != "" && to != c.cfg.Self {
-				out[to] = append(out[to], e)
-			}
-		}
-	}
-	if c.cfg.MeshHosts == nil {
-		return out
+	defer c.unlock()
+	all := c.mono-c.sentAll >= fullPeriod
+	if all {
+		c.sentAll = c.mono
 	}
-	hosts := c.cfg.MeshHosts()
-	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
+	out := map[mesh.HostID][]Evidence{}
+	for _, id := range c.order {
 		p := c.moves[id]
-		if !p.judged() || !p.duty.on {
+		if !p.judged() {
 			continue
 		}
-		switch to := meshEvaluator(p.poolKey(), hosts); to {
-		case "":
-		case c.cfg.Self:
-			for _, e := range c.summary(p) {
-				c.merge(p, c.cfg.Self, &e)
-			}
-		default:
-			out[to] = append(out[to], c.summary(p)...)
+		if all || p.seenChanged {
+			c.sendSeen(p, out)
+		}
+		if p.duty.on && (all || p.seenChanged || p.mergedChanged) {
+			c.sendSums(p, out)
 		}
+		p.seenChanged, p.mergedChanged = false, false
 	}
 	return out
 }
 
+func (c *Controller) sendSeen(p *progress, out map[mesh.HostID][]Evidence) {
+	if c.cfg.Hosts == nil {
+		return
+	}
+	if to := Evaluator(p.id, c.cfg.Hosts()); to != "" && to != c.cfg.Self {
+		c.countControl(p)
+		out[to] = append(out[to], c.own.list(p.id)...)
+	}
+}
+
+func (c *Controller) sendSums(p *progress, out map[mesh.HostID][]Evidence) {
+	if c.cfg.MeshHosts == nil {
+		return
+	}
+	c.countControl(p)
+	switch to := meshEvaluator(p.poolKey(), c.cfg.MeshHosts()); to {
+	case "":
+	case c.cfg.Self:
+		for _, e := range c.summary(p) {
+			c.merge(p, c.cfg.Self, &e)
+		}
+	default:
+		out[to] = append(out[to], c.summary(p)...)
+	}
+}
+
 // summary sums what all nodes of the data centre saw of a move.
 func (c *Controller) summary(p *progress) []Evidence {
 	sums := newStore()
