--- a/internal/bench/moves/table.go
+++ b/internal/bench/moves/table.go
@@ -43,7 +43,7 @@
 var (
 	usual = setting{"", 100, 5 * time.Minute, 1.02, 200 * time.Millisecond}
 	quiet = setting{"low_traffic_", 2, 5 * time.Minute, 1.02, 500 * time.Millisecond}
-	short = setting{"", 50, 30 * time.Second, 1.35, 500 * time.Millisecond} // the minimum window, for the many good moves
+	short = setting{"", 50, 30 * time.Second, 1.2, 500 * time.Millisecond} // the minimum window, for the many good moves
 )
 
 // job is one move to simulate under each policy.
@@ -91,8 +91,11 @@
 			kind: j.kind, size: j.size, policy: p, rate: j.setting.rate, window: j.setting.window,
 			until: j.setting.until, tickEach: j.setting.tick, rng: rand.New(rand.NewPCG(j.seed, 0)),
 		}
-		if p == policyNone && !j.kind.bad {
-			r.rate = 0 // nothing looks at the calls
+		if !j.kind.bad {
+			r.tickEach = max(r.tickEach, quiet.tick) // no detection time is measured
+			if p == policyNone {
+				r.rate = 0 // nothing looks at the calls
+			}
 		}
 		j.results[p] = r.simulate()
 	}
--- a/pkg/move/apply.go
+++ b/pkg/move/apply.go
@@ -120,6 +120,7 @@
 		h.old = n
 		p.hosts[dc] = h
 	}
+	p.oldGone = len(fresh) > 0 && len(old) == 0
 	p.absent = len(fresh) == 0 && len(old) > 0
 }
 
--- a/pkg/move/choose.go
+++ b/pkg/move/choose.go
@@ -55,7 +55,7 @@
 		return 0
 	case p.absent:
 		return 0
-	case p.oldGone() && p.schedule.Step(now) == lastStep:
+	case p.oldGone && p.schedule.Step(now) == lastStep:
 		return FullShare
 	case p.step < 0:
 		return 0
@@ -63,16 +63,6 @@
 	return steps[p.step]
 }
 
-// oldGone reports that only the new version still has targets.
-func (p *progress) oldGone() bool {
-	var n hostCount
-	for _, h := range p.hosts {
-		n.fresh += h.fresh
-		n.old += h.old
-	}
-	return n.old == 0 && n.fresh > 0
-}
-
 // publish replaces the table that Choose reads.
 func (c *Controller) publish() {
 	if !c.rulesChanged && c.sharesPublished() {
--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -87,6 +87,7 @@
 	step     int           // -1 before the first step
 	stepAt   time.Duration // monotonic
 	instance uint64
+	oldGone  bool // only the new version still has targets
 	absent   bool // the new version has no target while the old one has
 	hosts    map[mesh.DataCentre]hostCount
 	veto     *source.Veto
--- a/pkg/move/judge.go
+++ b/pkg/move/judge.go
@@ -76,8 +76,9 @@
 	on      bool
 	since   time.Duration
 	checked time.Duration
-	skip    bool // took over in the middle of the move
-	watched bool // the budget after the watch period has begun
+	host    mesh.HostID // who has the duty, as of the last check
+	skip    bool        // took over in the middle of the move
+	watched bool        // the budget after the watch period has begun
 }
 
 // judged reports whether evidence about the move still matters.
@@ -193,7 +194,7 @@
 			return
 		}
 	}
-	if judged || p.absent {
+	if judged || p.absent || p.state == StateHeld {
 		c.hold(p)
 	}
 }
@@ -201,10 +202,11 @@
 // takeDuty decides whether this node is the evaluator of the move. An evaluator
 // from the first step on counts what was sent before it took up the duty.
 func (c *Controller) takeDuty(p *progress) {
-	on := true
+	p.duty.host = c.cfg.Self
 	if c.cfg.Hosts != nil {
-		on = Evaluator(p.id, c.cfg.Hosts()) == c.cfg.Self
+		p.duty.host = Evaluator(p.id, c.cfg.Hosts())
 	}
+	on := p.duty.host == c.cfg.Self
 	if on && !p.duty.on {
 		p.duty.since, p.duty.skip = c.mono, p.step > 0
 		for dc, s := range p.streams {
@@ -275,8 +277,9 @@
 	switch {
 	case suspicious:
 		c.fire(p, eventSuspect)
-	case clear:
+	case clear && p.state == StateHeld:
 		c.fire(p, eventClear)
+		p.stepAt = c.mono // the next step waits for its length again
 	}
 }
 
--- a/pkg/move/pool.go
+++ b/pkg/move/pool.go
@@ -70,21 +70,15 @@
 }
 
 func (c *Controller) sendSeen(p *progress, out map[mesh.HostID][]Evidence) {
-	if c.cfg.Hosts == nil {
-		return
-	}
-	if to := Evaluator(p.id, c.cfg.Hosts()); to != "" && to != c.cfg.Self {
+	if to := p.duty.host; to != "" && to != c.cfg.Self {
 		c.countControl(p)
 		out[to] = append(out[to], c.own.list(p.id)...)
 	}
 }
 
 func (c *Controller) sendSums(p *progress, out map[mesh.HostID][]Evidence) {
-	if c.cfg.MeshHosts == nil {
-		return
-	}
 	c.countControl(p)
-	switch to := meshEvaluator(p.poolKey(), c.cfg.MeshHosts()); to {
+	switch to := c.pool(p).duty.host; to {
 	case "":
 	case c.cfg.Self:
 		for _, e := range c.summary(p) {
@@ -130,7 +124,12 @@
 		return
 	}
 	q := c.pool(p)
-	on := meshEvaluator(p.poolKey(), c.cfg.MeshHosts()) == c.cfg.Self
+	if q.duty.host != "" && c.mono-q.duty.checked < evidencePeriod {
+		return
+	}
+	q.duty.checked = c.mono
+	q.duty.host = meshEvaluator(p.poolKey(), c.cfg.MeshHosts())
+	on := q.duty.host == c.cfg.Self
 	if on && !q.duty.on {
 		q.duty.since, q.duty.skip = c.mono, p.step > 0
 		for _, o := range c.moves {
