--- a/pkg/move/apply.go
+++ b/pkg/move/apply.go
@@ -1,6 +1,9 @@
 package move
 
 import (
+	"maps"
+	"slices"
+
 	"nutmeghoist.example/nutmeghoist/pkg/chart"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -65,8 +68,10 @@
 			c.fire(p, eventWithdraw)
 			c.own.drop(id)
 			c.merged.drop(id)
+			c.sums.drop(id)
 		}
 	}
+	c.order = slices.Sorted(maps.Keys(c.moves))
 }
 
 // applyMove starts a move or edits a known one. A move that returns after a
@@ -115,6 +120,7 @@
 		h.old = n
 		p.hosts[dc] = h
 	}
+	p.oldGone = len(fresh) > 0 && len(old) == 0
 	p.absent = len(fresh) == 0 && len(old) > 0
 }
 
