Label the counters of unknown, aborted and untried calls by reason

The text format gave a family of its own to each reason of unknown outcomes, retries not made, aborted responses and refusals to other nodes, so that a scraper could not sum them; and calls.received became a label that never took another value.

--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -18,7 +18,10 @@
 
 // labelled lists the metric families whose name carries a label after the
 // first dot, for example "refused.queue_full".
-var labelled = map[string]string{"refused": "reason", "retried": "reason", "calls": "outcome"}
+var labelled = map[string]string{
+	"refused": "reason", "unknown": "reason", "retried": "reason", "noretry": "reason",
+	"aborted": "reason", "hop": "reason", "hop_lost": "reason",
+}
 
 // Handler serves the registry in the scrapers' text format.
 func Handler(r metrics.Registry) http.Handler {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -14,12 +14,16 @@
 	r := metrics.NewRegistry()
 	metrics.GetOrRegisterCounter("refused.queue_full", r).Inc(2)
 	metrics.GetOrRegisterCounter("refused.no_target", r).Inc(1)
+	metrics.GetOrRegisterCounter("noretry.node_budget", r).Inc(3)
+	metrics.GetOrRegisterCounter("calls.received", r).Inc(4)
 	metrics.GetOrRegisterGauge("config.revision", r).Update(7)
 	w := httptest.NewRecorder()
 	Handler(r).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	for _, want := range []string{
 		`nutmeghoist_refused_total{reason="queue_full"} 2`,
 		`nutmeghoist_refused_total{reason="no_target"} 1`,
+		`nutmeghoist_noretry_total{reason="node_budget"} 3`,
+		"nutmeghoist_calls_received_total 4",
 		"nutmeghoist_config_revision 7",
 	} {
 		if !strings.Contains(w.Body.String(), want) {
