Refuse announced names that no rule can hold

A service or version of 64 to 128 characters could be announced, but rules files take at most 63. Target IDs keep their limit, since no rule names them.

--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -33,6 +33,7 @@
 	}{
 		{"t1", `{"service":"","version":"a b","address":"localhost:80","slots":0,"connections":-1}`, []string{"service", "version", "address", "slots", "connections"}},
 		{"t%201", good, []string{"target ID"}},
+		{"t1", strings.Replace(good, "tray-1", strings.Repeat("v", 64), 1), []string{"version"}},
 		{"t1", strings.Replace(good, "127.0.0.1:81", "0.0.0.0:81", 1), []string{"address"}},
 		{"t1", strings.Replace(good, "}", `,"weight":3}`, 1), []string{"weight"}},
 		{"t1", `{`, []string{"not an announcement"}},
--- a/internal/announce/http.go
+++ b/internal/announce/http.go
@@ -23,8 +23,12 @@
 	maxSlots = 100_000
 )
 
-// name is the form of IDs, services and versions.
-var name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+var (
+	targetID = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+	// name is the form of services and versions in rules files: a target with a
+	// longer one could be announced, but no rule could name it.
+	name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+)
 
 type putResult uint8
 
@@ -112,8 +116,8 @@
 	add := func(suggestion, format string, args ...any) {
 		l.Add(finding.Finding{Message: fmt.Sprintf(format, args...), Suggestion: suggestion})
 	}
-	if !name.MatchString(id) {
-		add("letters, digits, dots, dashes and underscores", "target ID %q is not valid", id)
+	if !targetID.MatchString(id) {
+		add("at most 128 letters, digits, dots, dashes and underscores, with a letter or digit first", "target ID %q is not valid", id)
 	}
 	var a announcement
 	data, err := io.ReadAll(body)
@@ -127,10 +131,10 @@
 		return membership.Target{}, l
 	}
 	if !name.MatchString(string(a.Service)) {
-		add("a name such as orderdesk", "service %q is not valid", a.Service)
+		add("at most 63 characters, as orderdesk", "service %q is not valid", a.Service)
 	}
 	if !name.MatchString(string(a.Version)) {
-		add("a name such as tray-2", "version %q is not valid", a.Version)
+		add("at most 63 characters, as tray-2", "version %q is not valid", a.Version)
 	}
 	if p, err := netip.ParseAddrPort(a.Address); err != nil || p.Port() == 0 || p.Addr().IsUnspecified() {
 		add("an address such as 127.0.0.1:8080", "address %q is not an IP address with a port", a.Address)
