--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -16,6 +15,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"nutmeghoist.example/nutmeghoist/internal/tlskeys"
 	"nutmeghoist.example/nutmeghoist/pkg/finding"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
@@ -140,7 +140,7 @@
 		MemoryLimit:     c.megabytes("memory-limit-mb", o.MemoryLimit),
 		CheckOnly:       o.CheckSettings,
 	}
-	c.keyPair(s)
+	c.keys(s)
 	c.distinct(s)
 	return s
 }
@@ -210,14 +210,22 @@
 	return v
 }
 
-// keyPair reports a certificate that does not belong to the key at start
-// instead of at the first connection.
-func (c *checker) keyPair(s *Settings) {
-	if s.CertFile == "" || s.KeyFile == "" {
+// keys reports files that do not belong together, or that belong to another
+// host, at start instead of at the first connection.
+func (c *checker) keys(s *Settings) {
+	for _, file := range []string{s.CAFile, s.CertFile, s.KeyFile} {
+		if _, err := os.Stat(file); err != nil {
+			return // reported with the setting
+		}
+	}
+	keys, err := tlskeys.Load(s.CAFile, s.CertFile, s.KeyFile)
+	if err != nil {
+		c.add(place("cert-file"), err.Error(), "the certificate of this host and its key, signed by the CA of the mesh")
 		return
 	}
-	if _, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile); err != nil && !os.IsNotExist(err) {
-		c.add(place("cert-file"), err.Error(), "the certificate of the key in "+s.KeyFile)
+	if keys.Host() != s.Host {
+		c.add(place("cert-file"), fmt.Sprintf("certificate %s is for host %q, the settings name host %q", s.CertFile, keys.Host(), s.Host),
+			"the certificate of this host")
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,8 +4,11 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/tlskeys"
 	"nutmeghoist.example/nutmeghoist/pkg/finding"
 )
 
@@ -46,6 +49,31 @@
 	}
 }
 
+// Guards against keys of another host that pass --check-settings, so that the
+// node fails at its real start.
+func TestParseChecksTheHostOfTheCertificate(t *testing.T) {
+	dir := t.TempDir()
+	path := func(name string) string { return filepath.Join(dir, name) }
+	ca, err := tlskeys.NewCA("mesh", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(ca.Write(path("ca.pem"), path("ca-key.pem")),
+		ca.WriteHost("h1", nil, time.Hour, path("h1.pem"), path("h1-key.pem"))); err != nil {
+		t.Fatal(err)
+	}
+	args := func(host string) []string {
+		return []string{"--host", host, "--data-centre", "north", "--check-settings",
+			"--ca-file", path("ca.pem"), "--cert-file", path("h1.pem"), "--key-file", path("h1-key.pem")}
+	}
+	if _, err := Parse(args("h1")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse(args("h2")); err == nil || !strings.Contains(err.Error(), `is for host "h1"`) {
+		t.Fatalf("got %v", err)
+	}
+}
+
 // Guards against a setting that can be given in one form only.
 func TestParseReadsEnvironment(t *testing.T) {
 	t.Setenv("NUTMEGHOIST_HOST", "not a name")
