Read the head while waiting for the first neighbour

A host without neighbours never became ready although the platform answered: Floor waits for a first link until its context ends, and the read of the head came after it with the same context. A run with one node and a platform showed 'floor not known yet' every 3 s until it was stopped (9 s). Both are now asked at the same time, and each request has its own time.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// floorTimeout bounds one attempt to learn the floor at start.
+	// floorTimeout bounds each request of an attempt to learn the floor at start.
 	floorTimeout = 3 * time.Second
 	// startBackoffMax bounds the pause between attempts; the pause is drawn
 	// uniformly below it, so that a herd of starting nodes spreads out.
@@ -48,17 +48,32 @@
 	}
 }
 
+// tryFloor asks the neighbours and the platform at the same time, each within a
+// time of its own: a host without neighbours, such as the first one of a mesh,
+// waits for them in vain and must still learn the platform's head.
 func (n *Node) tryFloor(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, floorTimeout)
-	defer cancel()
-	peers, peersErr := n.gossip.Floor(ctx)
-	head, headErr := n.source.Head(ctx)
+	var head source.Head
+	var headErr error
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		headErr = within(ctx, floorTimeout, func(ctx context.Context) (err error) {
+			head, err = n.source.Head(ctx)
+			return err
+		})
+	}()
+	var peers distribution.Floor
+	peersErr := within(ctx, floorTimeout, func(ctx context.Context) (err error) {
+		peers, err = n.gossip.Floor(ctx)
+		return err
+	})
+	<-read
 	switch {
 	case headErr == nil:
-		if err := n.adopt(ctx, head); err != nil {
+		if err := within(ctx, floorTimeout, func(ctx context.Context) error { return n.adopt(ctx, head) }); err != nil {
 			return err
 		}
-		if err := n.loadVetoes(ctx); err != nil {
+		if err := within(ctx, floorTimeout, n.loadVetoes); err != nil {
 			return err
 		}
 	case errors.Is(headErr, platform.ErrNotFound):
@@ -75,6 +90,13 @@
 	return nil
 }
 
+// within calls f with a context that ends after d.
+func within(ctx context.Context, d time.Duration, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return f(ctx)
+}
+
 // adopt fetches the text of a head that is newer than the node's own and hands
 // both to the gossip, which pushes them on and calls takeHead.
 func (n *Node) adopt(ctx context.Context, head source.Head) error {
--- /dev/null
+++ b/internal/node/floor_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/internal/settings"
+	"nutmeghoist.example/nutmeghoist/internal/telemetry"
+	"nutmeghoist.example/nutmeghoist/internal/tlskeys"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+func loneNode(t *testing.T, platformURL string) *Node {
+	t.Helper()
+	dir := t.TempDir()
+	path := func(name string) string { return filepath.Join(dir, name) }
+	ca, err := tlskeys.NewCA("mesh", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ca.Write(path("ca.pem"), path("ca-key.pem")); err != nil {
+		t.Fatal(err)
+	}
+	if err := ca.WriteHost("h1", nil, time.Hour, path("h1.pem"), path("h1-key.pem")); err != nil {
+		t.Fatal(err)
+	}
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	n, err := New(&settings.Settings{
+		Host: "h1", DataCentre: "north", Platform: platformURL, LogLevel: "error",
+		CallAddress: anyPort, PeerAddress: anyPort, AdvertisePeer: anyPort, AdvertiseCall: anyPort,
+		CAFile: path("ca.pem"), CertFile: path("h1.pem"), KeyFile: path("h1-key.pem"),
+	}, telemetry.NewLogger(t.Output(), "error", "h1"), metrics.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// Guards against a host without neighbours that never learns its floor,
+// although the platform answers: the wait for a first neighbour used up the
+// time of the read of the head.
+func TestFloorWithoutNeighbours(t *testing.T) {
+	store := platformtest.New()
+	server := httptest.NewServer(platformtest.Handler(store))
+	defer server.Close()
+	client := platform.NewClient(server.URL, nil)
+	head, err := source.New(client, client.Objects()).Accept(t.Context(), source.Submission{
+		Text: []byte("route GET /menus to orderdesk tray-1 # Oyuna:\n"), Author: "Oyuna", Token: "t1",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := loneNode(t, server.URL)
+	if err := n.tryFloor(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if got, _, ok := n.gossip.Head(); !ok || got.Revision != head.Revision {
+		t.Fatalf("got head %+v, want revision %d", got, head.Revision)
+	}
+}
