--- a/pkg/rules/example_test.go
+++ b/pkg/rules/example_test.go
@@ -22,7 +22,7 @@
 		fmt.Println(f)
 	}
 	// Output:
-	// mesh.rules:1:34: route GET /menus: no target of orderdesk version tray-2 has announced itself (start its targets first, or correct the version)
+	// mesh.rules:1:31: route GET /menus: no target of orderdesk version tray-2 has announced itself (start its targets first, or correct the version)
 	// mesh.rules:1:53: route GET /menus: move cannot be complete by 2026-12-05T06:00:10Z (the earliest possible time is 2026-12-05T06:00:30Z, 30s after acceptance)
 	// mesh.rules:2:11: prefix "menus" does not start with a slash (write /menus)
 	// mesh.rules:2:45: timeout 3m is out of range (write a duration from 10ms to 1m0s)
