--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -38,6 +38,11 @@
 	state      callState
 	tried      routing.Tried
 	loadTries  int // attempts that were refused for load
+
+	// Set during an attempt that is given up early when the target is silent.
+	last    *routing.Candidate
+	giveUp  context.CancelCauseFunc
+	silence *time.Timer
 }
 
 // CallerHandler returns the handler for calls from callers.
@@ -59,11 +64,13 @@
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	if err := c.readBody(); err != nil {
+	body, err := newRequestBody(w, r, c.deadline)
+	if err != nil {
 		c.finish(ReasonBody, 0)
 		return
 	}
-	defer c.body.close()
+	c.body = body
+	defer body.close()
 	c.run()
 }
 
