--- a/pkg/snapshot/build.go
+++ b/pkg/snapshot/build.go
@@ -45,29 +45,48 @@
 			m[rs[i].Previous()] = nil
 		}
 	}
+	// Sorting pointers to hosts moves less memory than sorting target sets.
+	sorted := make([]*membership.Host, 0, len(hosts))
+	counts := make(map[mesh.ServiceVersion]int, len(m))
 	for i := range hosts {
-		addHost(m, &hosts[i])
+		h := &hosts[i]
+		if h.Status != membership.StatusAlive && h.Status != membership.StatusSuspect {
+			continue
+		}
+		sorted = append(sorted, h)
+		for j := range h.Targets {
+			counts[serviceVersion(&h.Targets[j])]++
+		}
 	}
-	for _, ts := range m {
-		slices.SortFunc(ts, func(a, b Target) int {
-			return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.ID, b.ID))
-		})
+	for sv := range m {
+		m[sv] = make([]Target, 0, counts[sv])
+	}
+	slices.SortFunc(sorted, func(a, b *membership.Host) int { return cmp.Compare(a.ID, b.ID) })
+	for _, h := range sorted {
+		addHost(m, h)
 	}
 	return m
 }
 
+func serviceVersion(t *membership.Target) mesh.ServiceVersion {
+	return mesh.ServiceVersion{Service: t.Service, Version: t.Version}
+}
+
+// addHost adds the host's ready targets, in the order of their IDs.
 func addHost(m map[mesh.ServiceVersion][]Target, h *membership.Host) {
-	if h.Status != membership.StatusAlive && h.Status != membership.StatusSuspect {
-		return
+	own := h.Targets
+	byID := func(a, b membership.Target) int { return cmp.Compare(a.ID, b.ID) }
+	if !slices.IsSortedFunc(own, byID) {
+		own = slices.SortedFunc(slices.Values(own), byID)
 	}
-	for _, t := range h.Targets {
-		sv := mesh.ServiceVersion{Service: t.Service, Version: t.Version}
+	for i := range own {
+		sv := serviceVersion(&own[i])
 		ts, named := m[sv]
-		if !named || t.State != membership.TargetReady {
+		if !named || own[i].State != membership.TargetReady {
 			continue
 		}
 		m[sv] = append(ts, Target{
-			Target:      t,
+			Target:      own[i],
 			Host:        h.ID,
 			DataCentre:  h.DataCentre,
 			CallAddress: h.CallAddress,
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -39,7 +39,7 @@
 	s, err := Build(head, []rules.Rule{moveRule("/orders", 1)}, []membership.Host{
 		host("h3", membership.StatusSuspect, target("c", "tray-1", membership.TargetReady)),
 		host("h1", membership.StatusAlive, target("a", "tray-1", membership.TargetReady),
-			target("b", "tray-1", membership.TargetDraining), target("x", "unnamed", membership.TargetReady)),
+			target("b", "tray-1", membership.TargetDraining), target("0", "tray-1", membership.TargetReady), target("x", "unnamed", membership.TargetReady)),
 		host("h2", membership.StatusLeaving, target("d", "tray-1", membership.TargetReady)),
 		host("h4", membership.StatusFailed, target("e", "tray-1", membership.TargetReady)),
 		host("h5", membership.StatusAlive, target("f", "tray-1", membership.TargetStarting)),
@@ -48,7 +48,7 @@
 		t.Fatal(err)
 	}
 	old := s.Targets[mesh.ServiceVersion{Service: "orderdesk", Version: "tray-1"}]
-	if len(old) != 2 || old[0].Host != "h1" || old[0].Suspect || old[1].Host != "h3" || !old[1].Suspect {
+	if len(old) != 3 || old[0].ID != "0" || old[1].Host != "h1" || old[1].Suspect || old[2].Host != "h3" || !old[2].Suspect {
 		t.Errorf("targets of tray-1: %+v", old)
 	}
 	if next, ok := s.Targets[mesh.ServiceVersion{Service: "orderdesk", Version: "tray-2"}]; !ok || len(next) != 0 {
