--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/pkg/chart"
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
+	"nutmeghoist.example/nutmeghoist/pkg/finding"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
@@ -26,6 +28,14 @@
 	rebuildInterval = 50 * time.Millisecond
 )
 
+// candidate is a configuration on its way into force.
+type candidate struct {
+	head  source.Head
+	text  []byte
+	rules []rules.Rule
+	fault error // why it was refused
+}
+
 // accepted is a configuration that passed this node's checks.
 type accepted struct {
 	head  source.Head
@@ -124,26 +134,67 @@
 	return nil
 }
 
-// takeHead checks a configuration and puts it in force; a bad one is refused
-// whole and the one in force stays.
+// takeHead is called by the gossip with each newer head and its text. Before the
+// floor is known the newest one waits.
 func (n *Node) takeHead(head source.Head, text []byte) {
-	rs, findings := rules.Parse(fmt.Sprintf("revision-%d", head.Revision), text)
-	if len(findings) > 0 {
-		n.reject(head, findings)
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	if n.newest != nil && head.Revision <= n.newest.head.Revision {
 		return
 	}
+	n.newest = &candidate{head: head, text: text}
+	if n.floorKnown.Load() {
+		n.fire(n.newest, snapshot.EventHeadSeen)
+	}
+}
+
+// startServing ends the wait for the floor.
+func (n *Node) startServing() {
 	n.configMu.Lock()
 	defer n.configMu.Unlock()
-	if n.accepted != nil && head.Revision <= n.accepted.head.Revision {
+	n.floorKnown.Store(true)
+	if n.newest != nil {
+		n.fire(n.newest, snapshot.EventHeadSeen)
+	}
+}
+
+// fire gives an event of a candidate to the configuration's state chart and runs
+// the actions that the chart asks for. The caller holds configMu.
+func (n *Node) fire(c *candidate, e chart.Event) {
+	actions, err := n.progress.Fire(c.head.Revision, e)
+	if err != nil {
+		n.log.Error().Uint64("revision", c.head.Revision).Err(err).Msg("unexpected event of a configuration")
 		return
 	}
-	candidate := &accepted{head: head, rules: rs}
-	if _, err := n.build(candidate); err != nil {
-		n.reject(head, err)
+	for _, a := range actions {
+		switch a {
+		case snapshot.ActionFetch:
+			// The gossip hands over a head together with its text.
+			n.fire(c, snapshot.EventTextFetched)
+		case snapshot.ActionCheck:
+			n.check(c)
+		case snapshot.ActionActivate:
+			n.accepted = &accepted{head: c.head, rules: c.rules}
+			n.activate()
+		case snapshot.ActionReject:
+			n.reject(c.head, c.fault)
+		}
+	}
+}
+
+// check parses a candidate and builds a snapshot of it, so that a bad
+// configuration is refused whole before it replaces anything.
+func (n *Node) check(c *candidate) {
+	var findings finding.List
+	c.rules, findings = rules.Parse(fmt.Sprintf("revision-%d", c.head.Revision), c.text)
+	if c.fault = findings.Err(); c.fault == nil {
+		_, c.fault = n.build(&accepted{head: c.head, rules: c.rules})
+	}
+	if c.fault != nil {
+		n.fire(c, snapshot.EventCheckFailed)
 		return
 	}
-	n.accepted = candidate
-	n.activate()
+	n.fire(c, snapshot.EventCheckPassed)
 }
 
 // maxLoggedError bounds the text of a bad configuration's findings in a log line.
@@ -171,10 +222,10 @@
 }
 
 // activate compiles the accepted configuration with the target sets and vetoes
-// known now and swaps it in, unless it is older than the one in force. Nothing
-// is put in force before the floor is known. The caller holds configMu.
+// known now and swaps it in, unless it is older than the one in force or below
+// the floor. The caller holds configMu.
 func (n *Node) activate() {
-	if n.accepted == nil || !n.floorKnown.Load() {
+	if n.accepted == nil {
 		return
 	}
 	s, err := n.build(n.accepted)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,7 +51,9 @@
 	controlClient *http.Client
 
 	configMu   sync.Mutex
-	accepted   *accepted
+	progress   snapshot.Progress
+	newest     *candidate // the newest head that was heard of
+	accepted   *accepted  // the configuration in force or about to be
 	generation uint64
 
 	// The channels wake loops; each has room for one value.
@@ -202,8 +204,7 @@
 	if n.establishFloor(ctx) != nil {
 		return
 	}
-	n.floorKnown.Store(true)
-	n.rebuild()
+	n.startServing()
 	n.log.Info().Str("version", n.inForce().String()).Msg("floor known")
 	n.pollLoop(ctx)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -275,8 +275,7 @@
 		t.Fatal("a configuration came into force before the floor was known")
 	}
 	n.holder.SetFloor(mesh.ConfigVersion{Revision: 5})
-	n.floorKnown.Store(true)
-	n.rebuild()
+	n.startServing()
 	if n.holder.Load() != nil {
 		t.Fatal("revision 4 came into force, the floor is 5")
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -33,7 +33,9 @@
 		if !n.isReportCandidate() {
 			continue
 		}
-		if err := n.holdReports(ctx); err != nil && ctx.Err() == nil {
+		holder := lease.NewHolder(n.table, reportLeaseKey, string(n.settings.Host), reportLeaseTTL)
+		err := holder.Run(ctx, func(ctx context.Context) { n.writeReportsWhileHeld(ctx, holder) })
+		if err != nil && ctx.Err() == nil {
 			n.count("reports.lease_failed")
 			n.log.Debug().Err(err).Msg("report lease not held")
 		}
@@ -55,54 +57,38 @@
 	return i >= 0 && i < reportCandidates
 }
 
-// holdReports takes the lease and writes reports until it is lost.
-func (n *Node) holdReports(ctx context.Context) error {
-	grant, err := lease.Acquire(ctx, n.table, reportLeaseKey, string(n.settings.Host), reportLeaseTTL)
-	if err != nil {
-		return err
-	}
-	n.log.Info().Uint64("epoch", grant.Epoch).Msg("report lease acquired")
+// writeReportsWhileHeld writes reports until the lease is lost, this host is no
+// candidate any more or the context ends.
+func (n *Node) writeReportsWhileHeld(ctx context.Context, holder *lease.Holder) {
+	n.log.Info().Msg("report lease acquired")
+	defer n.log.Info().Msg("report lease given up")
 	written, err := n.source.Reports(ctx)
 	if err != nil {
-		return err
+		n.log.Warn().Err(err).Msg("reports not read")
+		return
 	}
-	for {
+	for n.isReportCandidate() {
 		// Hosts that died before they could store their vetoes left it to the others.
 		for _, v := range n.gossip.Vetoes() {
 			n.storeVeto(ctx, v)
 		}
-		if written, err = n.writeReports(ctx, grant, written); err != nil {
-			return err
+		if written, err = n.writeReports(ctx, holder, written); err != nil {
+			n.count("reports.write_failed")
+			n.log.Debug().Err(err).Msg("report not written yet")
 		}
 		if !sleep(ctx, reportInterval) {
-			return lease.Release(context.WithoutCancel(ctx), n.table, grant)
-		}
-		if !n.isReportCandidate() {
-			return lease.Release(ctx, n.table, grant)
-		}
-		if grant, err = n.renewReports(ctx, grant); err != nil {
-			return err
-		}
-	}
-}
-
-// renewReports renews the lease, trying again while it may still be held.
-func (n *Node) renewReports(ctx context.Context, grant lease.Grant) (lease.Grant, error) {
-	for {
-		renewed, err := lease.Renew(ctx, n.table, grant)
-		if err == nil || errors.Is(err, lease.ErrLost) || !grant.Valid() || !sleep(ctx, reportInterval/2) {
-			return renewed, err
+			return
 		}
 	}
 }
 
-func (n *Node) writeReports(ctx context.Context, grant lease.Grant, written []source.Report) ([]source.Report, error) {
+func (n *Node) writeReports(ctx context.Context, holder *lease.Holder, written []source.Report) ([]source.Report, error) {
 	in, ok := n.reportInput(ctx, written)
 	if !ok {
 		return written, nil
 	}
 	for _, r := range move.Decide(in) {
-		err := n.source.PutReport(ctx, grant, r)
+		err := holder.Do(ctx, func(g lease.Grant) error { return n.source.PutReport(ctx, g, r) })
 		if err != nil && !errors.Is(err, source.ErrAlreadyReported) {
 			return written, err
 		}
