Pass compressed texts on as they were received

Each node compressed every text and delta again, which took most of the time of a hop. The form that is missing is made when a neighbour first asks for it.

--- a/pkg/distribution/faults_test.go
+++ b/pkg/distribution/faults_test.go
@@ -440,3 +440,36 @@
 	}
 	m.within(failBound, "links return", m.allAlive)
 }
+
+// Guards against a join at the design scale that takes too long or too many
+// bytes, and against records that stay missing.
+func TestJoinAtScale(t *testing.T) {
+	const hosts, maxBytes = 2192, 512 << 10 // bytes: under 3 minutes of the budget of 3 KB/s
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t, 7)
+		first := m.boot("h000", "dc00", address("h000"))
+		var records []membership.Host
+		for i := 1; i < hosts; i++ {
+			records = append(records, membership.Host{
+				ID: mesh.HostID(fmt.Sprintf("host-%04d", i)), DataCentre: mesh.DataCentre(fmt.Sprintf("far%02d", i%16)),
+				PeerAddress: fmt.Sprintf("10.0.%d.%d:7946", i/256, i%256), CallAddress: fmt.Sprintf("10.0.%d.%d:7947", i/256, i%256),
+				Incarnation: 1764800000000 + uint64(i), Sequence: 3, Status: membership.StatusAlive,
+				Targets: []membership.Target{{
+					ID: "t1", Service: mesh.ServiceName(fmt.Sprintf("service-%d", i%140)), Version: "v-12",
+					Address: fmt.Sprintf("10.0.%d.%d:8080", i/256, i%256), Slots: 12, Connections: 130,
+					State: membership.TargetReady, ReadySince: time.Now().Add(time.Duration(i) * time.Millisecond),
+				}},
+			})
+		}
+		first.table.Merge(records)
+		before := m.net.Sent("h000")
+		second := m.boot("h001", "dc00", address("h001"))
+		d := m.within(activeBound, "all records", func() bool { return len(second.table.Hosts()) == hosts+1 })
+		sent := m.net.Sent("h000") - before
+		t.Logf("hosts=%d bytes=%d time=%v", hosts, sent, d)
+		if sent > maxBytes {
+			t.Errorf("a join takes %d bytes", sent)
+		}
+		m.stop()
+	})
+}
--- a/pkg/distribution/fetch.go
+++ b/pkg/distribution/fetch.go
@@ -31,17 +31,17 @@
 func (g *Gossip) fetchNext(ctx context.Context) bool {
 	g.mu.Lock()
 	offer, held := g.objects.offer, g.objects.head
-	text := g.objects.text
+	got := fetched{text: g.objects.text}
 	g.mu.Unlock()
 	if offer.Revision <= held.Revision || ctx.Err() != nil {
 		return false
 	}
 	var err error
 	if offer.Hash != held.Hash {
-		text, err = g.obtain(ctx, offer.Hash)
+		got, err = g.obtain(ctx, offer.Hash)
 	}
 	if err == nil {
-		err = g.adopt(offer, text)
+		err = g.adopt(offer, got)
 	}
 	if err == nil {
 		return true
@@ -64,14 +64,17 @@
 	}
 }
 
+// fetched is a text with its compressed form, if a neighbour sent it.
 type fetched struct {
-	text []byte
-	err  error
+	text   []byte
+	packed []byte
+	base   string // hash of the text that packed is a delta to
+	err    error
 }
 
 // obtain asks the neighbours that told of the object, then the others, and at
 // last the object store.
-func (g *Gossip) obtain(ctx context.Context, hash string) ([]byte, error) {
+func (g *Gossip) obtain(ctx context.Context, hash string) (fetched, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	sources := g.sources()
@@ -86,31 +89,28 @@
 				from := sources[0]
 				sources = sources[1:]
 				waiting++
-				go func() {
-					text, err := from.object(ctx, hash)
-					results <- fetched{text, err}
-				}()
+				go func() { results <- from.object(ctx, hash) }()
 				hedge.Reset(hedgeDelay)
 			}
 		case r := <-results:
 			if r.err == nil {
-				return r.text, nil
+				return r, nil
 			}
 			waiting--
 			hedge.Reset(0)
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return fetched{}, ctx.Err()
 		}
 	}
 	if g.cfg.Fetch == nil {
-		return nil, errors.New("no neighbour has it and there is no object store")
+		return fetched{}, errors.New("no neighbour has it and there is no object store")
 	}
 	g.cfg.Counters.Count("distribution_store_fetches", 1)
 	text, err := g.cfg.Fetch(ctx, hash)
 	if err != nil {
-		return nil, err
+		return fetched{}, err
 	}
-	return text, checkText(hash, text)
+	return fetched{text: text}, checkText(hash, text)
 }
 
 // sources returns the links to ask, those that told of the offer first.
@@ -137,25 +137,26 @@
 }
 
 // object requests a text from the peer and checks it.
-func (l *link) object(ctx context.Context, hash string) ([]byte, error) {
+func (l *link) object(ctx context.Context, hash string) (f fetched) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	held, base, _ := l.g.Head()
 	req, err := encMode().Marshal(request{Object: hash, Base: held.Hash})
 	if err != nil {
-		return nil, err
+		return fetched{err: err}
 	}
-	packed, err := l.conn.Request(ctx, req)
-	if err != nil {
-		return nil, err
+	if f.packed, f.err = l.conn.Request(ctx, req); f.err != nil {
+		return f
 	}
-	text, err := l.g.codec.unpackText(packed, base)
-	if err == nil {
-		err = checkText(hash, text)
+	if f.text, f.err = l.g.codec.unpackText(f.packed, base); f.err == nil {
+		f.err = checkText(hash, f.text)
 	}
-	if err != nil {
-		l.g.fault(FaultBadObject, l.peer, err)
-		return nil, err
+	if f.err != nil {
+		l.g.fault(FaultBadObject, l.peer, f.err)
+		return f
+	}
+	if f.packed[0] == packedDelta {
+		f.base = held.Hash
 	}
-	return text, nil
+	return f
 }
--- a/pkg/distribution/heads.go
+++ b/pkg/distribution/heads.go
@@ -21,7 +21,7 @@
 type headState struct {
 	head      source.Head
 	text      []byte
-	packed    []byte
+	whole     []byte // text compressed; made when first asked for
 	has       bool
 	prevHash  string // of the text before, which most neighbours hold
 	prevText  []byte
@@ -45,16 +45,15 @@
 	if err := checkHead(&head); err != nil {
 		return err
 	}
-	return g.adopt(head, text)
+	return g.adopt(head, fetched{text: text})
 }
 
 // adopt makes a head with its text the newest one, pushes it to the
 // neighbours and has it delivered.
-func (g *Gossip) adopt(head source.Head, text []byte) error {
-	if err := checkText(head.Hash, text); err != nil {
+func (g *Gossip) adopt(head source.Head, got fetched) error {
+	if err := checkText(head.Hash, got.text); err != nil {
 		return fmt.Errorf("head of revision %d: %w", head.Revision, err)
 	}
-	packed := g.codec.packText(text)
 	g.mu.Lock()
 	s := &g.objects
 	if s.has && head.Revision <= s.head.Revision {
@@ -65,8 +64,10 @@
 		}
 		return nil
 	}
-	s.prevHash, s.prevText, s.delta = s.head.Hash, s.text, nil
-	s.head, s.text, s.packed, s.has = head, text, packed, true
+	if s.head.Hash != head.Hash {
+		s.replaceText(got)
+	}
+	s.head, s.has = head, true
 	if head.Revision >= s.offer.Revision {
 		s.offer, s.tellers = head, nil
 	}
@@ -79,6 +80,20 @@
 	return nil
 }
 
+// replaceText keeps what a neighbour sent to send it on as it is. The form
+// that is missing is made when a neighbour first asks for it.
+func (s *headState) replaceText(got fetched) {
+	s.prevHash, s.prevText = s.head.Hash, s.text
+	s.text, s.whole, s.delta = got.text, nil, nil
+	switch {
+	case got.packed == nil:
+	case got.base == "":
+		s.whole = got.packed
+	case got.base == s.prevHash:
+		s.delta = got.packed
+	}
+}
+
 func checkText(hash string, text []byte) error {
 	if len(text) > MaxText {
 		return fmt.Errorf("text of %d bytes: %w", len(text), ErrTooLarge)
@@ -190,20 +205,41 @@
 // the peer holds the text before.
 func (g *Gossip) packed(hash, base string) []byte {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := &g.objects
+	s := g.objects
+	g.mu.Unlock()
 	if !s.has || s.head.Hash != hash {
 		return nil
 	}
-	if base == "" || base != s.prevHash || s.prevText == nil {
-		return s.packed
-	}
-	if s.delta == nil {
-		delta, err := packDelta(s.prevText, s.text)
-		if err != nil || len(delta) >= len(s.packed) {
-			delta = s.packed
+	useDelta := base != "" && base == s.prevHash && s.prevText != nil
+	switch {
+	case useDelta && s.delta != nil:
+		return s.delta
+	case !useDelta && s.whole != nil:
+		return s.whole
+	}
+	var packed []byte
+	if useDelta {
+		var err error
+		if packed, err = packDelta(s.prevText, s.text); err != nil {
+			useDelta = false
 		}
-		s.delta = delta
 	}
-	return s.delta
+	if !useDelta {
+		packed = g.codec.packText(s.text)
+	}
+	g.keepPacked(hash, packed)
+	return packed
+}
+
+// keepPacked stores a compressed form unless the text has changed meanwhile.
+func (g *Gossip) keepPacked(hash string, packed []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch s := &g.objects; {
+	case s.head.Hash != hash:
+	case packed[0] == packedDelta:
+		s.delta = packed
+	default:
+		s.whole = packed
+	}
 }
--- a/pkg/distribution/outbox.go
+++ b/pkg/distribution/outbox.go
@@ -82,6 +82,11 @@
 	if m == nil {
 		return nil, nil
 	}
+	if m.Heartbeat != nil {
+		answer := m.Heartbeat.Answer
+		*m.Heartbeat = l.g.heartbeat()
+		m.Heartbeat.Answer = answer
+	}
 	return l.g.codec.encodeFrame(m)
 }
 
@@ -90,7 +95,6 @@
 	if h, _, ok := l.g.Head(); ok {
 		head = &h
 	}
-	beat := l.g.heartbeat()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := &l.out
@@ -104,8 +108,7 @@
 	}
 	m := &message{Ack: o.ack}
 	if o.heartbeat {
-		beat.Answer = o.answer
-		m.Heartbeat = &beat
+		m.Heartbeat = &heartbeat{Answer: o.answer} // filled in without l.mu
 	}
 	if o.head && head != nil && head.Revision > l.told {
 		m.Head = head
