--- a/pkg/distribution/faults_test.go
+++ b/pkg/distribution/faults_test.go
@@ -380,7 +380,7 @@
 		m.t.Fatal(err)
 	}
 	m.within(activeBound, "the survivors activate it", m.allActive(4))
-	if !m.down["h000"] {
+	if !m.isDown("h000") {
 		m.t.Error("the host did not activate its own head")
 	}
 }
--- a/pkg/distribution/heads.go
+++ b/pkg/distribution/heads.go
@@ -19,17 +19,16 @@
 
 // headState is the newest head whose text is held, and the newest heard of.
 type headState struct {
-	head      source.Head
-	text      []byte
-	whole     []byte // text compressed; made when first asked for
-	has       bool
-	prevHash  string // of the text before, which most neighbours hold
-	prevText  []byte
-	delta     []byte      // text against prevText; made when first asked for
-	offer     source.Head // newest head heard of; its text may be missing
-	tellers   []*link     // the links that told of offer
-	delivered uint64
-	told      chan struct{} // closed when a neighbour confirms a revision
+	head     source.Head
+	text     []byte
+	whole    []byte // text compressed; made when first asked for
+	has      bool
+	prevHash string // of the text before, which most neighbours hold
+	prevText []byte
+	delta    []byte        // text against prevText; made when first asked for
+	offer    source.Head   // newest head heard of; its text may be missing
+	tellers  []*link       // the links that told of offer
+	told     chan struct{} // closed when a neighbour confirms a revision
 }
 
 // Head returns the newest head whose text this host holds.
@@ -171,6 +170,7 @@
 
 // deliverHeads calls OnHead for newer heads in rising order.
 func (g *Gossip) deliverHeads(ctx context.Context) {
+	var delivered uint64
 	for {
 		select {
 		case <-ctx.Done():
@@ -178,14 +178,14 @@
 		case <-g.deliverHead:
 		}
 		head, text, ok := g.Head()
-		if !ok || head.Revision <= g.objects.delivered { // only this loop uses delivered
+		if !ok || head.Revision <= delivered {
 			continue
 		}
 		g.awaitPush(ctx, head.Revision)
 		if ctx.Err() != nil {
 			return
 		}
-		g.objects.delivered = head.Revision
+		delivered = head.Revision
 		g.cfg.OnHead(head, text)
 		g.beat() // neighbours keep the version that this host has active
 	}
--- a/pkg/distribution/mesh_test.go
+++ b/pkg/distribution/mesh_test.go
@@ -98,6 +98,12 @@
 	change()
 }
 
+func (m *meshOf) isDown(id mesh.HostID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.down[id]
+}
+
 func address(id mesh.HostID) string { return string(id) + ":1" }
 
 // boot starts a node that joins through the first one.
@@ -207,7 +213,7 @@
 
 func (m *meshOf) all(ok func(*node) bool) bool {
 	for _, n := range m.nodes {
-		if !m.down[n.id] && !ok(n) {
+		if !m.isDown(n.id) && !ok(n) {
 			return false
 		}
 	}
@@ -219,7 +225,7 @@
 	return m.all(func(n *node) bool {
 		for _, id := range m.ids {
 			h, ok := n.table.Get(id)
-			if alive := ok && h.Status == membership.StatusAlive; alive == m.down[id] {
+			if alive := ok && h.Status == membership.StatusAlive; alive == m.isDown(id) {
 				return false
 			}
 		}
--- a/pkg/distribution/property_test.go
+++ b/pkg/distribution/property_test.go
@@ -42,9 +42,9 @@
 	for i, a := range actions {
 		id := any()
 		switch {
-		case a == 0 && !m.down[id] && revision > 0:
+		case a == 0 && !m.isDown(id) && revision > 0:
 			m.kill(id)
-		case a == 1 && m.down[id]:
+		case a == 1 && m.isDown(id):
 			m.restart(id)
 		case a == 2:
 			cut := any()
@@ -53,11 +53,11 @@
 			m.set(func() { m.split, m.loss, m.maxDelay = nil, 0.15, 600*time.Millisecond })
 		case a == 4:
 			m.net.Silence(id, any())
-		case a == 5 && !m.down[id]:
+		case a == 5 && !m.isDown(id):
 			v := fmt.Sprint("v", i)
 			m.veto(id, mesh.TargetVersion(v))
 			vetoes[v] = true
-		case !m.down[id]:
+		case !m.isDown(id):
 			revision++
 			m.announce(id, revision)
 		}
@@ -74,7 +74,7 @@
 func (m *meshOf) settle(revision uint64, vetoes int) string {
 	m.set(func() { m.split, m.loss, m.maxDelay = nil, 0, time.Millisecond })
 	for _, id := range m.ids {
-		if m.down[id] {
+		if m.isDown(id) {
 			m.restart(id)
 		}
 	}
