--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -130,37 +129,6 @@
 	return quicConfig(), nil
 }
 
-// watchHandshake counts the handshakes in progress and those that fail for a
-// wrong certificate.
-func (t *Transport) watchHandshake(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
-	t.mu.Lock()
-	t.pending++
-	t.mu.Unlock()
-	h := &handshake{t: t}
-	context.AfterFunc(ctx, func() {
-		h.end()
-		if isCertificateError(context.Cause(ctx)) {
-			t.stats.unauthorized.Add(1)
-		}
-	})
-	return context.WithValue(ctx, handshakeKey{}, h), nil
-}
-
-type handshakeKey struct{}
-
-type handshake struct {
-	t    *Transport
-	once sync.Once
-}
-
-func (h *handshake) end() {
-	h.once.Do(func() {
-		h.t.mu.Lock()
-		h.t.pending--
-		h.t.mu.Unlock()
-	})
-}
-
 // Serve implements distribution.Transport. It closes the transport when the
 // context ends.
 func (t *Transport) Serve(ctx context.Context, h distribution.Handler) error {
@@ -249,84 +217,3 @@
 	t.handler.HandleLink(l)
 	l.serveRequests(ctx)
 }
-
-// Dial implements distribution.Transport. It succeeds only after the peer has
-// accepted this host's certificate and its link.
-func (t *Transport) Dial(ctx context.Context, to distribution.Endpoint) (distribution.Link, error) {
-	select {
-	case <-t.ready:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	l, err := t.dial(ctx, to)
-	if err != nil {
-		if isCertificateError(err) {
-			t.stats.unauthorized.Add(1)
-			err = fmt.Errorf("%w: %w", distribution.ErrUnauthorized, err)
-		}
-		return nil, fmt.Errorf("dial host %q at %s: %w", to.Host, to.Address, linkError(err))
-	}
-	return l, nil
-}
-
-func (t *Transport) dial(ctx context.Context, to distribution.Endpoint) (*link, error) {
-	addr, err := net.ResolveUDPAddr("udp", to.Address)
-	if err != nil {
-		return nil, err
-	}
-	client := t.keys.Client()
-	client.NextProtos = []string{protocol}
-	client.ServerName = string(to.Host)
-	conn, err := t.quic.Dial(ctx, addr, client, quicConfig())
-	if err != nil {
-		return nil, err
-	}
-	if !t.track(conn) {
-		return nil, net.ErrClosed
-	}
-	host, err := tlskeys.PeerHost(conn.ConnectionState().TLS)
-	if err == nil && to.Host != "" && host != to.Host {
-		t.stats.unauthorized.Add(1)
-		err = fmt.Errorf("is host %s: %w", host, distribution.ErrUnauthorized)
-	}
-	if err != nil {
-		closeConn(conn, distribution.CloseProtocol)
-		return nil, err
-	}
-	stream, err := conn.OpenStreamSync(ctx)
-	if err != nil {
-		closeConn(conn, distribution.CloseSilent)
-		return nil, err
-	}
-	l := newLink(t, conn, stream, host, true)
-	if err := l.awaitGreeting(ctx); err != nil {
-		l.Close(distribution.CloseSilent)
-		return nil, err
-	}
-	go l.serveRequests(conn.Context())
-	return l, nil
-}
-
-// isCertificateError reports whether a handshake failed because one side did
-// not accept the other's certificate.
-func isCertificateError(err error) bool {
-	var te *quic.TransportError
-	if !errors.As(err, &te) || !te.ErrorCode.IsCryptoError() {
-		return false
-	}
-	const cryptoErrorBase = 0x100
-	switch tls.AlertError(te.ErrorCode - cryptoErrorBase) {
-	case alertBadCertificate, alertCertificateExpired, alertUnknownCA, alertCertificateRequired, alertUnknownCertificate:
-		return true
-	}
-	return false
-}
-
-// TLS alerts (RFC 8446, section 6) that concern certificates.
-const (
-	alertBadCertificate      = 42
-	alertCertificateExpired  = 45
-	alertUnknownCertificate  = 46
-	alertUnknownCA           = 48
-	alertCertificateRequired = 116
-)
--- a/pkg/distribution/form.go
+++ b/pkg/distribution/form.go
@@ -192,7 +192,7 @@
 }
 
 // lost chooses an endpoint to try at random. A data centre of which no host is
-// reachable comes first.
+// reachable comes first every other time.
 func (g *Gossip) lost(hosts []membership.Host) (Endpoint, bool) {
 	live := make(map[mesh.DataCentre]bool)
 	addresses := make(map[string]bool)
@@ -215,13 +215,15 @@
 			first = append(first, e)
 		}
 	}
-	if len(first) > 0 {
-		candidates = first
-	}
 	if len(candidates) == 0 {
 		return Endpoint{}, false
 	}
 	var chosen Endpoint
-	g.withRand(func(r *rand.Rand) { chosen = candidates[r.IntN(len(candidates))] })
+	g.withRand(func(r *rand.Rand) {
+		if len(first) > 0 && r.IntN(2) == 0 {
+			candidates = first // the data centre may be gone for good, so only every other time
+		}
+		chosen = candidates[r.IntN(len(candidates))]
+	})
 	return chosen, true
 }
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -152,6 +153,7 @@
 // spreadRecords queues each changed host record for all neighbours.
 func (g *Gossip) spreadRecords(ctx context.Context) {
 	var version uint64
+	duplicate := false
 	for {
 		changed := g.cfg.Members.Changed()
 		var hosts []membership.Host
@@ -162,8 +164,9 @@
 		for _, l := range links {
 			l.queueHosts(hosts)
 		}
-		if g.cfg.Members.Duplicate() {
-			g.fault(FaultDuplicateHost, g.self, nil)
+		if !duplicate && g.cfg.Members.Duplicate() {
+			duplicate = true
+			g.fault(FaultDuplicateHost, g.self, errors.New("another process has taken over the record of this host"))
 		}
 		select {
 		case <-ctx.Done():
--- a/pkg/distribution/handle.go
+++ b/pkg/distribution/handle.go
@@ -9,7 +9,8 @@
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
 
-// maxHeard bounds the versions kept per peer; only neighbours are heard.
+// maxHeard bounds the versions kept per peer; only hosts that are or were
+// neighbours are heard.
 const maxHeard = 4096
 
 // handle processes one message of the peer.
@@ -71,9 +72,7 @@
 func (l *link) handleHeartbeat(h *heartbeat) {
 	g := l.g
 	g.mu.Lock()
-	if len(g.heard) < maxHeard && h.Active.Compare(g.heard[l.peer]) > 0 {
-		g.heard[l.peer] = h.Active
-	}
+	g.hear(l.peer, h.Active)
 	synced := g.synced
 	own := g.objects.head.Revision
 	g.mu.Unlock()
@@ -109,6 +108,25 @@
 	}
 }
 
+// hear keeps the highest version heard from a peer; g.mu is held. When too
+// many hosts have been neighbours, an arbitrary one that is linked no more is
+// forgotten.
+func (g *Gossip) hear(peer mesh.HostID, active mesh.ConfigVersion) {
+	if active.Compare(g.heard[peer]) <= 0 {
+		return
+	}
+	g.heard[peer] = active
+	if len(g.heard) <= maxHeard {
+		return
+	}
+	for id := range g.heard {
+		if g.links[id] == nil {
+			delete(g.heard, id)
+			return
+		}
+	}
+}
+
 func (g *Gossip) markSynced() {
 	g.mu.Lock()
 	g.synced = true
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -50,6 +50,19 @@
 	)
 }
 
+const (
+	// maxHosts bounds the records kept. It is several times the design scale of
+	// 2,200 hosts plus the records of those that failed within the retention.
+	maxHosts = 16384
+	// maxIncarnation leaves room to refute any record that is accepted.
+	maxIncarnation = 1 << 62
+)
+
+// valid reports whether a record of a peer may enter the table.
+func valid(r *Host) bool {
+	return r.ID != "" && r.Status >= StatusAlive && r.Status <= StatusLeft && r.Incarnation < maxIncarnation
+}
+
 // Merge joins records heard from other hosts into the table and returns those
 // that changed it. A host that hears it is suspected or failed refutes by
 // raising its incarnation; the refutation is among the changed records.
@@ -58,7 +71,7 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	for _, r := range records {
-		if r.ID == "" || r.Status < StatusAlive || r.Status > StatusLeft {
+		if !valid(&r) {
 			continue
 		}
 		if r.ID == t.self {
@@ -68,7 +81,8 @@
 			continue
 		}
 		r = canonical(clone(r))
-		if e := t.hosts[r.ID]; e != nil && compare(&e.host, &r) >= 0 {
+		e := t.hosts[r.ID]
+		if e != nil && compare(&e.host, &r) >= 0 || e == nil && len(t.hosts) >= maxHosts {
 			continue
 		}
 		t.put(r, now)
--- a/pkg/membership/merge_test.go
+++ b/pkg/membership/merge_test.go
@@ -178,6 +178,28 @@
 	})
 }
 
+// Guards against records of a faulty peer that cannot be refuted or that fill
+// the memory.
+func TestMergeBounds(t *testing.T) {
+	table := NewTable(Host{ID: "self", Incarnation: 1}, Options{})
+	bad := []Host{
+		{ID: "self", Incarnation: ^uint64(0), Status: StatusFailed},
+		{ID: "x", Incarnation: maxIncarnation, Status: StatusAlive},
+		{ID: "", Status: StatusAlive},
+		{ID: "y"},
+		{ID: "y", Status: StatusLeft + 1},
+	}
+	if changed := table.Merge(bad); len(changed) != 0 {
+		t.Errorf("accepted %+v", changed)
+	}
+	for i := range maxHosts + 10 {
+		table.Merge([]Host{{ID: mesh.HostID(fmt.Sprint(i)), Status: StatusAlive}})
+	}
+	if n := len(table.Hosts()); n != maxHosts {
+		t.Errorf("%d records are kept", n)
+	}
+}
+
 // Guards against missed or endless notifications and wrong sequences.
 func TestChanges(t *testing.T) {
 	table := NewTable(Host{ID: "self", Incarnation: 7}, Options{})
