--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -4,10 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"runtime"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -25,7 +22,7 @@
 	for _, count := range []int{8, 16, 32} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
 			for b.Loop() {
-				before, rssBefore := heap(), rss(b)
+				before := heap()
 				nodes := quicMesh(b, count, 4)
 				time.Sleep(15 * time.Second) // surplus links of joining are closed
 				ends := 0
@@ -34,7 +31,6 @@
 				}
 				b.ReportMetric(float64(ends)/float64(count), "links/node")
 				b.ReportMetric(float64(heap()-before)/float64(ends)/1024, "heap_KB/link_end")
-				b.ReportMetric(float64(rss(b)-rssBefore)/float64(count)/1024, "rss_KB/node")
 				sent, packets := sentBy(nodes)
 				time.Sleep(idleTime)
 				s, p := sentBy(nodes)
@@ -109,16 +105,3 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapInuse + m.StackInuse)
 }
-
-// rss returns the resident memory of the process in bytes.
-func rss(b *testing.B) int64 {
-	data, err := os.ReadFile("/proc/self/statm")
-	if err != nil {
-		b.Skip(err)
-	}
-	pages, err := strconv.ParseInt(strings.Fields(string(data))[1], 10, 64)
-	if err != nil {
-		b.Fatal(err)
-	}
-	return pages * int64(os.Getpagesize())
-}
