--- a/pkg/membership/merge_test.go
+++ b/pkg/membership/merge_test.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"reflect"
 	"testing"
 	"testing/synctest"
@@ -12,6 +14,15 @@
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
 
+// TestMain fixes the seed of the property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
 // genRecord draws records that often tie, since ties are where joins go wrong.
 func genRecord(ids ...string) *rapid.Generator[Host] {
 	return rapid.Custom(func(t *rapid.T) Host {
@@ -178,6 +189,28 @@
 	})
 }
 
+// Guards against records of a faulty peer that cannot be refuted or that fill
+// the memory.
+func TestMergeBounds(t *testing.T) {
+	table := NewTable(Host{ID: "self", Incarnation: 1}, Options{})
+	bad := []Host{
+		{ID: "self", Incarnation: ^uint64(0), Status: StatusFailed},
+		{ID: "x", Incarnation: maxIncarnation, Status: StatusAlive},
+		{ID: "", Status: StatusAlive},
+		{ID: "y"},
+		{ID: "y", Status: StatusLeft + 1},
+	}
+	if changed := table.Merge(bad); len(changed) != 0 {
+		t.Errorf("accepted %+v", changed)
+	}
+	for i := range maxHosts + 10 {
+		table.Merge([]Host{{ID: mesh.HostID(fmt.Sprint(i)), Status: StatusAlive}})
+	}
+	if n := len(table.Hosts()); n != maxHosts {
+		t.Errorf("%d records are kept", n)
+	}
+}
+
 // Guards against missed or endless notifications and wrong sequences.
 func TestChanges(t *testing.T) {
 	table := NewTable(Host{ID: "self", Incarnation: 7}, Options{})
