--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -55,6 +55,10 @@
 	errCallerGone = errors.New("caller takes no more of the answer")
 )
 
+// smallAnswer fits into the buffers of a connection, so that no write waits for
+// the caller.
+const smallAnswer = 32 << 10
+
 var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 
 // passAnswer streams a target's answer. It reports errEarlyEnd when the answer
@@ -83,6 +87,11 @@
 // more. A body that arrives in one piece needs no flush of its own.
 func stream(w http.ResponseWriter, resp *http.Response) error {
 	rc := http.NewResponseController(w)
+	if d, ok := resp.Request.Context().Deadline(); ok && (resp.ContentLength < 0 || resp.ContentLength > smallAnswer) {
+		// A caller that does not read must not hold a slot of the target.
+		_ = rc.SetWriteDeadline(d.Add(lingerTime))
+		defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
+	}
 	if resp.ContentLength < 0 {
 		if err := rc.Flush(); err != nil {
 			return errCallerGone
--- a/internal/proxy/reason.go
+++ b/internal/proxy/reason.go
@@ -20,6 +20,7 @@
 	ReasonDepth       Reason = "depth"        // too many calls above this one
 	ReasonTargetGone  Reason = "target_gone"  // the target has left its host
 	ReasonUnreachable Reason = "unreachable"  // no connection could be opened
+	ReasonNodeDown    Reason = "node_down"    // no connection to the node of the target's host
 	ReasonShed        Reason = "shed"         // the target refused for load
 	ReasonQueueFull   Reason = "queue_full"   // the target's queue is full
 	ReasonQueueWait   Reason = "queue_wait"   // waited much longer than expected
--- a/internal/proxy/routes.go
+++ b/internal/proxy/routes.go
@@ -53,9 +53,26 @@
 		for i := range targets {
 			known[routing.Key{Host: targets[i].Host, ID: targets[i].ID}] = true
 			addresses[targets[i].CallAddress] = true
+			p.useLimiter(&targets[i])
 		}
 	}
 	p.tracker.Keep(func(k routing.Key) bool { return known[k] })
 	p.dropPeers(addresses)
 	return t
 }
+
+// useLimiter lets picks see the exact load of a target on this host, which
+// takes calls from other nodes too.
+func (p *Proxy) useLimiter(t *snapshot.Target) {
+	if t.Host != p.cfg.Self {
+		return
+	}
+	id := t.ID
+	p.tracker.Stat(routing.Key{Host: t.Host, ID: id}).SetSource(func() routing.Load {
+		_, limiter, ok := p.cfg.Targets.Lookup(id)
+		if !ok {
+			return routing.Load{}
+		}
+		return routing.Load(limiter.Load())
+	})
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -142,6 +142,9 @@
 	started := time.Now()
 	resp, res := roundTrip(c.p.peer(t.CallAddress), req)
 	res.started = started
+	if res.reason == ReasonUnreachable {
+		res.reason = ReasonNodeDown
+	}
 	if resp == nil {
 		return res
 	}
@@ -219,6 +222,10 @@
 		c.observe(t, move.OutcomeShed, 0)
 	default:
 		t.Stat.Signal(routing.SignalUnreachable, 0, now)
+		if res.reason == ReasonUnreachable {
+			// A target that its own node cannot reach speaks against its version.
+			c.observe(t, move.OutcomeNoAnswer, 0)
+		}
 	}
 }
 
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"flag"
 	"io"
 	"net"
 	"net/http"
@@ -195,6 +196,8 @@
 // Guards against interleavings of faults and calls that break a promise: for
 // each order the target keeps whether it ran, and every answer is compared.
 func TestPromisesHoldUnderRandomFaults(t *testing.T) {
+	_ = flag.Set("rapid.checks", "30") // each check starts four servers
+	defer func() { _ = flag.Set("rapid.checks", "100") }()
 	rapid.Check(t, func(rt *rapid.T) {
 		faults := rapid.SliceOfN(rapid.IntRange(0, 6), 8, 30).Draw(rt, "faults")
 		m := newMesh(t, rules.Rule{Prefix: "/", Timeout: 300 * time.Millisecond})
@@ -268,3 +271,24 @@
 	}
 	_, _ = io.WriteString(w, "order "+id)
 }
+
+// Guards against a caller that does not read its answer and holds a slot.
+func TestCallerThatDoesNotReadFreesTheSlot(t *testing.T) {
+	m := newMesh(t, rules.Rule{Prefix: "/", Timeout: 200 * time.Millisecond})
+	a, b := m.node("a", "dc1"), m.node("b", "dc1")
+	m.target(b, "t", 1, func(w http.ResponseWriter, _ *http.Request) {
+		for range 50 {
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				return
+			}
+		}
+	})
+	c, err := net.Dial("tcp", strings.TrimPrefix(a.caller.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	waitFor(t, func() bool { return b.InFlight() == 1 })
+	waitFor(t, func() bool { return b.targets["t"].limiter.Load().InFlight == 0 && a.InFlight() == 0 })
+}
--- a/pkg/routing/stat.go
+++ b/pkg/routing/stat.go
@@ -44,6 +44,7 @@
 type Stat struct {
 	inFlight atomic.Int64
 	report   atomic.Pointer[loadReport]
+	source   atomic.Pointer[func() Load] // exact load of a target on this host
 	// These are Unix nanoseconds; 0 means never.
 	ejectedUntil atomic.Int64
 	downUntil    atomic.Int64
@@ -99,6 +100,10 @@
 	s.report.Store(&loadReport{Load: l, at: now, own: s.inFlight.Load()})
 }
 
+// SetSource gives the exact load of a target on this host, which then counts
+// instead of reports.
+func (s *Stat) SetSource(load func() Load) { s.source.Store(&load) }
+
 // Hint takes what a health report says about the target. It counts only while
 // there is no recent evidence from calls.
 func (s *Stat) Hint(healthy bool, now time.Time) { s.hint.Store(&hint{healthy: healthy, at: now}) }
@@ -217,6 +222,10 @@
 // load is the work at the target: what its owner reported, corrected by what
 // this node sent since; or only this node's own calls when the report is old.
 func (s *Stat) load(now time.Time) int64 {
+	if f := s.source.Load(); f != nil {
+		l := (*f)()
+		return int64(l.InFlight + l.Queued)
+	}
 	own := s.inFlight.Load()
 	r := s.report.Load()
 	if r == nil || now.Sub(r.at) > loadAge {
