Keep retries for other reasons than load, treat an invalid status as no answer

An overload used up the node's retry budget, so that calls to a target that died meanwhile were refused. An invalid status made the handler panic and kept the slot.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -84,9 +84,14 @@
 	var a attempt
 	ctx, started := req.Context(), time.Now()
 	resp, err := t.RoundTrip(req.WithContext(a.trace(ctx)))
-	if err == nil {
+	if err == nil && resp.StatusCode >= http.StatusOK {
 		return resp, result{}
 	}
+	if err == nil {
+		// No final answer: an upgrade that was not asked for, or no valid status.
+		_ = resp.Body.Close()
+		return nil, result{kind: resultLost, reason: ReasonBrokenLink}
+	}
 	reason := ReasonBrokenLink
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, errSilent):
@@ -126,10 +131,12 @@
 // retryAfterOf reads how long an answer asks to wait.
 func retryAfterOf(h http.Header) time.Duration {
 	if ms, present, ok := intHeader(h, headerRetryAfterMs); present && ok {
-		return time.Duration(ms) * time.Millisecond
+		return time.Duration(min(ms, maxRetryAfterSeconds*1000)) * time.Millisecond
 	}
 	if s, present, ok := intHeader(h, "Retry-After"); present && ok {
-		return time.Duration(s) * time.Second
+		return time.Duration(min(s, maxRetryAfterSeconds)) * time.Second
 	}
 	return 0
 }
+
+const maxRetryAfterSeconds = 3600
--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -108,6 +108,7 @@
 		{"dies after the answer", func(c net.Conn, _, _ int) bool { say(c, goodAnswer); return false }, "POST", nil, false, 200, "", "", 1, ""},
 		{"silent", hang, "POST", nil, true, 504, outcomeUnknown, ReasonTimeout, 1, "unknown.timeout"},
 		{"garbage", func(c net.Conn, _, _ int) bool { say(c, "nonsense\r\n\r\n"); return false }, "POST", nil, true, 502, outcomeUnknown, ReasonBrokenLink, 1, "unknown.broken_link"},
+		{"invalid status", func(c net.Conn, _, _ int) bool { return say(c, "HTTP/1.1 099 No\r\n\r\n") }, "POST", nil, true, 502, outcomeUnknown, ReasonBrokenLink, 1, "unknown.broken_link"},
 		{"sheds", shed, "POST", nil, false, 503, outcomeNotRun, ReasonShed, 1, "refused.shed"},
 		{"sheds, spare", shed, "POST", nil, true, 200, "", "", 1, "retried.load"},
 	}
--- a/internal/proxy/peer.go
+++ b/internal/proxy/peer.go
@@ -13,7 +13,10 @@
 )
 
 // PeerHandler returns the handler for calls from other nodes to the targets of
-// this host. It must be served only to nodes, over mutual TLS.
+// this host. It must be served only to nodes, over mutual TLS. The server's idle
+// timeout must be longer than 90 s, after which other nodes close connections:
+// an order that is sent on a connection as it closes has an unknown outcome.
+// For the same reason a planned stop drains before it closes connections.
 func (p *Proxy) PeerHandler() http.Handler { return http.HandlerFunc(p.servePeer) }
 
 // hop is one call from another node.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -9,6 +9,10 @@
 	// burst is the number of retries that a node may save up. It covers the calls
 	// that one failing target loses before it is taken out.
 	burst = 20
+	// loadReserve is the number of retries that are kept for other reasons than
+	// load. An overload would use up the budget, and a target that dies meanwhile
+	// would cost calls that another target could have taken.
+	loadReserve = burst / 2
 )
 
 // Budget bounds the retries of a node to a share of its calls. Only first
@@ -33,11 +37,11 @@
 	}
 }
 
-// take uses one retry; it reports false when there is none.
-func (b *Budget) take() bool {
+// take uses one retry when more than reserve are left.
+func (b *Budget) take(reserve int64) bool {
 	for {
 		u := b.units.Load()
-		if u < share {
+		if u < (reserve+1)*share {
 			return false
 		}
 		if b.units.CompareAndSwap(u, u-share) {
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -90,7 +90,11 @@
 	if a.Left-d.Wait < minLeft {
 		return Decision{Reason: Deadline}
 	}
-	if !b.take() {
+	reserve := int64(0)
+	if d.Reason == Load {
+		reserve = loadReserve
+	}
+	if !b.take(reserve) {
 		return Decision{Reason: NodeBudget}
 	}
 	return d
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -70,6 +70,21 @@
 	})
 }
 
+// Guards against an overload that takes the retries which calls to a dead target
+// need.
+func TestOverloadLeavesRetries(t *testing.T) {
+	b, rng := NewBudget(), rand.New(rand.NewPCG(1, 1))
+	a := good()
+	a.ByLoad = true
+	for range 10 * burst {
+		Decide(a, b, rng)
+	}
+	a.ByLoad = false
+	if d := Decide(a, b, rng); !d.Retry {
+		t.Errorf("got %+v after an overload", d)
+	}
+}
+
 // Guards against chains in which each level repeats what the level below
 // already repeats: 18 levels of one retry each would run the last target 2^18
 // times. Every run is lost here, and every level retries as often as it may.
