--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -10,11 +10,14 @@
 	"testing/synctest"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/proxy"
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
 
+var _ proxy.Targets = (*Registry)(nil)
+
 const good = `{"service":"orderdesk","version":"tray-1","address":"127.0.0.1:81","slots":12,"connections":130}`
 
 func send(r *Registry, method, path, body string) *httptest.ResponseRecorder {
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -4,10 +4,12 @@
 	"sync"
 
 	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/pkg/retry"
 )
 
-// counters holds the call path's metrics. Counters by reason are registered on
-// first use.
+// counters holds the call path's metrics. The counters of the known reasons
+// exist from the start, so that a scraper sees them at zero.
 type counters struct {
 	registry metrics.Registry
 	calls    metrics.Counter // calls from callers
@@ -16,24 +18,31 @@
 }
 
 func newCounters(r metrics.Registry) counters {
-	return counters{
+	c := counters{
 		registry: r,
 		calls:    metrics.GetOrRegisterCounter("calls.received", r),
 		hops:     metrics.GetOrRegisterCounter("hops.received", r),
 		byName:   &sync.Map{},
 	}
+	for kind, reasons := range knownReasons {
+		for _, reason := range reasons {
+			c.counter(kind, reason)
+		}
+	}
+	return c
 }
 
 // inc counts an event whose name is a kind and a reason.
-func (c *counters) inc(kind string, reason Reason) {
+func (c *counters) inc(kind string, reason Reason) { c.counter(kind, reason).Inc(1) }
+
+func (c *counters) counter(kind string, reason Reason) metrics.Counter {
 	key := counterKey{kind, reason}
 	if m, ok := c.byName.Load(key); ok {
-		m.(metrics.Counter).Inc(1)
-		return
+		return m.(metrics.Counter)
 	}
 	m := metrics.GetOrRegisterCounter(kind+"."+string(reason), c.registry)
 	c.byName.Store(key, m)
-	m.Inc(1)
+	return m
 }
 
 type counterKey struct {
@@ -51,3 +60,21 @@
 	kindHop      = "hop"      // refused to another node
 	kindHopLost  = "hop_lost" // unknown to another node
 )
+
+var (
+	refusalReasons = []Reason{
+		ReasonNotReady, ReasonDraining, ReasonNoRoute, ReasonNoTarget, ReasonBadRequest, ReasonDepth, ReasonTargetGone,
+		ReasonUnreachable, ReasonNodeDown, ReasonShed, ReasonQueueFull, ReasonQueueWait, ReasonDeadline, ReasonCancelled, ReasonBody,
+	}
+	unknownReasons = []Reason{ReasonTimeout, ReasonBrokenLink, ReasonCancelled}
+
+	knownReasons = map[string][]Reason{
+		kindRefused: refusalReasons, kindHop: refusalReasons, kindUnknown: unknownReasons, kindHopLost: unknownReasons,
+		kindAborted: {ReasonEarlyEnd, ReasonCancelled},
+		kindRetried: {Reason(retry.NotRun), Reason(retry.Load), Reason(retry.NoAnswer)},
+		kindNotTried: {
+			ReasonNoTarget, Reason(retry.NotIdempotent), Reason(retry.Tries), Reason(retry.Deadline), Reason(retry.PathBudget),
+			Reason(retry.NodeBudget), Reason(retry.Body), Reason(retry.Cancelled),
+		},
+	}
+)
--- a/internal/proxy/reason.go
+++ b/internal/proxy/reason.go
@@ -33,6 +33,7 @@
 const (
 	ReasonTimeout    Reason = "timeout"     // no answer within the deadline
 	ReasonBrokenLink Reason = "broken_link" // the connection broke before the answer
+	ReasonEarlyEnd   Reason = "early_end"   // the answer ended before it was whole
 )
 
 // fromAdmission takes over the limiter's reasons, which have the same names.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -52,7 +52,10 @@
 		Replayable: c.body.replayable(), Cancelled: c.r.Context().Err() != nil,
 		Tries: len(c.tried.Targets), LoadTries: c.loadTries, Left: time.Until(c.deadline), PathBudget: c.budget,
 	}, c.p.retries, c.p.rng)
-	if !d.Retry || !c.pause(d.Wait) {
+	if d.Retry && !c.pause(d.Wait) {
+		d = retry.Decision{Reason: retry.Cancelled}
+	}
+	if !d.Retry {
 		c.p.counters.inc(kindNotTried, Reason(d.Reason))
 		return nil
 	}
@@ -205,7 +208,7 @@
 	if k == move.OutcomeCancelled {
 		return ReasonCancelled
 	}
-	return "early_end"
+	return ReasonEarlyEnd
 }
 
 // learn takes what an attempt without an answer shows about the target.
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -17,6 +17,7 @@
 
 	"pgregory.net/rapid"
 
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/rules"
 	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
 )
@@ -54,6 +55,29 @@
 	checkFault(t, m, n, "GET", nil, 503, outcomeNotRun, ReasonNotReady)
 }
 
+// Guards against work for a target that has left or has been replaced, when
+// other nodes have not heard of it yet.
+func TestTargetThatLeftTakesNoWork(t *testing.T) {
+	for _, tc := range []struct {
+		change func(*localTarget)
+		reason Reason
+	}{
+		{func(l *localTarget) { l.State = membership.TargetDraining }, ReasonDraining},
+		{func(l *localTarget) { l.Version = "tray-2" }, ReasonTargetGone},
+		{func(l *localTarget) { l.Service = "galley" }, ReasonTargetGone},
+	} {
+		m := newMesh(t, rules.Rule{Prefix: "/"})
+		a, b := m.node("a", "dc1"), m.node("b", "dc1")
+		m.target(b, "t", 4, func(http.ResponseWriter, *http.Request) { t.Error("the target got a call") })
+		l := b.targets["t"]
+		tc.change(&l)
+		b.targets["t"] = l
+		for _, n := range []*testNode{a, b} {
+			checkFault(t, m, n, "POST", nil, 503, outcomeNotRun, tc.reason)
+		}
+	}
+}
+
 // Guards against a proxy that holds back a body until it is complete, in
 // either direction and across two nodes.
 func TestBodiesStreamBothWays(t *testing.T) {
