--- a/pkg/routing/params.go
+++ b/pkg/routing/params.go
@@ -46,7 +46,8 @@
 	// call is tried at another target. Rarely slow routes are not cut off by it.
 	silenceFactor = 10
 
-	// spillLoad is the share of a remote target's limit above which calls are
-	// not failed over to it, so that an overload is not passed on.
+	// spillLoad is the share of a target's limit above which calls from another
+	// data centre and calls that were refused for load are not sent to it, so
+	// that an overload is not passed on.
 	spillLoad = 0.8
 )
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -62,17 +62,17 @@
 }
 
 // Pick returns the target for a call, or nil when there is none. It prefers
-// the own data centre. A call that was refused for load is not sent to another
-// data centre, and neither is any call to a remote target that is near its
-// limit, so that an overload is not passed on. Targets that are suspected or
-// ejected are used only when there is no other.
+// the own data centre. A call that was refused for load is sent only to a target
+// of the own data centre that has room, and no call to a remote target that is
+// near its limit, so that an overload is not passed on. Targets that are
+// suspected or ejected are used only when there is no other.
 func (s *Set) Pick(now time.Time, rng *rand.Rand, tried *Tried) *Candidate {
+	if tried.Shed {
+		return pickAble(s.own, now, rng, tried, true)
+	}
 	if c := pickAble(s.own, now, rng, tried, false); c != nil {
 		return c
 	}
-	if tried.Shed {
-		return nil
-	}
 	if c := pickAble(s.other, now, rng, tried, true); c != nil {
 		return c
 	}
--- a/pkg/routing/set_test.go
+++ b/pkg/routing/set_test.go
@@ -75,6 +75,10 @@
 		{"a refusal for load is not passed on", []string{"o1", "r1"}, func(c map[string]*Candidate, tr *Tried) {
 			tr.Targets, tr.Shed = []*Candidate{c["o1"]}, true
 		}, 0, []string{""}},
+		{"a refusal for load goes to a target with room", []string{"o1", "o2", "o3", "r1"}, func(c map[string]*Candidate, tr *Tried) {
+			tr.Targets, tr.Shed = []*Candidate{c["o1"]}, true
+			c["o2"].Stat.SetSource(func() Load { return Load{InFlight: 12, Queued: 9, Limit: 12} })
+		}, 0, []string{"o3"}},
 		{"fails over when the own are unreachable", []string{"o1", "o2", "r1"}, func(c map[string]*Candidate, _ *Tried) {
 			signals(c["o1"], SignalUnreachable, 2)
 			signals(c["o2"], SignalUnreachable, 2)
--- a/pkg/routing/stat.go
+++ b/pkg/routing/stat.go
@@ -238,11 +238,13 @@
 	if s.shedding(now) {
 		return true
 	}
-	r := s.report.Load()
-	if r == nil || now.Sub(r.at) > loadAge {
-		return false
+	limit := 0
+	if f := s.source.Load(); f != nil {
+		limit = (*f)().Limit
+	} else if r := s.report.Load(); r != nil && now.Sub(r.at) <= loadAge {
+		limit = r.Limit
 	}
-	return float64(s.load(now)) >= spillLoad*float64(max(1, r.Limit))
+	return limit > 0 && float64(s.load(now)) >= spillLoad*float64(limit)
 }
 
 // Tracker keeps the Stat of every target across snapshots.
