--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -110,13 +110,15 @@
 }
 
 // patience bounds the wait of a queued call. A call that waits several times
-// longer than expected is refused while there is time for another target.
+// longer than expected is refused while there is time for another target. Two
+// service times are always allowed: when calls started together, the first slot
+// is free only after a whole one.
 func (l *Limiter) patience(w *waiter, now time.Time) time.Duration {
 	half := w.deadline.Sub(now) / 2
 	if l.service.mean == 0 {
 		return min(blindPatience, half)
 	}
-	return min(max(patienceFactor*l.expectedWait(w.class, w.deadline), minPatience), half)
+	return min(max(2*l.service.mean+patienceFactor*l.expectedWait(w.class, w.deadline), minPatience), half)
 }
 
 const (
--- a/pkg/admission/limiter_test.go
+++ b/pkg/admission/limiter_test.go
@@ -78,6 +78,24 @@
 	}
 }
 
+// Guards against a wait that ends too early when all calls at the target were
+// started together, and too late when the target is frozen.
+func TestPatience(t *testing.T) {
+	for busy, want := range map[time.Duration]Reason{95 * time.Millisecond: "", time.Minute: ReasonQueueWait} {
+		synctest.Test(t, func(t *testing.T) {
+			l := New(Config{Slots: 12, Connections: 12})
+			fill(l, 12, 100*time.Millisecond)
+			timer := time.AfterFunc(busy, func() { l.Release(Done{Answer: true, Service: busy}) })
+			defer timer.Stop()
+			began := time.Now()
+			err := l.Acquire(t.Context(), mesh.ClassUrgent, began.Add(2*time.Second))
+			if reasonOf(err) != want || time.Since(began) > 500*time.Millisecond {
+				t.Errorf("slot free after %s: got %v after %s", busy, err, time.Since(began))
+			}
+		})
+	}
+}
+
 // Guards against a queue that ignores deadlines or classes, and against a
 // class that starves.
 func TestQueueOrder(t *testing.T) {
