--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -52,7 +52,10 @@
 		Replayable: c.body.replayable(), Cancelled: c.r.Context().Err() != nil,
 		Tries: len(c.tried.Targets), LoadTries: c.loadTries, Left: time.Until(c.deadline), PathBudget: c.budget,
 	}, c.p.retries, c.p.rng)
-	if !d.Retry || !c.pause(d.Wait) {
+	if d.Retry && !c.pause(d.Wait) {
+		d = retry.Decision{Reason: retry.Cancelled}
+	}
+	if !d.Retry {
 		c.p.counters.inc(kindNotTried, Reason(d.Reason))
 		return nil
 	}
@@ -142,6 +145,9 @@
 	started := time.Now()
 	resp, res := roundTrip(c.p.peer(t.CallAddress), req)
 	res.started = started
+	if res.reason == ReasonUnreachable {
+		res.reason = ReasonNodeDown
+	}
 	if resp == nil {
 		return res
 	}
@@ -202,7 +208,7 @@
 	if k == move.OutcomeCancelled {
 		return ReasonCancelled
 	}
-	return "early_end"
+	return ReasonEarlyEnd
 }
 
 // learn takes what an attempt without an answer shows about the target.
@@ -219,6 +225,10 @@
 		c.observe(t, move.OutcomeShed, 0)
 	default:
 		t.Stat.Signal(routing.SignalUnreachable, 0, now)
+		if res.reason == ReasonUnreachable {
+			// A target that its own node cannot reach speaks against its version.
+			c.observe(t, move.OutcomeNoAnswer, 0)
+		}
 	}
 }
 
