--- a/pkg/move/evidence.go
+++ b/pkg/move/evidence.go
@@ -81,6 +81,11 @@
 	return min(latencyBuckets-1, 1+int(2*math.Log2(float64(d)/float64(latencyUnit))))
 }
 
+// bad reports whether the call ended as a failure of any kind.
+func (k OutcomeKind) bad() bool {
+	return k == OutcomeFailed || k == OutcomeEarlyEnd || k == OutcomeNoAnswer
+}
+
 func (c *Counters) add(o *Outcome) {
 	if o.Cold {
 		c.Cold++
--- a/pkg/move/pool.go
+++ b/pkg/move/pool.go
@@ -55,8 +55,8 @@
 	out := map[mesh.HostID][]Evidence{}
 	for _, id := range c.order {
 		p := c.moves[id]
-		if !p.judged() {
-			continue
+		if !p.judged() || p.state == StateDone {
+			continue // after the watch period each node judges only what it sees
 		}
 		if all || p.seenChanged {
 			c.sendSeen(p, out)
--- a/pkg/move/tally.go
+++ b/pkg/move/tally.go
@@ -52,6 +52,12 @@
 	}
 }
 
+// observe adds one outcome.
+func (t *tally) observe(side Side, target mesh.HostID, o *Outcome) {
+	t.group(side, target).add(o)
+	t.urgent = t.urgent || (side == SideNew && (o.Kind.bad() || o.Kind == OutcomeShed))
+}
+
 // due reports whether the batch is judged now: at once with failures, else every second.
 func (t *tally) due(now time.Duration) bool { return t.urgent || now-t.at >= evidencePeriod }
 
