--- a/internal/bench/moves/calls.go
+++ b/internal/bench/moves/calls.go
@@ -17,7 +17,11 @@
 
 // call runs one call that enters the mesh at a random node of a data centre.
 func (r *run) call(dc int, load float64) {
-	n := r.byDC[dc][r.rng.IntN(len(r.byDC[dc]))]
+	entries := len(r.byDC[dc])
+	if r.entry > 0 {
+		entries = r.entry
+	}
+	n := r.byDC[dc][r.rng.IntN(entries)]
 	p := place{at: r.at(), dc: dc, load: load, sinceS: r.now.Seconds()}
 	if r.rng.IntN(3) == 0 {
 		r.otherCall(n, p)
--- a/internal/bench/moves/run.go
+++ b/internal/bench/moves/run.go
@@ -48,6 +48,7 @@
 	rate     float64 // calls of the moved service per second and data centre
 	window   time.Duration
 	tickEach time.Duration
+	entry    int     // nodes in each data centre that callers use; 0 means all
 	until    float64 // end as a part of the window
 	rng      *rand.Rand
 	roll     roll
--- a/internal/bench/moves/run_test.go
+++ b/internal/bench/moves/run_test.go
@@ -1,6 +1,9 @@
 package moves
 
 import (
+	"bytes"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 )
@@ -22,3 +25,14 @@
 		}
 	}
 }
+
+// Guards against a plot that the library rejects or leaves empty.
+func TestPlot(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "moves.svg")
+	if err := Plot(path); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := os.ReadFile(path); err != nil || !bytes.Contains(b, []byte("<path")) {
+		t.Fatalf("%d bytes, %v", len(b), err)
+	}
+}
--- a/pkg/move/pool.go
+++ b/pkg/move/pool.go
@@ -12,6 +12,7 @@
 // ratios are multiplied. This finds faults with little traffic, where no single
 // data centre sees enough calls.
 type pool struct {
+	id   mesh.MoveID // what the evaluator of the mesh is chosen by
 	duty duty
 	eval [signals]detector
 	at   time.Duration // monotonic time of the last judgement
@@ -24,15 +25,10 @@
 
 func (p *progress) poolKey() poolKey { return poolKey{p.rule.Target(), p.rule.Attempt} }
 
-// meshEvaluator returns the host that judges a version for the whole mesh.
-func meshEvaluator(k poolKey, hosts []mesh.HostID) mesh.HostID {
-	return Evaluator(mesh.MoveID(fmt.Sprintf("%s#%d", k.version, k.attempt)), hosts)
-}
-
 func (c *Controller) pool(p *progress) *pool {
 	k := p.poolKey()
 	if c.pools[k] == nil {
-		c.pools[k] = &pool{at: c.mono}
+		c.pools[k] = &pool{id: mesh.MoveID(fmt.Sprintf("%s#%d", k.version, k.attempt)), at: c.mono}
 	}
 	return c.pools[k]
 }
@@ -128,7 +124,7 @@
 		return
 	}
 	q.duty.checked = c.mono
-	q.duty.host = meshEvaluator(p.poolKey(), c.cfg.MeshHosts())
+	q.duty.host = Evaluator(q.id, c.cfg.MeshHosts())
 	on := q.duty.host == c.cfg.Self
 	if on && !q.duty.on {
 		q.duty.since, q.duty.skip = c.mono, p.step > 0
