--- a/pkg/move/apply.go
+++ b/pkg/move/apply.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/chart"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
@@ -77,10 +78,7 @@
 // applyMove starts a move or edits a known one. A move that returns after a
 // withdrawal starts again from its schedule.
 func (c *Controller) applyMove(id mesh.MoveID, r *rules.Rule, s *snapshot.Snapshot, restart bool) *progress {
-	accepted, ok := s.Accepted[id]
-	if !ok {
-		accepted = s.Head.AcceptedAt
-	}
+	accepted, known := acceptedAt(id, s)
 	p, ok := c.moves[id]
 	if !ok || p.state == StateWithdrawn {
 		c.made++
@@ -90,13 +88,15 @@
 		}
 		c.moves[id] = p
 	}
+	if known {
+		p.schedule.Accepted = accepted
+	}
 	p.rule = *r
 	p.setTargets(s)
 	if v, ok := c.vetoes[r.Target()]; ok && v.Attempt >= r.Attempt {
 		c.takeBack(p, v)
 	}
 	if !p.schedule.By.Equal(r.By) {
-		p.schedule.By = r.By
 		c.fire(p, eventNewTime)
 	}
 	if restart {
@@ -107,6 +107,19 @@
 	return p
 }
 
+// acceptedAt returns when a move was accepted and whether the snapshot says so.
+// Without it the acceptance of the head counts, and without that the moment the
+// snapshot was built: later is the safe side, since the share is then smaller.
+func acceptedAt(id mesh.MoveID, s *snapshot.Snapshot) (at time.Time, known bool) {
+	if t, ok := s.Accepted[id]; ok {
+		return t, true
+	}
+	if s.Head.AcceptedAt.IsZero() {
+		return s.BuiltAt, false
+	}
+	return s.Head.AcceptedAt, false
+}
+
 // setTargets counts the target hosts of both versions.
 func (p *progress) setTargets(s *snapshot.Snapshot) {
 	p.hosts = map[mesh.DataCentre]hostCount{}
@@ -183,7 +196,7 @@
 		case actionZeroShare:
 			p.step = -1
 		case actionReschedule:
-			p.duty.watched = false
+			p.schedule.By = p.rule.By
 		case actionReportFault:
 			c.reportFault(p)
 		}
--- a/pkg/move/judge.go
+++ b/pkg/move/judge.go
@@ -1,67 +1,14 @@
 package move
 
 import (
-	"fmt"
 	"maps"
 	"math"
 	"slices"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
-	"nutmeghoist.example/nutmeghoist/pkg/source"
 )
 
-// The false-alarm budget of one move over its whole life is shared by the local
-// tests of all nodes of the largest mesh, the tests of the evaluators in the data
-// centres and those of the mesh's evaluator.
-const (
-	falseAlarms   = 1e-3
-	localBudget   = falseAlarms / 2
-	centreBudget  = falseAlarms / 4
-	meshBudget    = falseAlarms / 4
-	maxNodes      = 2200
-	maxCentres    = 16
-	holdEvaluator = 1e3 // the statistic is below this with probability 0.999 while the versions are equal
-	holdLocal     = 1e4
-	holdRelease   = 10 // below this a held move goes on
-)
-
-// budgetParts divide an evaluator's budget between the signals.
-var budgetParts = [signals]float64{signalFailure: 0.5, signalCold: 0.1, signalSlow: 0.2, signalShed: 0.2}
-
-// localThreshold is the logarithm of the statistic from which a node takes a
-// version back by itself.
-var localThreshold = math.Log(maxNodes * maxCentres / localBudget)
-
-// threshold is the same for one signal of an evaluator.
-func threshold(budget float64, sig signal) float64 { return -math.Log(budget * budgetParts[sig]) }
-
-// Rates of bad outcomes that are always tolerated.
-const (
-	failureLimit = 0.01 // callers of a healthy service already see some failures
-	coldLimit    = 0.25 // failures of targets that warm up
-	slowLimit    = 0.05 // part of the calls above twice the median
-	shedLimit    = 0.05
-	shedLoad     = 1.2 // sheds count only when a target host has at most this multiple of the old version's load
-)
-
-// takeoverPause is how long an evaluator that starts in the middle of a move
-// only takes counters as its starting point: sums over steps with different
-// shares would not be comparable.
-const takeoverPause = 5 * time.Second
-
-type signal int
-
-const (
-	signalFailure signal = iota
-	signalCold
-	signalSlow
-	signalShed
-	signals // number of signals
-)
-
-var signalNames = [...]string{"failed", "failed while warming up", "were slow", "were shed"}
-
 // stream is the judgement of one move in one data centre.
 type stream struct {
 	seen  *tally // what this node saw
@@ -78,7 +25,6 @@
 	checked time.Duration
 	host    mesh.HostID // who has the duty, as of the last check
 	skip    bool        // took over in the middle of the move
-	watched bool        // the budget after the watch period has begun
 }
 
 // judged reports whether evidence about the move still matters.
@@ -236,11 +182,21 @@
 	elapsed := s.seen.close(c.mono)
 	s.local.update(p.failures(s.seen), p.weight(elapsed))
 	s.seen.clear()
-	if s.local.value(p.hosts[dc].fresh) >= localThreshold {
+	if s.local.value(c.witnesses(p, dc)) >= localThreshold {
 		c.condemn(p, c.sentence(p, dc, signalFailure))
 	}
 }
 
+// witnesses is the number of target hosts that could speak for the version. With
+// an evaluator of the mesh, a data centre with one target host leaves the verdict
+// on that host to it.
+func (c *Controller) witnesses(p *progress, dc mesh.DataCentre) int {
+	if c.cfg.MeshHosts == nil {
+		return p.hosts[dc].fresh
+	}
+	return p.freshHosts()
+}
+
 // reportLife replaces the life of a move after the watch period, so that false
 // reports stay below the same bound for each day.
 const reportLife = 24 * time.Hour
@@ -266,7 +222,7 @@
 			continue
 		}
 		s.eval[sig].update(b, p.weight(elapsed))
-		if s.eval[sig].value(p.hosts[dc].fresh) >= threshold(centreBudget/float64(max(1, len(p.hosts))), signal(sig)) {
+		if s.eval[sig].value(c.witnesses(p, dc)) >= threshold(centreBudget/float64(max(1, len(p.hosts))), signal(sig)) {
 			c.condemn(p, c.sentence(p, dc, signal(sig)))
 			return
 		}
@@ -282,9 +238,9 @@
 		clear = clear && v < math.Log(holdRelease)
 	}
 	for dc, s := range p.streams {
-		look(&s.local, p.hosts[dc].fresh, holdLocal)
+		look(&s.local, c.witnesses(p, dc), holdLocal)
 		for i := range s.eval {
-			look(&s.eval[i], p.hosts[dc].fresh, holdEvaluator)
+			look(&s.eval[i], c.witnesses(p, dc), holdEvaluator)
 		}
 	}
 	for i := range c.pool(p).eval {
@@ -298,65 +254,3 @@
 		p.stepAt = c.mono // the next step waits for its length again
 	}
 }
-
-// condemn takes the version back, or only reports the fault after the watch period.
-func (c *Controller) condemn(p *progress, text string) {
-	if p.state == StateDone {
-		if p.fault == "" {
-			p.fault = text
-			c.fire(p, eventFault)
-		}
-		return
-	}
-	veto := source.Veto{
-		Service: p.rule.Service, Version: p.rule.Version, Attempt: p.rule.Attempt,
-		Route: p.rule.Route(), Evidence: text, Host: c.cfg.Self, At: c.now,
-	}
-	c.recordVeto(veto)
-	if c.cfg.OnVeto != nil {
-		c.pending = append(c.pending, func() { c.cfg.OnVeto(veto) })
-	}
-}
-
-func (c *Controller) reportFault(p *progress) {
-	if c.cfg.OnFault != nil {
-		id, text := p.id, p.fault
-		c.pending = append(c.pending, func() { c.cfg.OnFault(id, text) })
-	}
-}
-
-// sentence puts the evidence in one sentence with numbers.
-func (c *Controller) sentence(p *progress, dc mesh.DataCentre, sig signal) string {
-	t := newTally(0)
-	count := func(k rowKey, n *Counters) { t.group(k.side, k.target).combine(n, sum) }
-	c.own.each(p.id, dc, count)
-	c.merged.each(p.id, dc, count)
-	return fmt.Sprintf("in data centre %s on route %q, %s", dc, p.rule.Route(), t.comparison(p, sig))
-}
-
-// comparison words the counts of both versions.
-func (t *tally) comparison(p *progress, sig signal) string {
-	fresh := Counters{}
-	for _, n := range t.fresh {
-		fresh.combine(n, sum)
-	}
-	edge := slowEdge(&t.old)
-	n, bad := fresh.judged(sig, edge)
-	oldN, oldBad := t.old.judged(sig, edge)
-	return fmt.Sprintf("%d of %d calls to %s %s, against %d of %d calls to %s",
-		bad, n, p.rule.Target(), signalNames[sig], oldBad, oldN, p.rule.From)
-}
-
-// judged returns the calls and the bad ones that a signal looks at.
-func (c *Counters) judged(sig signal, edge int) (n, bad uint64) {
-	switch sig {
-	case signalCold:
-		return c.Cold, c.ColdFailed
-	case signalSlow:
-		slow, all := c.slower(edge)
-		return all, slow
-	case signalShed:
-		return c.Calls + c.Shed, c.Shed
-	}
-	return c.Calls, c.bad()
-}
--- a/pkg/move/judge_test.go
+++ b/pkg/move/judge_test.go
@@ -211,3 +211,34 @@
 		t.Errorf("%d messages in a minute, want at most %d", sent, limit)
 	}
 }
+
+// Guards against a dying host that is the only one in its data centre: while the
+// version is well elsewhere, the host is the suspect.
+func TestOnlyHostOfDataCentre(t *testing.T) {
+	for _, other := range []OutcomeKind{OutcomeOK, OutcomeFailed} {
+		vetoes := 0
+		self := func() []mesh.HostID { return []mesh.HostID{"h1"} }
+		c := NewController(Config{Self: "h1", DataCentre: "a", Hosts: self, MeshHosts: self, OnVeto: func(source.Veto) { vetoes++ }})
+		s := testSnapshot(1, start, testRule(start.Add(time.Minute)))
+		targets := testTargets("tray-2", "h1", "b1")
+		targets[1].DataCentre = "b"
+		s.Targets[mesh.ServiceVersion{Service: "orderdesk", Version: "tray-2"}] = targets
+		c.Apply(s)
+		call := func(v mesh.TargetVersion, h mesh.HostID, dc mesh.DataCentre, k OutcomeKind) {
+			c.Observe(Outcome{Service: "orderdesk", Version: v, Route: "GET /menus", Host: h, DataCentre: dc, Kind: k, Latency: time.Millisecond})
+		}
+		for i := range 50 {
+			c.Tick(start.Add(time.Duration(i) * 200 * time.Millisecond))
+			c.Outbox()
+			for range 100 {
+				call("tray-1", "h1", "a", OutcomeOK)
+				call("tray-1", "b1", "b", OutcomeOK)
+			}
+			call("tray-2", "h1", "a", OutcomeFailed)
+			call("tray-2", "b1", "b", other)
+		}
+		if want := other == OutcomeFailed; (vetoes > 0) != want {
+			t.Errorf("other host %v: %d vetoes, want one: %v", other, vetoes, want)
+		}
+	}
+}
