--- a/internal/bench/moves/run_test.go
+++ b/internal/bench/moves/run_test.go
@@ -36,3 +36,12 @@
 		t.Fatalf("%d bytes, %v", len(b), err)
 	}
 }
+
+// BenchmarkTable prints the full table; docs/moves.md quotes it.
+func BenchmarkTable(b *testing.B) {
+	for b.Loop() {
+		if err := Run(os.Stdout, Options{Seed: 1}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
