--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -96,6 +96,8 @@
 	centres  []mesh.DataCentre // keys of streams, sorted, so that runs repeat exactly
 	duty     duty
 
+	controlBase map[mesh.DataCentre]*Counters // calls to other services before they were counted
+
 	seenChanged   bool // since the last Outbox, by this node's calls
 	mergedChanged bool // the same by other nodes' evidence
 }
--- a/pkg/move/judge.go
+++ b/pkg/move/judge.go
@@ -74,17 +74,6 @@
 	}
 }
 
-// count adds what this node saw.
-func (c *Controller) count(p *progress, side Side, dc mesh.DataCentre, target mesh.HostID, delta *Counters) {
-	c.own.row(p.id, rowKey{c.cfg.Self, p.instance, side, dc, target}).combine(delta, sum)
-	p.seenChanged = p.seenChanged || side != SideControl || p.full()
-	s := p.stream(dc, c.mono)
-	s.seen.add(side, target, delta)
-	if p.duty.on {
-		s.all.add(side, target, delta)
-	}
-}
-
 // merge joins what another node saw.
 func (c *Controller) merge(p *progress, from mesh.HostID, e *Evidence) {
 	if e.Observer != "" {
@@ -105,12 +94,33 @@
 	}
 }
 
-// countControl adds the calls to other services since the last time.
+// countControl adds the calls to other services since the last time. They are
+// needed at the full share only and counted from the step before it.
 func (c *Controller) countControl(p *progress) {
-	for dc, n := range c.control.others(p.rule.Service) {
-		delta := *n
-		delta.combineScalars(c.own.row(p.id, rowKey{c.cfg.Self, p.instance, SideControl, dc, ""}), minus)
-		c.count(p, SideControl, dc, "", &delta)
+	if p.step < lastStep-1 {
+		return
+	}
+	others := c.control.others(p.rule.Service)
+	if p.controlBase == nil {
+		p.controlBase = others
+		return
+	}
+	for dc, n := range others {
+		if base := p.controlBase[dc]; base != nil {
+			n.combineScalars(base, minus)
+		}
+		n.combineScalars(c.own.row(p.id, rowKey{c.cfg.Self, p.instance, SideControl, dc, ""}), minus)
+		c.countControlDelta(p, dc, n)
+	}
+}
+
+func (c *Controller) countControlDelta(p *progress, dc mesh.DataCentre, delta *Counters) {
+	c.own.row(p.id, rowKey{c.cfg.Self, p.instance, SideControl, dc, ""}).combineScalars(delta, sum)
+	p.seenChanged = p.seenChanged || p.full()
+	s := p.stream(dc, c.mono)
+	s.seen.add(SideControl, "", delta)
+	if p.duty.on {
+		s.all.add(SideControl, "", delta)
 	}
 }
 
