--- a/internal/bench/moves/plot.go
+++ b/internal/bench/moves/plot.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"image/color"
 	"math/rand/v2"
+	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -12,6 +13,9 @@
 	"nutmeghoist.example/nutmeghoist/pkg/move"
 )
 
+// plotEvery keeps the file small; the shares of the nodes differ for less time.
+const plotEvery = 500 * time.Millisecond
+
 // Plot writes an SVG file with the share of a good and of a bad version over
 // time, averaged over the nodes of the larger mesh.
 func Plot(path string) error {
@@ -48,7 +52,11 @@
 			kind: &cases[i], size: &sizes[0], rate: usual.rate, window: usual.window, until: usual.until,
 			tickEach: usual.tick, rng: rand.New(rand.NewPCG(1, 0)),
 		}
-		r.onStep = func(r *run) { points = append(points, plotter.XY{X: r.now.Seconds(), Y: r.meanShare()}) }
+		r.onStep = func(r *run) {
+			if r.now%plotEvery == 0 {
+				points = append(points, plotter.XY{X: r.now.Seconds(), Y: r.meanShare()})
+			}
+		}
 		r.simulate()
 	}
 	return points
