--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,312 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/chart"
+	"nutmeghoist.example/nutmeghoist/pkg/distribution"
+	"nutmeghoist.example/nutmeghoist/pkg/finding"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+const (
+	// floorTimeout bounds each request of an attempt to learn the floor at start.
+	floorTimeout = 3 * time.Second
+	// startBackoffMax bounds the pause between attempts; the pause is drawn
+	// uniformly below it, so that a herd of starting nodes spreads out.
+	startBackoffMax = 2 * time.Second
+	// rebuildInterval bounds how often changes of the target sets build a new
+	// snapshot: 20 a second is well below the 3 s bound for a leaving target.
+	rebuildInterval = 50 * time.Millisecond
+)
+
+// candidate is a configuration on its way into force.
+type candidate struct {
+	head  source.Head
+	text  []byte
+	rules []rules.Rule
+	fault error // why it was refused
+}
+
+// accepted is a configuration that passed this node's checks.
+type accepted struct {
+	head  source.Head
+	rules []rules.Rule
+}
+
+// establishFloor learns the lowest version that this node may serve, from the
+// platform and from its neighbours, and returns when one of them has answered.
+func (n *Node) establishFloor(ctx context.Context) error {
+	for {
+		err := n.tryFloor(ctx)
+		if err == nil || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		n.count("floor.attempt_failed")
+		n.log.Warn().Err(err).Msg("floor not known yet")
+		if !sleep(ctx, n.jitter(startBackoffMax)) {
+			return ctx.Err()
+		}
+	}
+}
+
+// tryFloor asks the neighbours and the platform at the same time, each within a
+// time of its own: a host without neighbours, such as the first one of a mesh,
+// waits for them in vain and must still learn the platform's head.
+func (n *Node) tryFloor(ctx context.Context) error {
+	var head source.Head
+	var headErr error
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		headErr = within(ctx, floorTimeout, func(ctx context.Context) (err error) {
+			head, err = n.source.Head(ctx)
+			return err
+		})
+	}()
+	var peers distribution.Floor
+	peersErr := within(ctx, floorTimeout, func(ctx context.Context) (err error) {
+		peers, err = n.gossip.Floor(ctx)
+		return err
+	})
+	<-read
+	if peersErr == nil {
+		// Before anything is adopted: the platform may answer with an older head.
+		n.holder.SetFloor(peers.Version)
+	}
+	switch {
+	case headErr == nil:
+		if err := within(ctx, floorTimeout, func(ctx context.Context) error { return n.adopt(ctx, head) }); err != nil {
+			return err
+		}
+		if err := within(ctx, floorTimeout, n.loadVetoes); err != nil {
+			return err
+		}
+	case errors.Is(headErr, platform.ErrNotFound):
+		n.log.Info().Msg("no configuration has been accepted yet")
+	case peersErr == nil:
+		n.count("floor.from_neighbours")
+		n.log.Warn().Err(headErr).Str("floor", peers.Version.String()).Msg("platform out of reach, floor taken from neighbours")
+	default:
+		return fmt.Errorf("neither the platform (%w) nor a neighbour (%w) answered", headErr, peersErr)
+	}
+	return nil
+}
+
+// within calls f with a context that ends after d.
+func within(ctx context.Context, d time.Duration, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return f(ctx)
+}
+
+// adopt fetches the text of a head that is newer than the node's own and hands
+// both to the gossip, which pushes them on and calls takeHead.
+func (n *Node) adopt(ctx context.Context, head source.Head) error {
+	if current, _, ok := n.gossip.Head(); ok && current.Revision >= head.Revision {
+		return nil
+	}
+	text, err := n.source.Text(ctx, head.Hash)
+	if err != nil {
+		return fmt.Errorf("text of revision %d: %w", head.Revision, err)
+	}
+	return n.gossip.AnnounceHead(head, text)
+}
+
+func (n *Node) loadVetoes(ctx context.Context) error {
+	vetoes, err := n.source.Vetoes(ctx)
+	if err != nil {
+		return fmt.Errorf("vetoes: %w", err)
+	}
+	for _, v := range vetoes {
+		if err := n.gossip.AddVeto(v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// takeHead is called by the gossip with each newer head and its text. Before the
+// floor is known the newest one waits.
+func (n *Node) takeHead(head source.Head, text []byte) {
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	if n.newest != nil && head.Revision <= n.newest.head.Revision {
+		return
+	}
+	n.newest = &candidate{head: head, text: text}
+	if n.floorKnown.Load() {
+		n.fire(n.newest, snapshot.EventHeadSeen)
+	}
+}
+
+// startServing ends the wait for the floor.
+func (n *Node) startServing() {
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	n.floorKnown.Store(true)
+	if n.newest != nil {
+		n.fire(n.newest, snapshot.EventHeadSeen)
+	}
+}
+
+// fire gives an event of a candidate to the configuration's state chart and runs
+// the actions that the chart asks for. The caller holds configMu.
+func (n *Node) fire(c *candidate, e chart.Event) {
+	actions, err := n.progress.Fire(c.head.Revision, e)
+	if err != nil {
+		n.log.Error().Uint64("revision", c.head.Revision).Err(err).Msg("unexpected event of a configuration")
+		return
+	}
+	for _, a := range actions {
+		switch a {
+		case snapshot.ActionFetch:
+			// The gossip hands over a head together with its text.
+			n.fire(c, snapshot.EventTextFetched)
+		case snapshot.ActionCheck:
+			n.check(c)
+		case snapshot.ActionActivate:
+			n.accepted = &accepted{head: c.head, rules: c.rules}
+			n.activate()
+		case snapshot.ActionReject:
+			n.reject(c.head, c.fault)
+		}
+	}
+}
+
+// check parses a candidate and builds a snapshot of it, so that a bad
+// configuration is refused whole before it replaces anything.
+func (n *Node) check(c *candidate) {
+	var findings finding.List
+	c.rules, findings = rules.Parse(fmt.Sprintf("revision-%d", c.head.Revision), c.text)
+	if c.fault = findings.Err(); c.fault == nil {
+		_, c.fault = n.build(&accepted{head: c.head, rules: c.rules})
+	}
+	if c.fault != nil {
+		n.fire(c, snapshot.EventCheckFailed)
+		return
+	}
+	n.fire(c, snapshot.EventCheckPassed)
+}
+
+// maxLoggedError bounds the text of a bad configuration's findings in a log line.
+const maxLoggedError = 2048 // bytes
+
+func (n *Node) reject(head source.Head, err error) {
+	n.count("config.rejected")
+	text := err.Error()
+	if len(text) > maxLoggedError {
+		text = text[:maxLoggedError] + " ... (see nutmeghoistctl check)"
+	}
+	n.log.Error().Uint64("revision", head.Revision).Str("hash", head.Hash).Str("error", text).Msg("configuration rejected")
+}
+
+// rebuild follows a change of the target sets or the vetoes.
+func (n *Node) rebuild() {
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	n.activate()
+}
+
+func (n *Node) build(a *accepted) (*snapshot.Snapshot, error) {
+	n.generation++
+	return snapshot.Build(a.head, a.rules, n.members.Hosts(), n.gossip.Vetoes(), n.generation, time.Now())
+}
+
+// activate compiles the accepted configuration with the target sets and vetoes
+// known now and swaps it in, unless it is older than the one in force or below
+// the floor. The caller holds configMu.
+func (n *Node) activate() {
+	if n.accepted == nil {
+		return
+	}
+	s, err := n.build(n.accepted)
+	if err != nil {
+		n.count("config.inconsistent")
+		n.log.Error().Uint64("revision", n.accepted.head.Revision).Err(err).Msg("configuration inconsistent")
+		return
+	}
+	before := n.inForce()
+	if err := n.holder.Swap(s); err != nil {
+		n.count("config.older_refused")
+		n.log.Warn().Err(err).Msg("older configuration refused")
+		return
+	}
+	n.moves.Apply(s)
+	n.metricsGauge("config.revision").Update(int64(s.Version.Revision))
+	n.metricsGauge("config.epoch").Update(int64(s.Version.Epoch))
+	if s.Version.Compare(before) != 0 {
+		n.metricsGauge("config.convergence_ms").Update(time.Since(s.Head.AcceptedAt).Milliseconds())
+		n.log.Info().Str("version", s.Version.String()).Str("hash", s.Head.Hash).Int("rules", len(s.Rules)).Msg("configuration in force")
+	}
+}
+
+// inForce returns the version in force; the zero version before the first.
+func (n *Node) inForce() mesh.ConfigVersion {
+	if s := n.holder.Load(); s != nil {
+		return s.Version
+	}
+	return mesh.ConfigVersion{}
+}
+
+// pollLoop reads the head with a period in proportion to the size of the data
+// centre, so that the platform's load does not grow with the fleet.
+func (n *Node) pollLoop(ctx context.Context) {
+	for sleepOr(ctx, n.pollPause(), n.pollNow) {
+		ctx, cancel := context.WithTimeout(ctx, floorTimeout)
+		head, err := n.source.Head(ctx)
+		if err == nil {
+			err = n.adopt(ctx, head)
+		}
+		cancel()
+		switch {
+		case err == nil:
+			n.count("poll.ok")
+			n.metricsGauge("platform.reachable").Update(1)
+		case errors.Is(err, platform.ErrNotFound):
+			n.count("poll.no_head")
+		default:
+			n.count("poll.failed")
+			n.metricsGauge("platform.reachable").Update(0)
+			n.log.Debug().Err(err).Msg("poll failed")
+		}
+	}
+}
+
+func (n *Node) pollPause() time.Duration {
+	live := 0
+	for _, h := range n.members.Hosts() {
+		if h.DataCentre == n.settings.DataCentre && h.Status <= membership.StatusSuspect {
+			live++
+		}
+	}
+	n.rngMu.Lock()
+	defer n.rngMu.Unlock()
+	return distribution.PollPeriod(live, n.rng)
+}
+
+// rebuildLoop follows changes of hosts, targets and vetoes.
+func (n *Node) rebuildLoop(ctx context.Context) {
+	changed := n.members.Changed()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-n.vetoesChanged:
+		}
+		changed = n.members.Changed()
+		n.rebuild()
+		if !sleep(ctx, rebuildInterval) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/source/accept_test.go
@@ -0,0 +1,178 @@
+package source_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+// bubble runs a test on a fresh fake under a virtual clock.
+func bubble(t *testing.T, test func(t *testing.T, store *platformtest.Store, s *source.Source)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New()
+		test(t, store, source.New(store, store.Objects()))
+	})
+}
+
+func submission(base source.Head, token string) source.Submission {
+	return source.Submission{Text: []byte("text of " + token), Base: base, Author: "Oyuna", Token: token}
+}
+
+func accept(t *testing.T, s *source.Source, sub source.Submission) source.Head {
+	t.Helper()
+	h, err := s.Accept(t.Context(), sub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// Guards against the loss of an edit: of two edits of one base exactly one is
+// accepted and the other learns what won, also when a lost answer is settled
+// after later revisions.
+func TestAcceptRace(t *testing.T) {
+	bubble(t, func(t *testing.T, _ *platformtest.Store, s *source.Source) {
+		if _, err := s.Head(t.Context()); !errors.Is(err, platform.ErrNotFound) {
+			t.Fatalf("got %v, want ErrNotFound", err)
+		}
+		base := accept(t, s, submission(source.Head{}, "t1"))
+		won := accept(t, s, submission(base, "t2"))
+		_, err := s.Accept(t.Context(), submission(base, "t3"))
+		var race *source.RaceError
+		if !errors.As(err, &race) || !reflect.DeepEqual(race.Base, base) || !reflect.DeepEqual(race.Current, won) || !errors.Is(err, platform.ErrConflict) {
+			t.Fatalf("got %v", err)
+		}
+		if text, err := s.Text(t.Context(), won.Hash); err != nil || string(text) != "text of t2" {
+			t.Fatalf("got %q, %v", text, err)
+		}
+		head := won
+		for i := range 3 {
+			head = accept(t, s, submission(head, fmt.Sprint("later-", i)))
+		}
+		if again := accept(t, s, submission(base, "t2")); !reflect.DeepEqual(again, won) {
+			t.Fatalf("repeated submission: got %+v, want %+v", again, won)
+		}
+		if h, err := s.Head(t.Context()); err != nil || !reflect.DeepEqual(h, head) {
+			t.Fatalf("head is %+v, %v", h, err)
+		}
+	})
+}
+
+// Guards against revisions that are skipped: a base which the platform does not
+// have, or another text at the base's revision.
+func TestForeignBase(t *testing.T) {
+	bubble(t, func(t *testing.T, _ *platformtest.Store, s *source.Source) {
+		head := accept(t, s, submission(source.Head{}, "base"))
+		for _, base := range []source.Head{{Revision: 9}, {Revision: 1, Hash: "x"}} {
+			if h, err := s.Accept(t.Context(), submission(base, "mine")); err == nil || errors.Is(err, platform.ErrOutcomeUnknown) {
+				t.Errorf("base %+v: got %+v, %v; want a refusal", base, h, err)
+			}
+		}
+		if got, err := s.Head(t.Context()); err != nil || !reflect.DeepEqual(got, head) {
+			t.Errorf("head is %+v, %v", got, err)
+		}
+	})
+}
+
+// Guards against a schedule that restarts because the submitter knows only the
+// revision of its base.
+func TestAcceptTakesMovesFromThePlatform(t *testing.T) {
+	bubble(t, func(t *testing.T, _ *platformtest.Store, s *source.Source) {
+		sub := submission(source.Head{}, "t1")
+		sub.Moves = []source.PendingMove{{Move: "m", By: time.Now().Add(time.Hour)}}
+		first := accept(t, s, sub)
+		time.Sleep(time.Minute)
+		sub.Base, sub.Token = source.Head{Revision: 1}, "t2"
+		if second := accept(t, s, sub); !reflect.DeepEqual(second.Moves, first.Moves) || len(first.Moves) != 1 {
+			t.Fatalf("got %+v after %+v", second.Moves, first.Moves)
+		}
+	})
+}
+
+// hooked runs a hook before each commit, so that an event falls between the
+// read of the head and the commit.
+type hooked struct {
+	platform.Table
+	hook    func(n int)
+	commits int
+}
+
+func (h *hooked) Commit(ctx context.Context, txn platform.Txn) error {
+	h.commits++
+	h.hook(h.commits)
+	return h.Table.Commit(ctx, txn)
+}
+
+// Guards against a verdict that does not match the history, under single faults
+// and under pairs of which each alone leaves the verdict right.
+func TestAcceptUnderFaults(t *testing.T) {
+	type faults = platformtest.Faults
+	const rows = "config/"
+	unknown, conflict := platform.ErrOutcomeUnknown, platform.ErrConflict
+	for _, c := range []struct {
+		name   string
+		faults faults
+		race   int           // a rival is accepted just before this commit; 0 means never
+		outage time.Duration // outage that follows the first commit
+		want   error
+		winner string // token of the head afterwards
+	}{
+		{"answer of the commit lost", faults{LoseAfter: 1, LosePrefix: rows}, 0, 0, nil, "mine"},
+		{"answer of the upload lost", faults{LoseAfter: 1, LosePrefix: "objects"}, 0, 0, nil, "mine"},
+		{"commits lost before the write", faults{LoseBefore: 3, LosePrefix: rows}, 0, 0, nil, "mine"},
+		{"all commits lost before the write", faults{LoseBefore: -1, LosePrefix: rows}, 0, 0, unknown, "base"},
+		{"all answers lost", faults{LoseAfter: -1}, 0, 0, unknown, "base"},
+		{"platform down", faults{Down: true}, 0, 0, platform.ErrUnavailable, "base"},
+		{"rate limit", faults{WritesPerSecond: 1, ReadsPerSecond: 1}, 0, 0, nil, "mine"},
+		{"stale reads", faults{StaleReads: true}, 0, 0, nil, "mine"},
+		{"stale reads and answer lost", faults{StaleReads: true, LoseAfter: 1, LosePrefix: rows}, 0, 0, unknown, "mine"},
+		{"request lost and race", faults{LoseBefore: 1, LosePrefix: rows}, 2, 0, conflict, "rival"},
+		{"all requests lost and race", faults{LoseBefore: -1, LosePrefix: rows}, 2, 0, conflict, "rival"},
+		{"answer lost and race", faults{LoseAfter: 1, LosePrefix: rows}, 1, 0, conflict, "rival"},
+		{"outage and race", faults{}, 1, 500 * time.Millisecond, platform.ErrUnavailable, "rival"},
+		{"stale reads and race", faults{StaleReads: true}, 1, 0, conflict, "rival"},
+		{"rate limit and race", faults{WritesPerSecond: 2, ReadsPerSecond: 1}, 1, 0, conflict, "rival"},
+		{"rate limit and answer lost", faults{WritesPerSecond: 2, ReadsPerSecond: 1, LoseAfter: 1, LosePrefix: rows}, 0, 0, nil, "mine"},
+		{"slow and answer lost", faults{DelayMS: 1500, LoseAfter: 1, LosePrefix: rows}, 0, 0, nil, "mine"},
+		{"answer lost, then an outage", faults{LoseAfter: 1, LosePrefix: rows}, 0, 500 * time.Millisecond, nil, "mine"},
+		{"answer lost, then a long outage", faults{LoseAfter: 1, LosePrefix: rows}, 0, time.Hour, unknown, "mine"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, store *platformtest.Store, direct *source.Source) {
+				base := accept(t, direct, submission(source.Head{}, "base"))
+				s := source.New(&hooked{Table: store, hook: func(n int) {
+					if n == c.race {
+						store.SetFaults(faults{})
+						accept(t, direct, submission(base, "rival"))
+						store.SetFaults(c.faults)
+					}
+					if n == 1 && c.outage > 0 {
+						time.AfterFunc(time.Nanosecond, func() { store.SetFaults(faults{Down: true}) })
+						time.AfterFunc(c.outage, func() { store.SetFaults(faults{}) })
+					}
+				}}, store.Objects())
+				store.SetFaults(c.faults)
+				h, err := s.Accept(t.Context(), submission(base, "mine"))
+				if !errors.Is(err, c.want) || c.want != unknown && errors.Is(err, unknown) {
+					t.Fatalf("got %v, want %v", err, c.want)
+				}
+				store.SetFaults(faults{})
+				head, _ := direct.Head(t.Context())
+				if head.Token != c.winner || err == nil && !reflect.DeepEqual(head, h) {
+					t.Fatalf("got %+v, head is %+v; want that of %s", h, head, c.winner)
+				}
+				if again, err := direct.Accept(t.Context(), submission(base, "mine")); (err == nil) != (c.winner != "rival") || err == nil && again.Revision != 2 {
+					t.Fatalf("repeat after the faults: got %+v, %v", again, err)
+				}
+			})
+		})
+	}
+}
