--- a/pkg/move/judge.go
+++ b/pkg/move/judge.go
@@ -129,7 +129,7 @@
 	if !p.judged() || p.step < 0 {
 		return
 	}
-	if c.mono-p.duty.checked >= evidencePeriod {
+	if p.duty.host == "" || c.mono-p.duty.checked >= evidencePeriod {
 		p.duty.checked = c.mono
 		c.countControl(p)
 		if p.state != StateDone {
--- a/pkg/move/pool.go
+++ b/pkg/move/pool.go
@@ -60,7 +60,9 @@
 		if p.duty.on && (all || p.seenChanged || p.mergedChanged) {
 			c.sendSums(p, out)
 		}
-		p.seenChanged, p.mergedChanged = false, false
+		if p.duty.host != "" {
+			p.seenChanged, p.mergedChanged = false, false
+		}
 	}
 	return out
 }
