Keep the outcome open when an apply is repeated

The repeat forgot that an earlier commit was open: when it failed itself it said 'nothing was accepted', also when revision 2 had taken effect. Seen with every answer of a commit lost and stale reads; an outage after a lost answer gives the same. Submission.Repeated now carries the open outcome, and the tool prints the command that settles it. Both tests fail without the change.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -100,10 +100,11 @@
 // accept submits an edit. While the outcome is not known it repeats with the
 // same token, which cannot apply the edit twice.
 func (a *app) accept(ctx context.Context, e *edit, token string) (source.Head, error) {
+	isRepeated := token != ""
 	if token == "" {
 		token = uuid.NewString()
 	}
-	sub := source.Submission{Text: e.text, Base: e.base, Author: a.Author, Token: token}
+	sub := source.Submission{Text: e.text, Base: e.base, Author: a.Author, Token: token, Repeated: isRepeated}
 	for i := range e.rules {
 		if r := &e.rules[i]; r.IsMove() {
 			sub.Moves = append(sub.Moves, source.PendingMove{Move: r.MoveID(), By: r.By})
@@ -114,6 +115,7 @@
 		if !errors.Is(err, platform.ErrOutcomeUnknown) {
 			return h, err
 		}
+		sub.Repeated = true
 		select {
 		case <-time.After(settlePause):
 		case <-ctx.Done():
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -157,23 +157,31 @@
 	}
 }
 
-// Guards against a lost answer that leaves the operator without a way to settle it.
+// Guards against a lost answer that leaves the operator without a way to settle
+// it, and against "nothing was accepted" from a repeat that could not find out.
 func TestApplyNamesTheTokenOfAnUnknownOutcome(t *testing.T) {
-	b := newBench(t)
-	b.store.SetFaults(platformtest.Faults{LoseBefore: -1, LosePrefix: "config"})
-	file := b.file(first)
-	var errs bytes.Buffer
-	if code := Main(t.Context(), []string{"--timeout", "1s", "apply", file}, Streams{Out: io.Discard, Err: &errs}); code != exitFault {
-		t.Fatalf("exit code %d", code)
-	}
-	_, settle, ok := strings.Cut(errs.String(), "settle it with: ")
-	if !ok {
-		t.Fatalf("got %s", errs.String())
+	for name, f := range map[string]platformtest.Faults{
+		"lost before the write":                {LoseBefore: -1, LosePrefix: "config"},
+		"lost after the write and stale reads": {LoseAfter: -1, LosePrefix: "config", StaleReads: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.store.SetFaults(f)
+			file := b.file(first)
+			var errs bytes.Buffer
+			if code := Main(t.Context(), []string{"--timeout", "6s", "apply", file}, Streams{Out: io.Discard, Err: &errs}); code != exitFault {
+				t.Fatalf("exit code %d", code)
+			}
+			_, settle, ok := strings.Cut(errs.String(), "settle it with: ")
+			if !ok {
+				t.Fatalf("got %s", errs.String())
+			}
+			b.store.SetFaults(platformtest.Faults{})
+			args := strings.Fields(settle)
+			b.run(exitOK, []string{"accepted as revision 1"}, args...)
+			b.run(exitOK, []string{"accepted as revision 1"}, args...)
+		})
 	}
-	b.store.SetFaults(platformtest.Faults{})
-	args := strings.Fields(settle)
-	b.run(exitOK, []string{"accepted as revision 1"}, args...)
-	b.run(exitOK, []string{"accepted as revision 1"}, args...)
 }
 
 // Guards against two operators who are both told that their edit of one base won.
--- a/pkg/source/accept.go
+++ b/pkg/source/accept.go
@@ -22,6 +22,9 @@
 	Moves  []PendingMove // the moves in the text
 	Author string
 	Token  string // random and kept by the caller, so that Accept can be repeated
+	// Repeated says that the outcome of an earlier Accept with the token is not
+	// known, so that a failure of this one does not mean that nothing was accepted.
+	Repeated bool
 }
 
 // PendingMove is a move in a submitted text.
@@ -67,7 +70,7 @@
 // followed, returns its head. The errors are *RaceError when another edit won,
 // platform.ErrUnavailable or *platform.RateLimitedError when nothing was
 // changed, and platform.ErrOutcomeUnknown when Accept could not find out;
-// repeat it then with the same token.
+// repeat it then with the same token and Repeated set.
 func (s *Source) Accept(ctx context.Context, sub Submission) (Head, error) {
 	if sub.Token == "" {
 		return Head{}, errors.New("accept: the token is missing")
@@ -76,7 +79,7 @@
 		return Head{}, fmt.Errorf("accept: the text has %d bytes, at most %d are allowed", len(sub.Text), MaxTextSize)
 	}
 	now := time.Now().UTC()
-	a := accept{Source: s, sub: sub, head: Head{
+	a := accept{Source: s, sub: sub, unknown: sub.Repeated, head: Head{
 		Revision: sub.Base.Revision + 1, Hash: platform.Hash(sub.Text), Base: sub.Base.Revision,
 		Token: sub.Token, Author: sub.Author, AcceptedAt: now,
 		Moves: moveStarts(sub.Base.Moves, sub.Moves, now),
@@ -100,7 +103,7 @@
 	// The object goes first, so that a head never names a text that is absent.
 	err := a.retry(ctx, func() error { return a.objects.Put(ctx, a.head.Hash, a.sub.Text) })
 	if err != nil {
-		return Head{}, notAccepted(err)
+		return Head{}, a.verdict(err)
 	}
 	for attempt := range maxAttempts {
 		var h Head
@@ -197,7 +200,5 @@
 	case a.unknown:
 		return fmt.Errorf("%w, repeat with the same token: %w", platform.ErrOutcomeUnknown, err)
 	}
-	return notAccepted(err)
+	return fmt.Errorf("nothing was accepted: %w", err)
 }
-
-func notAccepted(err error) error { return fmt.Errorf("nothing was accepted: %w", err) }
--- a/pkg/source/accept_test.go
+++ b/pkg/source/accept_test.go
@@ -115,3 +115,33 @@
 		t.Fatalf("got %+v, want %+v", got, first)
 	}
 }
+
+// Guards against a repeat that says "nothing was accepted" because it failed
+// itself, although the submission before it may have taken effect.
+func TestRepeatedAcceptKeepsTheOutcomeOpen(t *testing.T) {
+	for name, f := range map[string]platformtest.Faults{
+		"down":        {Down: true},
+		"stale reads": {StaleReads: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformtest.New()
+				s := source.New(store, store.Objects())
+				base := accept(t, s, submission(source.Head{}, "base"))
+				mine := submission(base, "mine")
+				store.SetFaults(f) // stale reads stay at the base
+				if !f.Down {
+					accept(t, s, mine) // its answer is lost to the caller
+				}
+				mine.Repeated = true
+				if _, err := s.Accept(t.Context(), mine); !errors.Is(err, platform.ErrOutcomeUnknown) {
+					t.Fatalf("got %v, want ErrOutcomeUnknown", err)
+				}
+				store.SetFaults(platformtest.Faults{})
+				if got := accept(t, s, mine); got.Token != "mine" || got.Revision != 2 {
+					t.Fatalf("got %+v", got)
+				}
+			})
+		})
+	}
+}
