--- a/internal/bench/moves/run.go
+++ b/internal/bench/moves/run.go
@@ -1,8 +1,10 @@
 package moves
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -23,8 +25,7 @@
 // Time of the simulation.
 const (
 	step          = 100 * time.Millisecond
-	tickPeriod    = 200 * time.Millisecond // calls of Controller.Tick
-	slowTick      = time.Second            // the same where only the schedule matters, to bound the run time
+	slowTick      = time.Second // the same where only the schedule matters, to bound the run time
 	reportPeriod  = time.Second
 	callTimeout   = 2 * time.Second
 	medianLatency = 5 * time.Millisecond
@@ -41,19 +42,21 @@
 
 // run is one simulated move.
 type run struct {
-	kind   *kind
-	size   *size
-	policy policy
-	rate   float64 // calls of the moved service per second and data centre
-	window time.Duration
-	until  float64 // end as a part of the window
-	rng    *rand.Rand
-	roll   roll
+	kind     *kind
+	size     *size
+	policy   policy
+	rate     float64 // calls of the moved service per second and data centre
+	window   time.Duration
+	tickEach time.Duration
+	until    float64 // end as a part of the window
+	rng      *rand.Rand
+	roll     roll
 
 	nodes    []*node
 	byID     map[mesh.HostID]*node
 	byDC     [][]*node // nodes by data centre
 	liveIDs  [][]mesh.HostID
+	allIDs   []mesh.HostID
 	routes   [2]*ruleRef
 	now      time.Duration
 	silent   []pendingCall
@@ -67,9 +70,8 @@
 
 type node struct {
 	host
-	c       *move.Controller
-	vetoed  bool
-	vetoRef *source.Veto
+	c      *move.Controller
+	vetoed bool
 }
 
 type pendingCall struct {
@@ -144,12 +146,14 @@
 		n := &node{host: h}
 		n.c = move.NewController(move.Config{
 			Self: h.id, DataCentre: dcNames[h.dc], Instance: 1,
-			Hosts:  func() []mesh.HostID { return r.liveIDs[h.dc] },
-			OnVeto: func(v source.Veto) { r.spread(n, v) },
+			Hosts:     func() []mesh.HostID { return r.liveIDs[h.dc] },
+			MeshHosts: func() []mesh.HostID { return r.allIDs },
+			OnVeto:    func(v source.Veto) { r.spread(n, v) },
 		})
 		n.c.Apply(sn)
 		r.nodes = append(r.nodes, n)
 		r.byID[h.id] = n
+		r.allIDs = append(r.allIDs, h.id)
 		r.byDC[h.dc] = append(r.byDC[h.dc], n)
 		r.liveIDs[h.dc] = append(r.liveIDs[h.dc], h.id)
 	}
@@ -208,7 +212,7 @@
 
 // tick advances the controllers, exchanges evidence and decides reports.
 func (r *run) tick() {
-	period := tickPeriod
+	period := r.tickEach
 	if r.policy != policyJudged || (r.now > r.window && !r.kind.bad) {
 		period = slowTick // nothing happens between two steps of the schedule
 	}
@@ -228,29 +232,30 @@
 	r.check()
 }
 
-// exchange sends evidence of each node to the evaluator of its data centre.
+// exchange sends the evidence of each node to the evaluators.
 func (r *run) exchange() {
 	for _, n := range r.nodes {
 		if !n.c.EvidenceDue() {
 			continue
 		}
-		list := n.c.Evidence()
-		if r.result.evidence == 0 && r.now > r.window/2 && len(list) > 0 {
-			if b, err := move.EncodeEvidence(list); err == nil {
-				r.result.evidence = len(b)
-			}
-		}
-		for i := range list {
-			to := move.Evaluator(list[i].Move, r.liveIDs[n.dc])
-			if to != n.id {
-				r.byID[to].c.MergeEvidence(n.id, list[i:i+1])
+		out := n.c.Outbox()
+		for _, to := range slices.Sorted(maps.Keys(out)) {
+			list := out[to]
+			if r.now > r.window/2 && r.now < r.window/2+2*time.Second {
+				if b, err := move.EncodeEvidence(list); err == nil {
+					r.result.evidence = max(r.result.evidence, len(b))
+				}
 			}
+			r.byID[to].c.MergeEvidence(n.id, list)
 		}
 	}
 }
 
 // stepCalls runs the calls of one step; next holds the next arrival by data centre.
 func (r *run) stepCalls(next []time.Duration) {
+	if r.rate == 0 {
+		return
+	}
 	load := 1.0
 	if r.kind.load != nil {
 		load = r.kind.load(r.at())
--- a/pkg/move/controller.go
+++ b/pkg/move/controller.go
@@ -1,8 +1,6 @@
 package move
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +20,9 @@
 	Instance uint64
 	// Hosts returns the live hosts of the data centre; nil means this host alone.
 	Hosts func() []mesh.HostID
+	// MeshHosts returns the live hosts of all data centres. With nil, versions are
+	// judged by data centre only.
+	MeshHosts func() []mesh.HostID
 	// OnVeto is called once for each version that this node takes back. It is
 	// called by Observe and Tick and must not block.
 	OnVeto func(source.Veto)
@@ -60,7 +61,9 @@
 	now          time.Time
 	mono         time.Duration
 	first        time.Time
-	made         uint64 // number of moves started, part of their instance
+	made         uint64        // number of moves started, part of their instance
+	order        []mesh.MoveID // keys of moves, sorted
+	sentAll      time.Duration // when Outbox last sent all evidence
 	moves        map[mesh.MoveID]*progress
 	vetoes       map[mesh.ServiceVersion]source.Veto // the one with the highest attempt
 	calls        map[callKey]callRef
@@ -68,6 +71,8 @@
 	rulesChanged bool                        // since the table was published
 	own          *store                      // what this node saw
 	merged       *store                      // what other nodes sent
+	sums         *store                      // what the evaluators of data centres sent
+	pools        map[poolKey]*pool
 	control      *control
 	pace         pace
 	pending      []func() // callbacks to run after unlocking
@@ -82,12 +87,17 @@
 	step     int           // -1 before the first step
 	stepAt   time.Duration // monotonic
 	instance uint64
+	oldGone  bool // only the new version still has targets
 	absent   bool // the new version has no target while the old one has
 	hosts    map[mesh.DataCentre]hostCount
 	veto     *source.Veto
 	fault    string
 	streams  map[mesh.DataCentre]*stream
+	centres  []mesh.DataCentre // keys of streams, sorted, so that runs repeat exactly
 	duty     duty
+
+	seenChanged   bool // since the last Outbox, by this node's calls
+	mergedChanged bool // the same by other nodes' evidence
 }
 
 // hostCount is the number of target hosts of each version in a data centre.
@@ -113,6 +123,8 @@
 		calls:   map[callKey]callRef{},
 		own:     newStore(),
 		merged:  newStore(),
+		sums:    newStore(),
+		pools:   map[poolKey]*pool{},
 		control: newControl(),
 		pace:    pace{tokens: earlyTokens},
 	}
@@ -125,7 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := make([]Status, 0, len(c.moves))
-	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
+	for _, id := range c.order {
 		p := c.moves[id]
 		list = append(list, Status{
 			Move: id, Service: p.rule.Service, Version: p.rule.Version, From: p.rule.From,
@@ -144,12 +156,12 @@
 }
 
 // Evidence returns what this node has seen of all moves. The counters are
-// cumulative, so a lost or repeated message does no harm.
+// cumulative, so a lost or repeated message does no harm. Outbox says where it goes.
 func (c *Controller) Evidence() []Evidence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []Evidence
-	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
+	for _, id := range c.order {
 		p := c.moves[id]
 		if p.judged() {
 			c.countControl(p)
@@ -165,7 +177,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if from == c.cfg.Self {
-		return
+		return // its own calls are counted already
 	}
 	for i := range list {
 		e := &list[i]
@@ -190,8 +202,8 @@
 func (c *Controller) Tick(now time.Time) {
 	c.mu.Lock()
 	c.setTime(now)
-	c.control.refresh(c.mono)
-	for _, id := range slices.Sorted(maps.Keys(c.moves)) {
+	c.refreshControl()
+	for _, id := range c.order {
 		p := c.moves[id]
 		c.judge(p)
 		c.advance(p)
