--- a/internal/node/floor_test.go
+++ b/internal/node/floor_test.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"bytes"
+	"io"
 	"net/http/httptest"
 	"net/netip"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,7 +20,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/source"
 )
 
-func loneNode(t *testing.T, platformURL string) *Node {
+func loneNode(t *testing.T, platformURL string, logs io.Writer) *Node {
 	t.Helper()
 	dir := t.TempDir()
 	path := func(name string) string { return filepath.Join(dir, name) }
@@ -36,7 +39,7 @@
 		Host: "h1", DataCentre: "north", Platform: platformURL, LogLevel: "error",
 		CallAddress: anyPort, PeerAddress: anyPort, AdvertisePeer: anyPort, AdvertiseCall: anyPort,
 		CAFile: path("ca.pem"), CertFile: path("h1.pem"), KeyFile: path("h1-key.pem"),
-	}, telemetry.NewLogger(t.Output(), "error", "h1"), metrics.NewRegistry())
+	}, telemetry.NewLogger(logs, "error", "h1"), metrics.NewRegistry())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,7 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := loneNode(t, server.URL)
+	n := loneNode(t, server.URL, t.Output())
 	if err := n.tryFloor(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -65,3 +68,15 @@
 		t.Fatalf("got head %+v, want revision %d", got, head.Revision)
 	}
 }
+
+// Guards against a node that exits without a word when an address is in use.
+func TestRunLogsAnAddressInUse(t *testing.T) {
+	taken := httptest.NewServer(nil)
+	defer taken.Close()
+	var logs bytes.Buffer
+	n := loneNode(t, "http://127.0.0.1:1", &logs)
+	n.settings.OperatorAddress = netip.MustParseAddrPort(taken.Listener.Addr().String())
+	if err := n.Run(t.Context()); err == nil || !strings.Contains(logs.String(), "operator listener") {
+		t.Fatalf("got %v, logs:\n%s", err, logs.String())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,6 +159,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	servers, err := n.listen()
 	if err != nil {
+		n.log.Error().Err(err).Msg("node failed")
 		return err
 	}
 	// Links and control loops outlive ctx, so that a stop can still be announced.
