Name the fields of the target list and correct comments and a header

The admission part of GET /targets had Go's field names among lower-case ones; the table of vetoes in status had the service under 'Taken back'; the comment on Nutmeghoist-Retry-After-Ms said that callers do not see it.

--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -202,3 +202,15 @@
 		}
 	}
 }
+
+// Guards against a list of targets whose fields operators cannot rely on.
+func TestListNamesItsFields(t *testing.T) {
+	r := New(Config{})
+	send(r, "PUT", "/targets/t1", good)
+	body := send(r, "GET", "/targets", "").Body.String()
+	for _, want := range []string{`"id":"t1"`, `"state_name":"starting"`, `"admission":{"in_flight":0,"queued":0,"limit":12}`, `"hint":{"healthy":false,"load":0}`} {
+		if !strings.Contains(body, want) {
+			t.Errorf("%s is missing from %s", want, body)
+		}
+	}
+}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -79,7 +79,7 @@
 		rows   [][]string
 	}{
 		{[]string{"Route", "Service", "From", "To", "Share", "State", "By"}, moves},
-		{[]string{"Taken back", "Version", "Attempt", "Route", "At", "Evidence"}, vetoes},
+		{[]string{"Service", "Taken back", "Attempt", "Route", "At", "Evidence"}, vetoes},
 		{[]string{"Host", "Data centre", "Status", "Targets", "Versions"}, hosts},
 	} {
 		if err := printTable(w, t.header, t.rows); err != nil {
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -74,7 +74,7 @@
 }
 
 // NewClient returns a client of the node whose operators' address is baseURL,
-// for example "http://127.0.0.1:7400".
+// for example "http://127.0.0.1:8082".
 func NewClient(baseURL string, httpClient *http.Client) *Client {
 	return &Client{sling: sling.New().Base(baseURL), http: httpClient, url: baseURL}
 }
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -16,14 +16,14 @@
 	headerClass       = "Nutmeghoist-Class"
 	headerCall        = "Nutmeghoist-Call" // key for shares
 
-	headerOutcome = "Nutmeghoist-Outcome"
-	headerReason  = "Nutmeghoist-Reason"
+	headerOutcome      = "Nutmeghoist-Outcome"
+	headerReason       = "Nutmeghoist-Reason"
+	headerRetryAfterMs = "Nutmeghoist-Retry-After-Ms" // Retry-After with a finer unit
 
 	// Only between nodes.
-	headerTarget       = "Nutmeghoist-Target"         // target ID
-	headerVersion      = "Nutmeghoist-Target-Version" // service@version that the caller's node expects
-	headerLoad         = "Nutmeghoist-Load"           // the target's load at its owner
-	headerRetryAfterMs = "Nutmeghoist-Retry-After-Ms" // Retry-After with a finer unit
+	headerTarget  = "Nutmeghoist-Target"         // target ID
+	headerVersion = "Nutmeghoist-Target-Version" // service@version that the caller's node expects
+	headerLoad    = "Nutmeghoist-Load"           // the target's load at its owner
 
 	headerTargetNotRun = "Target-Not-Run" // a target's documented refusal
 )
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -32,9 +32,9 @@
 
 // Load is the work at the target as its owner sees it.
 type Load struct {
-	InFlight int // calls at the target
-	Queued   int // calls that wait
-	Limit    int // calls that may be at the target at once
+	InFlight int `json:"in_flight"` // calls at the target
+	Queued   int `json:"queued"`    // calls that wait
+	Limit    int `json:"limit"`     // calls that may be at the target at once
 }
 
 // Done tells the limiter how an admitted call ended.
