--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -61,7 +61,8 @@
 // candidate any more or the context ends.
 func (n *Node) writeReportsWhileHeld(ctx context.Context, holder *lease.Holder) {
 	n.log.Info().Msg("report lease acquired")
-	defer n.log.Info().Msg("report lease given up")
+	// Info takes the time of the line, so it must not be called before the end.
+	defer func() { n.log.Info().Msg("report lease given up") }()
 	written, err := n.source.Reports(ctx)
 	if err != nil {
 		n.log.Warn().Err(err).Msg("reports not read")
