Judge moves over the whole mesh and wait for cut-off data centres

A data centre whose hosts have all failed holds reports for the 48 hours that its records are kept, not for 10 minutes.

--- a/cmd/nutmeghoistd/main.go
+++ b/cmd/nutmeghoistd/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -46,6 +47,8 @@
 		return exitOK
 	}
 	debug.SetMemoryLimit(s.MemoryLimit)
+	// More threads than a host's share of calls needs only wake each other up.
+	runtime.GOMAXPROCS(min(s.Processors, runtime.NumCPU()))
 	logger := telemetry.NewLogger(os.Stderr, s.LogLevel, string(s.Host))
 	n, err := node.New(s, logger, metrics.NewRegistry())
 	if err != nil {
--- a/internal/node/confirm.go
+++ b/internal/node/confirm.go
@@ -140,9 +140,12 @@
 	})
 }
 
+// dataCentres returns all data centres that are known. One whose hosts have all
+// failed counts as long as their records are kept: it may be cut off for hours
+// and go on serving.
 func (n *Node) dataCentres() []mesh.DataCentre {
 	var dcs []mesh.DataCentre
-	for _, h := range n.members.Hosts() {
+	for _, h := range slices.Concat(n.members.Hosts(), n.members.Unreachable()) {
 		dcs = append(dcs, h.DataCentre)
 	}
 	slices.SortFunc(dcs, func(a, b mesh.DataCentre) int { return cmp.Compare(a, b) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 	}
 	n.moves = move.NewController(move.Config{
 		Self: n.settings.Host, DataCentre: n.settings.DataCentre, Instance: uint64(time.Now().UnixNano()),
-		Hosts: n.liveHosts, OnVeto: n.decideVeto, OnFault: n.lateFault,
+		Hosts: n.liveHosts, MeshHosts: n.liveMeshHosts, OnVeto: n.decideVeto, OnFault: n.lateFault,
 	})
 	n.controlClient = &http.Client{Transport: &http.Transport{
 		TLSClientConfig:     n.keys.Client(),
@@ -183,7 +183,7 @@
 		}
 	})
 	for _, loop := range []func(context.Context){
-		n.targets.Run, n.targetLoop, n.memberLoop, n.rebuildLoop, n.evidenceLoop, n.startLoop, n.reportLoop, n.vetoLoop,
+		n.targets.Run, n.targetLoop, n.memberLoop, n.rebuildLoop, n.moveLoop, n.startLoop, n.reportLoop, n.vetoLoop,
 	} {
 		run(loop)
 	}
@@ -240,9 +240,18 @@
 
 // liveHosts returns the live hosts of the own data centre.
 func (n *Node) liveHosts() []mesh.HostID {
+	return n.live(func(h *membership.Host) bool { return h.DataCentre == n.settings.DataCentre })
+}
+
+// liveMeshHosts returns the live hosts of all data centres.
+func (n *Node) liveMeshHosts() []mesh.HostID {
+	return n.live(func(*membership.Host) bool { return true })
+}
+
+func (n *Node) live(wanted func(*membership.Host) bool) []mesh.HostID {
 	var ids []mesh.HostID
-	for _, h := range n.hostsOf(n.settings.DataCentre) {
-		if h.Status == membership.StatusAlive {
+	for _, h := range n.members.Hosts() {
+		if h.Status == membership.StatusAlive && wanted(&h) {
 			ids = append(ids, h.ID)
 		}
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -139,25 +139,19 @@
 	return m
 }
 
-// evidenceLoop sends this host's counters to the evaluator of each move.
-func (n *Node) evidenceLoop(ctx context.Context) {
-	for sleep(ctx, evidenceInterval) {
-		n.moves.Tick(time.Now())
-		n.sendEvidence(ctx)
-	}
-}
+// tickInterval is how often the moves advance and are judged.
+const tickInterval = 200 * time.Millisecond
 
-const evidenceInterval = time.Second
-
-func (n *Node) sendEvidence(ctx context.Context) {
-	byHost := map[mesh.HostID][]move.Evidence{}
-	hosts := n.liveHosts()
-	for _, e := range n.moves.Evidence() {
-		to := move.Evaluator(e.Move, hosts)
-		byHost[to] = append(byHost[to], e)
-	}
-	for id, evidence := range byHost {
-		n.deliverEvidence(ctx, id, evidence)
+// moveLoop advances the moves and sends this host's counters to the evaluators.
+func (n *Node) moveLoop(ctx context.Context) {
+	for sleep(ctx, tickInterval) {
+		n.moves.Tick(time.Now())
+		if !n.moves.EvidenceDue() {
+			continue
+		}
+		for to, evidence := range n.moves.Outbox() {
+			n.deliverEvidence(ctx, to, evidence)
+		}
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,7 @@
 	DrainTimeout    string `long:"drain-timeout" env:"NUTMEGHOIST_DRAIN_TIMEOUT" default:"65s" description:"longest time a planned stop waits for calls in flight; longer than the longest route timeout (60s)"`
 	LogLevel        string `long:"log-level" env:"NUTMEGHOIST_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 	MemoryLimit     string `long:"memory-limit-mb" env:"NUTMEGHOIST_MEMORY_LIMIT_MB" default:"256" description:"soft memory limit of the Go runtime in MB"`
+	Processors      string `long:"max-processors" env:"NUTMEGHOIST_MAX_PROCESSORS" default:"4" description:"processors that the node uses at most"`
 	CheckSettings   bool   `long:"check-settings" description:"check the settings and exit"`
 	Version         bool   `long:"version" description:"print the version and exit"`
 }
@@ -64,6 +65,7 @@
 	DrainTimeout    time.Duration
 	LogLevel        string
 	MemoryLimit     int64 // bytes
+	Processors      int
 
 	CheckOnly   bool // --check-settings
 	ShowVersion bool // --version
@@ -138,6 +140,7 @@
 		DrainTimeout:    c.duration("drain-timeout", o.DrainTimeout, time.Second, 10*time.Minute),
 		LogLevel:        c.level("log-level", o.LogLevel),
 		MemoryLimit:     c.megabytes("memory-limit-mb", o.MemoryLimit),
+		Processors:      c.processors("max-processors", o.Processors),
 		CheckOnly:       o.CheckSettings,
 	}
 	c.keys(s)
@@ -254,6 +257,14 @@
 	return n << 20
 }
 
+func (c *checker) processors(setting, v string) int {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 1 || n > 256 {
+		c.add(place(setting), fmt.Sprintf("%q is not a number in range", v), "1 to 256")
+	}
+	return n
+}
+
 // distinct reports two TCP listeners on one address; the UDP listener may share it.
 func (c *checker) distinct(s *Settings) {
 	seen := map[netip.AddrPort]string{}
