--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -18,11 +18,6 @@
 )
 
 const (
-	// floorTimeout bounds each request of an attempt to learn the floor at start.
-	floorTimeout = 3 * time.Second
-	// startBackoffMax bounds the pause between attempts; the pause is drawn
-	// uniformly below it, so that a herd of starting nodes spreads out.
-	startBackoffMax = 2 * time.Second
 	// rebuildInterval bounds how often changes of the target sets build a new
 	// snapshot: 20 a second is well below the 3 s bound for a leaving target.
 	rebuildInterval = 50 * time.Millisecond
@@ -42,72 +37,6 @@
 	rules []rules.Rule
 }
 
-// establishFloor learns the lowest version that this node may serve, from the
-// platform and from its neighbours, and returns when one of them has answered.
-func (n *Node) establishFloor(ctx context.Context) error {
-	for {
-		err := n.tryFloor(ctx)
-		if err == nil || ctx.Err() != nil {
-			return ctx.Err()
-		}
-		n.count("floor.attempt_failed")
-		n.log.Warn().Err(err).Msg("floor not known yet")
-		if !sleep(ctx, n.jitter(startBackoffMax)) {
-			return ctx.Err()
-		}
-	}
-}
-
-// tryFloor asks the neighbours and the platform at the same time, each within a
-// time of its own: a host without neighbours, such as the first one of a mesh,
-// waits for them in vain and must still learn the platform's head.
-func (n *Node) tryFloor(ctx context.Context) error {
-	var head source.Head
-	var headErr error
-	read := make(chan struct{})
-	go func() {
-		defer close(read)
-		headErr = within(ctx, floorTimeout, func(ctx context.Context) (err error) {
-			head, err = n.source.Head(ctx)
-			return err
-		})
-	}()
-	var peers distribution.Floor
-	peersErr := within(ctx, floorTimeout, func(ctx context.Context) (err error) {
-		peers, err = n.gossip.Floor(ctx)
-		return err
-	})
-	<-read
-	if peersErr == nil {
-		// Before anything is adopted: the platform may answer with an older head.
-		n.holder.SetFloor(peers.Version)
-	}
-	switch {
-	case headErr == nil:
-		if err := within(ctx, floorTimeout, func(ctx context.Context) error { return n.adopt(ctx, head) }); err != nil {
-			return err
-		}
-		if err := within(ctx, floorTimeout, n.loadVetoes); err != nil {
-			return err
-		}
-	case errors.Is(headErr, platform.ErrNotFound):
-		n.log.Info().Msg("no configuration has been accepted yet")
-	case peersErr == nil:
-		n.count("floor.from_neighbours")
-		n.log.Warn().Err(headErr).Str("floor", peers.Version.String()).Msg("platform out of reach, floor taken from neighbours")
-	default:
-		return fmt.Errorf("neither the platform (%w) nor a neighbour (%w) answered", headErr, peersErr)
-	}
-	return nil
-}
-
-// within calls f with a context that ends after d.
-func within(ctx context.Context, d time.Duration, f func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	return f(ctx)
-}
-
 // adopt fetches the text of a head that is newer than the node's own and hands
 // both to the gossip, which pushes them on and calls takeHead.
 func (n *Node) adopt(ctx context.Context, head source.Head) error {
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -34,11 +34,3 @@
 		}
 	}
 }
-
-// notify wakes a loop that waits on a channel with room for one value.
-func notify(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
