Serve the newest good revision after a restart on a bad head

A host keeps nothing, so a node that restarted while the newest revision was bad had nothing to stay with and served nothing, although its neighbours still served the revision before. It now reads earlier revisions from the history. It also waits for the text of the newest head that its neighbours know. The extended test failed before and passes now.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -107,6 +107,12 @@
 			n.activate()
 		case snapshot.ActionReject:
 			n.reject(c.head, c.fault)
+			if n.accepted == nil {
+				select {
+				case n.fallBack <- c.head.Base:
+				default: // fallBackLoop still looks for an earlier one
+				}
+			}
 		}
 	}
 }
--- a/internal/node/floor.go
+++ b/internal/node/floor.go
@@ -8,6 +8,7 @@
 
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
 )
 
@@ -58,6 +59,7 @@
 	if peersErr == nil {
 		// Before anything is adopted: the platform may answer with an older head.
 		n.holder.SetFloor(peers.Version)
+		n.awaitHead(ctx, peers.Head.Revision)
 	}
 	switch {
 	case headErr == nil:
@@ -78,6 +80,66 @@
 	return nil
 }
 
+// awaitHead waits until the gossip has brought the text of a head that the
+// neighbours know. This host may have had it in force although no neighbour has.
+func (n *Node) awaitHead(ctx context.Context, revision uint64) {
+	ctx, cancel := context.WithTimeout(ctx, floorTimeout)
+	defer cancel()
+	for {
+		if head, _, ok := n.gossip.Head(); revision == 0 || ok && head.Revision >= revision {
+			return
+		}
+		if !sleep(ctx, headPoll) {
+			n.count("floor.head_missing")
+			return
+		}
+	}
+}
+
+const headPoll = 20 * time.Millisecond
+
+// fallBackLoop looks for the newest good revision when the newest one is bad
+// and nothing is in force, as on a host that has restarted meanwhile.
+func (n *Node) fallBackLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case base := <-n.fallBack:
+			for !n.tryBase(ctx, base) {
+				n.count("floor.base_missing")
+				if !sleep(ctx, n.jitter(startBackoffMax)) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// tryBase fetches an older revision and gives it to the checks. It reports
+// false when the platform did not answer.
+func (n *Node) tryBase(ctx context.Context, revision uint64) bool {
+	if revision == 0 || n.holder.Load() != nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, floorTimeout)
+	defer cancel()
+	head, err := n.source.Revision(ctx, revision)
+	if err != nil {
+		return false
+	}
+	text, err := n.source.Text(ctx, head.Hash)
+	if err != nil {
+		return false
+	}
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	if n.accepted == nil {
+		n.fire(&candidate{head: head, text: text}, snapshot.EventHeadSeen)
+	}
+	return true
+}
+
 // within calls f with a context that ends after d.
 func within(ctx context.Context, d time.Duration, f func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, d)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 	accepted   *accepted  // the configuration in force or about to be
 	generation uint64
 
+	fallBack chan uint64 // the revision to try when the newest one is bad and none is in force
 	// The channels wake loops; each has room for one value.
 	vetoesChanged  chan struct{}
 	targetsChanged chan struct{}
@@ -84,6 +85,7 @@
 	n := &Node{
 		settings: s, log: logger, metrics: registry, keys: keys,
 		table: client, source: source.New(client, client.Objects()),
+		fallBack:       make(chan uint64, 16),
 		vetoesChanged:  make(chan struct{}, 1),
 		targetsChanged: make(chan struct{}, 1),
 		pollNow:        make(chan struct{}, 1),
@@ -183,7 +185,7 @@
 		}
 	})
 	for _, loop := range []func(context.Context){
-		n.targets.Run, n.targetLoop, n.memberLoop, n.rebuildLoop, n.moveLoop, n.startLoop, n.reportLoop, n.vetoLoop,
+		n.targets.Run, n.targetLoop, n.memberLoop, n.rebuildLoop, n.moveLoop, n.startLoop, n.fallBackLoop, n.reportLoop, n.vetoLoop,
 	} {
 		run(loop)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -215,6 +215,11 @@
 		t.Fatal("a bad revision replaced the one in force")
 	}
 
+	check(t, b.stop())
+	b = m.start(settingsB)
+	nodes[1] = b
+	m.within(reach, "a node that restarts on a bad head serves the revision before it", inForce(1))
+
 	m.accept("route POST /orders to orderdesk tray-1 class urgent # Oyuna: orders first\n")
 	m.within(reach, "revision 3 in force", inForce(3))
 	check(t, b.stop())
