--- a/cmd/nutmeghoist-measure/main.go
+++ b/cmd/nutmeghoist-measure/main.go
@@ -70,6 +70,9 @@
 		{"moves", "measure the decisions of moves on a virtual clock", func(bool) error {
 			return moves.Run(os.Stdout, moves.Options{})
 		}},
+		{"plot", "draw docs/moves.svg: the share over time of a good and a bad move", func(bool) error {
+			return moves.Plot(filepath.Join("docs", "moves.svg"))
+		}},
 		{"serving", "measure the call path", func(bool) error {
 			return serving.Run(ctx, binDir, os.Stdout)
 		}},
