Send calls of a move to the old version while the new one has no targets

The chosen version without a ready target was refused although the old one could serve; the other way round stays a refusal, since the new version may have been taken back.

--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -99,9 +99,23 @@
 		return reason
 	}
 	c.chooseVersion()
+	if c.set = t.sets[c.target]; c.set == nil || c.set.Len() == 0 {
+		return c.fallBack(t)
+	}
+	return ""
+}
+
+// fallBack takes a move's old version when the new one has no targets. The other
+// way round is not allowed: the new version may have been taken back.
+func (c *call) fallBack(t *routeTable) Reason {
+	if !c.rule.IsMove() || c.target != c.rule.Target() {
+		return ReasonNoTarget
+	}
+	c.target = c.rule.Previous()
 	if c.set = t.sets[c.target]; c.set == nil || c.set.Len() == 0 {
 		return ReasonNoTarget
 	}
+	c.p.counters.fellBack.Inc(1)
 	return ""
 }
 
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -14,6 +14,7 @@
 	registry metrics.Registry
 	calls    metrics.Counter // calls from callers
 	hops     metrics.Counter // calls from other nodes
+	fellBack metrics.Counter // calls to a move's old version because the new one has no targets
 	byName   *sync.Map
 }
 
@@ -22,6 +23,7 @@
 		registry: r,
 		calls:    metrics.GetOrRegisterCounter("calls.received", r),
 		hops:     metrics.GetOrRegisterCounter("hops.received", r),
+		fellBack: metrics.GetOrRegisterCounter("moves.fell_back", r),
 		byName:   &sync.Map{},
 	}
 	for kind, reasons := range knownReasons {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"testing"
 
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
 )
 
 // Guards against headers of the call path that do not arrive, a body that is
@@ -36,3 +38,22 @@
 		}
 	}
 }
+
+// Guards against calls that are refused during a move because the last target of
+// the new version has gone, while the old version could serve them.
+func TestMoveFallsBackToTheOldVersion(t *testing.T) {
+	m := newMesh(t, rules.Rule{Prefix: "/orders"})
+	n := m.node("a", "dc1")
+	m.target(n, "t1", 4, func(http.ResponseWriter, *http.Request) {})
+	m.snap.Rules[0].From, m.snap.Rules[0].Version = orders.Version, "tray-2"
+	m.snap.Targets[m.snap.Rules[0].Target()] = nil
+	resp, err := m.call(n, "POST", "/orders", "")
+	if err != nil || resp.StatusCode != http.StatusOK || count(n, "moves.fell_back") != 1 {
+		t.Fatalf("got %v, %v, %d calls fell back", resp, err, count(n, "moves.fell_back"))
+	}
+	m.snap = &snapshot.Snapshot{Rules: m.snap.Rules, Targets: map[mesh.ServiceVersion][]snapshot.Target{}}
+	resp, err = m.call(n, "POST", "/orders", "")
+	if err != nil || resp.Header.Get(headerOutcome) != outcomeNotRun {
+		t.Fatalf("without targets of both versions: got %v, %v", resp, err)
+	}
+}
