Tell the node of an accepted revision

Without it the first node learned of a revision at its next poll, on average 125 ms later with four data centres and up to 0.5 s in one change of ten.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -56,7 +56,7 @@
 	}
 	if c.Token != "" {
 		if head, ok, err := c.settled(ctx, e.base.Revision, c.Token); ok || err != nil {
-			c.printAccepted(head, err)
+			c.accepted(ctx, head, err)
 			return err
 		}
 	}
@@ -68,7 +68,7 @@
 		return err
 	}
 	head, err := c.accept(ctx, e, c.Token)
-	c.printAccepted(head, err)
+	c.accepted(ctx, head, err)
 	return c.showRace(ctx, e, err)
 }
 
@@ -82,8 +82,10 @@
 	return nil
 }
 
-func (a *app) printAccepted(h source.Head, err error) {
+// accepted prints the new revision and tells the node of it.
+func (a *app) accepted(ctx context.Context, h source.Head, err error) {
 	if err == nil {
+		a.hasten(ctx)
 		fmt.Fprintf(a.Out, "accepted as revision %d at %s\n", h.Revision, h.AcceptedAt.Format(time.RFC3339))
 	}
 }
@@ -197,6 +199,6 @@
 		return err
 	}
 	printChanges(c.Out, rules.Diff(e.baseText, e.text))
-	c.printAccepted(head, nil)
+	c.accepted(ctx, head, nil)
 	return nil
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -156,6 +156,17 @@
 	fmt.Fprintf(a.Err, "note: "+format+"\n", args...)
 }
 
+// hasten tells the node of a new revision, so that the mesh need not wait for a
+// poll. A failure changes nothing but the time.
+func (a *app) hasten(ctx context.Context) {
+	if a.Node == "" {
+		return
+	}
+	if err := opapi.NewClient(a.Node, a.client).Poll(ctx); err != nil {
+		a.note("%v; the nodes will find the revision at their next poll", err)
+	}
+}
+
 // nodeStatus asks the node. It returns nil when no node is named.
 func (a *app) nodeStatus(ctx context.Context) (*opapi.Status, error) {
 	if a.Node == "" {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -120,7 +120,7 @@
 		}
 		fmt.Fprintln(w, "ready")
 	})
-	mux.HandleFunc("POST /poll", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("POST "+opapi.PollPath, func(w http.ResponseWriter, _ *http.Request) {
 		notify(n.pollNow)
 		w.WriteHeader(http.StatusAccepted)
 	})
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -18,8 +18,11 @@
 	"nutmeghoist.example/nutmeghoist/pkg/source"
 )
 
-// StatusPath is where a node serves its Status by GET.
-const StatusPath = "/status"
+// Paths at a node's operators' address.
+const (
+	StatusPath = "/status" // GET: the node's Status
+	PollPath   = "/poll"   // POST: read the head now instead of at the next poll
+)
 
 // maxResponseSize bounds a status. A record of a host takes about 1 KiB, so
 // that the status of 2,200 hosts fits with a wide margin.
@@ -99,3 +102,20 @@
 	}
 	return s, nil
 }
+
+// Poll makes the node read the head now.
+func (c *Client) Poll(ctx context.Context) error {
+	req, err := c.sling.New().Post(PollPath).Request()
+	if err != nil {
+		return eris.Wrapf(err, "node %s", c.url)
+	}
+	resp, err := c.http.Do(req.WithContext(ctx))
+	if err != nil {
+		return eris.Wrapf(err, "node %s", c.url)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusAccepted {
+		return fmt.Errorf("node %s: poll answers %s", c.url, resp.Status)
+	}
+	return nil
+}
