Reserve the ports of node tests for TCP and UDP on an address of the process

The node tests took ports of 127.0.0.1 from a TCP listener and closed it. The peer address is used for UDP, where the port may be taken, and between the check and the start of a node, or while a node restarts, the tests of other packages and outgoing connections could take it. Now each test process has its own loopback address, each port is given out once, is checked for TCP and UDP and lies below the kernel's range for outgoing connections.

Ruled out: letting nodes listen on port 0, as a restarted node must come back on its address and the advertised addresses are part of the settings.

Before: no collision was seen in our runs; the fault is by reading.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,7 +69,7 @@
 func (m *meshOfNodes) settings(host mesh.HostID) *settings.Settings {
 	m.t.Helper()
 	cert, key := filepath.Join(m.dir, string(host)+".pem"), filepath.Join(m.dir, string(host)+"-key.pem")
-	check(m.t, m.ca.WriteHost(host, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour, cert, key))
+	check(m.t, m.ca.WriteHost(host, []net.IP{processIP.AsSlice()}, time.Hour, cert, key))
 	s := &settings.Settings{
 		Host: host, DataCentre: "north", Platform: m.platform, CAFile: filepath.Join(m.dir, "ca.pem"), CertFile: cert, KeyFile: key,
 		DrainTimeout: 10 * time.Second, LogLevel: "error",
@@ -82,13 +84,55 @@
 	return s
 }
 
-// freeAddress returns an address whose port was free a moment ago.
+// processIP is a loopback address that only this process uses: the process ID
+// has at most 22 bits. The parallel tests of other packages, which take any
+// port of 127.0.0.1, cannot take an address of this process between the check
+// and the start of a node, nor while a node restarts.
+var processIP = netip.AddrFrom4([4]byte{127, byte(64 | os.Getpid()>>16&63), byte(os.Getpid() >> 8), byte(os.Getpid())})
+
+// lastPort is the last port that freeAddress gave out. All ports given out are
+// below 32768, where the kernel's range for outgoing connections begins.
+var lastPort atomic.Uint32
+
+// freeAddress returns an address that is free for TCP and UDP. No address is
+// returned twice.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	for port := 10000 + lastPort.Add(1); port < 32768; port = 10000 + lastPort.Add(1) {
+		a := netip.AddrPortFrom(processIP, uint16(port))
+		stream, err := net.Listen("tcp", a.String())
+		if err != nil {
+			continue
+		}
+		check(t, stream.Close())
+		packets, err := net.ListenPacket("udp", a.String())
+		if err != nil {
+			continue
+		}
+		check(t, packets.Close())
+		return a
+	}
+	t.Fatalf("no free address on %s", processIP)
+	return netip.AddrPort{}
+}
+
+// Guards against nodes of a test that cannot listen because a port is free for
+// TCP only, is given out twice, or is also given out by another process.
+func TestFreeAddress(t *testing.T) {
+	first := freeAddress(t)
+	packets, err := net.ListenPacket("udp", netip.AddrPortFrom(processIP, first.Port()+1).String())
+	check(t, err)
+	defer packets.Close()
+	stream, err := net.Listen("tcp", netip.AddrPortFrom(processIP, first.Port()+2).String())
 	check(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	defer stream.Close()
+	got := freeAddress(t)
+	if want := first.Port() + 3; got.Port() != want {
+		t.Errorf("got port %d, want %d: the two before it are taken for UDP and TCP", got.Port(), want)
+	}
+	if !got.Addr().IsLoopback() || got.Addr() == netip.MustParseAddr("127.0.0.1") {
+		t.Errorf("address %s is shared with other processes", got)
+	}
 }
 
 type running struct {
