Run the heavy distribution tests in processes of their own under the race detector

go test -race ./pkg/distribution sometimes ended with "ThreadSanitizer: CHECK failed" (tsan_rtl.cpp:346, tsan_rtl_thread.cpp:259) or a SIGSEGV in __tsan::SlotLock. The race detector resets its clocks when its epochs are used up, and the reset sometimes fails. A breakpoint on __tsan::DoReset was hit 2 times in one run of the package. Repeated runs of one test hit it first in the second run of TestFaults, in the second of TestAnyOrderConverges and in the eleventh of TestSpread. Under the race detector each case of TestFaults now runs in its own process and the 100 checks of TestAnyOrderConverges run in four, 25 each with its own seed. No check is weaker or dropped; without the race detector nothing changes.

Ruled out: fewer rapid checks alone, as TestFaults alone uses almost a whole epoch range; the polls of the tests, which take under 1% of the CPU profile; other packages, as one run each of membership, proxy, peer, move, bench/moves, node, lease and ctl hit no reset.

--- a/pkg/distribution/faults_test.go
+++ b/pkg/distribution/faults_test.go
@@ -63,6 +63,9 @@
 		"joining hosts that start at once remain in two parts": splitStart,
 	} {
 		t.Run(name, func(t *testing.T) {
+			if ownProcess(t) {
+				return
+			}
 			synctest.Test(t, func(t *testing.T) {
 				m := newMesh(t, 42)
 				test(m)
--- a/pkg/distribution/property_test.go
+++ b/pkg/distribution/property_test.go
@@ -1,8 +1,11 @@
 package distribution_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -19,6 +22,15 @@
 // crashes after which some host lacks the newest head or a veto, or after
 // which a head fell.
 func TestAnyOrderConverges(t *testing.T) {
+	if raceDetector && os.Getenv(childVar) == "" {
+		// The checks are spread over processes, each with its own seed.
+		const processes = 4
+		checks, seed := rapidFlag(t, "rapid.checks"), rapidFlag(t, "rapid.seed")
+		for i := range uint64(processes) {
+			ownProcess(t, fmt.Sprint("-rapid.checks=", (checks+processes-1)/processes), fmt.Sprint("-rapid.seed=", seed+i))
+		}
+		return
+	}
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		hosts, dcs := rapid.IntRange(2, 7).Draw(rt, "hosts"), rapid.IntRange(1, 3).Draw(rt, "dcs")
@@ -31,6 +43,15 @@
 	})
 }
 
+func rapidFlag(t *testing.T, name string) uint64 {
+	t.Helper()
+	n, err := strconv.ParseUint(flag.Lookup(name).Value.String(), 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 func runActions(t *testing.T, seed uint64, hosts, dcs int, actions []int) (fault string) {
 	m := newMesh(t, seed)
 	defer m.stop()
