--- a/internal/bench/distribution/run.go
+++ b/internal/bench/distribution/run.go
@@ -89,6 +89,7 @@
 	reads      float64 // at the platform, a second
 	writes     float64
 	rss        float64 // MB, the largest node
+	rssMean    float64 // MB
 	cpu        float64 // percent of a core while idle, mean
 	older      int
 	reverted   int
@@ -103,6 +104,7 @@
 	fmt.Fprintf(out, "control_bytes_per_node_change%s=%.0f\n", suffix, r.perChange)
 	fmt.Fprintf(out, "platform_writes_per_second%s=%.2f\n", suffix, r.writes)
 	fmt.Fprintf(out, "node_rss_mb%s=%.1f\n", suffix, r.rss)
+	fmt.Fprintf(out, "node_rss_mean_mb%s=%.1f\n", suffix, r.rssMean)
 	fmt.Fprintf(out, "node_control_cpu_percent%s=%.2f\n", suffix, r.cpu)
 }
 
@@ -227,7 +229,7 @@
 	return true
 }
 
-type totals struct{ sent, received, cpu, rss float64 }
+type totals struct{ sent, received, cpu, rss, rssSum float64 }
 
 // bytes adds up the counters of all running nodes.
 func (r *run) bytes(ctx context.Context) (totals, error) {
@@ -243,6 +245,7 @@
 		t.sent += m["nutmeghoist_links_bytes_sent"] + m["nutmeghoist_control_bytes_sent_total"]
 		t.received += m["nutmeghoist_links_bytes_received"] + m["nutmeghoist_control_bytes_received_total"]
 		t.cpu += m["nutmeghoist_process_cpu_seconds"]
+		t.rssSum += m["nutmeghoist_process_resident_bytes"]
 		t.rss = max(t.rss, m["nutmeghoist_process_resident_bytes"])
 	}
 	return t, nil
@@ -276,6 +279,7 @@
 	r.result.perChange = max(0, r.result.perChange-perChangeSeconds*(r.result.sent+r.result.received))
 	r.result.cpu = percent * (after.cpu - before.cpu) / perNode
 	r.result.rss = after.rss / (1 << 20)
+	r.result.rssMean = after.rssSum / float64(len(r.c.Nodes)) / (1 << 20)
 	r.result.reads = float64(statsAfter.Reads.Total-statsBefore.Reads.Total) / seconds
 	r.result.writes = float64(statsAfter.Writes.Total-statsBefore.Writes.Total) / seconds
 	return nil
