--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -108,7 +108,10 @@
 		return in, false
 	}
 	in = move.ReportInput{Now: time.Now(), Version: snap.Version, Written: written}
-	view := n.gatherMesh(ctx)
+	view := meshState{}
+	if confirmationsDue(snap, in.Now, written) {
+		view = n.gatherMesh(ctx)
+	}
 	in.Hosts, in.Unreachable = view.members, view.unreachable
 	for i := range snap.Rules {
 		if snap.Rules[i].IsMove() {
@@ -118,6 +121,25 @@
 	return in, true
 }
 
+// confirmationsDue reports whether a move has reached its end without the report
+// of it. Asking all hosts in each round of every move would cost the hosts that
+// gather a data centre far more than the 3 KB/s that control may take.
+func confirmationsDue(s *snapshot.Snapshot, now time.Time, written []source.Report) bool {
+	return slices.ContainsFunc(s.Rules, func(r rules.Rule) bool {
+		if !r.IsMove() {
+			return false
+		}
+		m := reportMove(s, &r, nil)
+		end := source.ReportDone
+		if m.Veto != nil {
+			end = source.ReportTakenBack
+		} else if now.Before(move.Schedule{Accepted: m.Accepted, By: r.By}.End()) {
+			return false
+		}
+		return !slices.ContainsFunc(written, func(w source.Report) bool { return w.Move == r.MoveID() && w.Kind == end })
+	})
+}
+
 func reportMove(s *snapshot.Snapshot, r *rules.Rule, states map[mesh.HostID]hostState) move.ReportMove {
 	id := r.MoveID()
 	m := move.ReportMove{Rule: *r, Accepted: s.Head.AcceptedAt, Confirmations: map[mesh.HostID]move.Confirmation{}}
