Keep a measurement from using the processes of an earlier run

Its address was taken by a stand-in that a run ended by SIGPIPE (measure ... | head) had left behind, and the cluster took the old one for its own; the demo then saw revision 2 where it had applied the first. Ruled out: faults of the graceful stop (15 stops with idle and busy connections, 3 demos). The tool now ignores SIGPIPE and ends its processes, passes over addresses in use, and requires its own process to run. After: a run cut short by head leaves no process.

--- a/cmd/nutmeghoist-measure/main.go
+++ b/cmd/nutmeghoist-measure/main.go
@@ -31,6 +31,9 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// A reader that leaves, such as head, must not end this process before it has
+	// ended the processes that it started.
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	self, err := os.Executable()
--- a/internal/bench/cluster/cluster.go
+++ b/internal/bench/cluster/cluster.go
@@ -65,8 +65,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	// The process ID keeps two meshes on one machine apart.
-	c := &Cluster{Options: o, Dir: dir, net: byte(16 + os.Getpid()%200), cancel: cancel}
+	c := &Cluster{Options: o, Dir: dir, net: freeNet(), cancel: cancel}
 	c.Relay = relay.New(c.zoneOf)
 	if err := c.start(ctx); err != nil {
 		c.Close()
@@ -75,6 +74,21 @@
 	return c, nil
 }
 
+// freeNet returns the second byte of the addresses. It starts from the process
+// ID, which keeps two meshes on one machine apart, and passes over those on
+// which a mesh still runs, for example one whose run was ended from outside.
+func freeNet() byte {
+	const first, count = 16, 200
+	for i := range count {
+		n := byte(first + (os.Getpid()+i)%count)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:8500", n, platformOffset)); err == nil {
+			_ = l.Close()
+			return n
+		}
+	}
+	return first
+}
+
 func (c *Cluster) start(ctx context.Context) error {
 	if err := c.startPlatform(ctx); err != nil {
 		return err
@@ -102,7 +116,7 @@
 	}
 	return c.WaitFor(ctx, 20*time.Second, "nodes are live", func() bool {
 		for _, n := range c.Nodes {
-			if !reachable(n.OperatorURL() + "/live") {
+			if !n.Running() || !reachable(n.OperatorURL()+"/live") {
 				return false
 			}
 		}
@@ -121,7 +135,9 @@
 			return err
 		}
 	}
-	return c.WaitFor(ctx, 5*time.Second, "platform is up", func() bool { return reachable(c.PlatformURL() + "/stats") })
+	return c.WaitFor(ctx, 5*time.Second, "platform is up", func() bool {
+		return c.Platform.Running() && reachable(c.PlatformURL()+"/stats")
+	})
 }
 
 // platformAddress is where a data centre reaches the platform.
--- a/internal/bench/cluster/process.go
+++ b/internal/bench/cluster/process.go
@@ -23,6 +23,7 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error
+	last string // last line of the standard error
 }
 
 func (c *Cluster) process(name, bin string, args []string) *Process {
@@ -62,13 +63,15 @@
 		defer close(done)
 		defer logFile.Close()
 		lines := bufio.NewScanner(stderr)
+		last := ""
 		for lines.Scan() {
-			p.hook(p.name, time.Now(), lines.Text())
-			fmt.Fprintln(logFile, lines.Text())
+			last = lines.Text()
+			p.hook(p.name, time.Now(), last)
+			fmt.Fprintln(logFile, last)
 		}
 		err := cmd.Wait()
 		p.mu.Lock()
-		p.err = err
+		p.err, p.last = err, last
 		p.mu.Unlock()
 	}()
 	return nil
@@ -133,7 +136,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.err != nil {
-		return fmt.Errorf("process %s: %w", p.name, p.err)
+		return fmt.Errorf("process %s: %w, its last line: %s", p.name, p.err, p.last)
 	}
 	return nil
 }
