--- a/internal/bench/cluster/events.go
+++ b/internal/bench/cluster/events.go
@@ -39,3 +39,18 @@
 	defer c.mu.Unlock()
 	return append([]Event(nil), c.events...)
 }
+
+// OlderServed counts how often a version came into force on a host that had had
+// a newer one in force before, also in an earlier process.
+func (c *Cluster) OlderServed() int {
+	older := 0
+	newest := map[string]mesh.ConfigVersion{}
+	for _, e := range c.Events() {
+		if e.Version.Compare(newest[e.Host]) < 0 {
+			older++
+			continue
+		}
+		newest[e.Host] = e.Version
+	}
+	return older
+}
--- a/internal/bench/distribution/run.go
+++ b/internal/bench/distribution/run.go
@@ -302,13 +302,7 @@
 // check counts hosts that served an older version than before, also across
 // restarts, and hosts on which the last accepted revision is not in force.
 func (r *run) check(ctx context.Context) error {
-	newest := map[string]mesh.ConfigVersion{}
-	for _, e := range r.c.Events() {
-		if e.Version.Compare(newest[e.Host]) < 0 {
-			r.result.older++
-		}
-		newest[e.Host] = e.Version
-	}
+	r.result.older = r.c.OlderServed()
 	for _, n := range r.c.Nodes {
 		if !n.Running() {
 			continue
--- a/internal/bench/drill/drill.go
+++ b/internal/bench/drill/drill.go
@@ -245,14 +245,7 @@
 		return err
 	}
 	broken := loadgen.CheckRuns(r.Orders, runs)
-	older := 0
-	newest := map[string]mesh.ConfigVersion{}
-	for _, e := range d.c.Events() {
-		if e.Version.Compare(newest[e.Host]) < 0 {
-			older++
-		}
-		newest[e.Host] = e.Version
-	}
+	older := d.c.OlderServed()
 	fmt.Fprintf(d.out, "calls=%d\nok_share=%.4f\npromises_broken=%d\nolder_served=%d\n",
 		r.Sent, float64(r.Counts[loadgen.OK])/float64(r.Sent), len(broken), older)
 	if len(broken) > 0 || older > 0 {
