Serve the users' platform: thin whole path

Adds the adapter in platform/, a node for it (cmd/nutmeghoist-sidecar) and the deploy file. Calls travel from the entry node over plain TCP to the node of the target's host, which admits and sends them. Configuration, host records and rollouts spread by the existing gossip over the same port.

The first ten seconds refuse 40% of the calls; the cause is not found yet.

--- /dev/null
+++ b/cmd/nutmeghoist-sidecar/main.go
@@ -0,0 +1,124 @@
+// Command nutmeghoist-sidecar is the node that runs beside a target on the
+// users' platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/internal/control"
+	"nutmeghoist.example/nutmeghoist/internal/sidecar"
+	"nutmeghoist.example/nutmeghoist/internal/telemetry"
+	"nutmeghoist.example/nutmeghoist/platform"
+)
+
+// version is set at build time with -ldflags "-X main.version=...".
+var version = "dev"
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// memoryShare is the part of the memory of the platform's settings that the Go
+// runtime aims to stay below.
+const memoryShare = 0.6
+
+type options struct {
+	MetricsPort uint16 `long:"metrics-port" env:"NUTMEGHOIST_METRICS_PORT" default:"9464" description:"port for metrics on the host's address (HTTP)"`
+	LogLevel    string `long:"log-level" env:"NUTMEGHOIST_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lines below it are not written"`
+	Check       bool   `long:"check-settings" description:"check the settings and exit"`
+	Version     bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return exitOK
+		}
+		return exitSettings
+	}
+	if o.Version {
+		fmt.Println("nutmeghoist-sidecar", version)
+		return exitOK
+	}
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	out := telemetry.NewAsyncWriter(os.Stdout)
+	defer out.Flush(200 * time.Millisecond)
+	logger := telemetry.NewLogger(out, o.LogLevel, string(settings.Host))
+	s, err := sidecar.New(config(settings, &o, logger))
+	if err != nil {
+		logger.Error().Err(err).Msg("node cannot start")
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go reload(path, logger)
+	if err := s.Run(ctx); err != nil {
+		return exitFailed
+	}
+	return exitOK
+}
+
+func config(settings *platform.Settings, o *options, logger *log.Logger) sidecar.Config {
+	registry := metrics.NewRegistry()
+	return sidecar.Config{
+		Host: settings.Host, DataCentre: settings.DataCentre, IP: settings.IP, Service: settings.Service,
+		CallerAddress: settings.CallerAddress, CallAddress: settings.CallAddress,
+		ReadyAddress: settings.ReadyAddress, AnnounceAddress: settings.AnnounceAddress,
+		MetricsAddress: netip.AddrPortFrom(settings.IP, o.MetricsPort),
+		Names:          platform.Headers, Drain: settings.Bounds.Drain, Grace: settings.Bounds.Grace,
+		BeatInterval: settings.Bounds.BeatInterval, RetrySlack: settings.Bounds.RetrySlack,
+		Store: platform.NewStore(settings.StoreAddress, registry),
+		Provider: control.Provider{
+			Table: platform.OperatorTable, ConfigKey: platform.ConfigKey,
+			DecodeConfig: platform.DecodeConfig, DecodeOrder: platform.DecodeOrder,
+			StatusKey: platform.StatusKey, EncodeStatus: platform.EncodeStatus,
+		},
+		AnnounceHandler: func(a sidecar.Announcements) http.Handler { return platform.AnnounceHandler(a) },
+		ReadyHandler:    platform.ReadyHandler,
+		Metrics:         registry, Log: logger,
+	}
+}
+
+// reload reads the settings again after each hang-up signal. What changes is
+// logged; the process that follows a restart takes it up.
+func reload(path string, logger *log.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for range hup {
+		if _, err := platform.LoadSettings(path); err != nil {
+			logger.Error().Err(err).Msg("settings are invalid; the ones in force stay")
+			continue
+		}
+		logger.Info().Msg("settings read again")
+	}
+}
--- /dev/null
+++ b/internal/control/watcher.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"nutmeghoist.example/nutmeghoist/internal/view"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/rollout"
+	"nutmeghoist.example/nutmeghoist/pkg/source"
+)
+
+const (
+	// tallyPeriod is how often a host tells its counts to the coordinator of a
+	// rollout, in meshes of up to tallyHosts hosts; in larger ones it is longer,
+	// so that the coordinator gets as many.
+	tallyPeriod = 250 * time.Millisecond
+	tallyHosts  = 20
+	noteTimeout = 500 * time.Millisecond
+)
+
+// Watcher counts the calls of services that are being rolled out, tells the
+// counts to the coordinators and judges them on its own as well, so that a bad
+// version is noticed while the coordinator is out of reach.
+type Watcher struct {
+	c *Control
+
+	mu      sync.Mutex
+	tallies map[mesh.ServiceName]*rollout.Tally
+	old     map[mesh.ServiceName]int // calls in flight at targets of the stable versions
+}
+
+func newWatcher(c *Control) *Watcher {
+	return &Watcher{c: c, tallies: make(map[mesh.ServiceName]*rollout.Tally), old: make(map[mesh.ServiceName]int)}
+}
+
+// Begin counts a call that is sent.
+func (w *Watcher) Begin(s *view.Service, isNew bool) {
+	if isNew {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.old[s.Name]++
+}
+
+// End counts the end of a call. route is empty when the call shows nothing of
+// its target.
+func (w *Watcher) End(s *view.Service, isNew bool, route string, failed bool, took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !isNew {
+		w.old[s.Name]--
+	}
+	if route == "" || s.Revision == 0 || s.Rollout == nil || s.Rollout.State != rollout.Running {
+		return
+	}
+	t := w.tallies[s.Name]
+	if t == nil || t.Revision < s.Revision {
+		t = &rollout.Tally{Service: s.Name, Revision: s.Revision, Routes: make(map[string]rollout.Pair)}
+		w.tallies[s.Name] = t
+	}
+	if t.Revision == s.Revision {
+		t.Observe(route, isNew, failed, took)
+	}
+}
+
+func (w *Watcher) run(ctx context.Context) {
+	for {
+		factor := max(1, w.c.Hosts()/tallyHosts)
+		if !sleep(ctx, tallyPeriod*time.Duration(factor)) {
+			return
+		}
+		s := w.c.current.Load()
+		if s == nil {
+			continue
+		}
+		for _, service := range s.Services {
+			if p := service.Rollout; p != nil && p.State == rollout.Running {
+				w.look(ctx, service, p)
+			}
+		}
+	}
+}
+
+// look judges the own counts and tells them to the coordinator.
+func (w *Watcher) look(ctx context.Context, s *view.Service, p *rollout.Progress) {
+	t := w.tally(s, p)
+	if why := rollout.Judge(&t); why != "" {
+		w.c.veto(s.Name, p.To, p.Revision, why)
+	}
+	if p.Holder == w.c.cfg.Self.ID {
+		w.c.coordinator.takeTally(&t)
+		return
+	}
+	h, ok := w.c.members.Get(p.Holder)
+	if !ok {
+		return
+	}
+	note, err := cbor.Marshal(&t)
+	if err != nil {
+		w.c.cfg.Log.Error().Err(err).Msg("tally cannot be encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, noteTimeout)
+	defer cancel()
+	if err := w.c.cfg.Send(ctx, h.CallAddress, note); err != nil {
+		w.c.count("tallies.unsent") // the next one holds the same counts
+	}
+}
+
+// tally returns a copy of the counts with what is in force here.
+func (w *Watcher) tally(s *view.Service, p *rollout.Progress) rollout.Tally {
+	self := w.c.members.Self()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := rollout.Tally{
+		Service: s.Name, Revision: p.Revision, Epoch: p.Epoch, Step: p.Step,
+		OldInFlight: w.old[s.Name], Host: self.ID, Start: self.Incarnation,
+	}
+	if t := w.tallies[s.Name]; t != nil && t.Revision == p.Revision {
+		out.Routes = maps.Clone(t.Routes)
+	}
+	return out
+}
+
+// veto takes a version out everywhere, for good.
+func (c *Control) veto(service mesh.ServiceName, to mesh.TargetVersion, revision uint64, why string) {
+	c.mu.Lock()
+	_, known := c.vetoes[rolloutID{service, revision}]
+	c.mu.Unlock()
+	if known {
+		return
+	}
+	err := c.gossip.AddVeto(source.Veto{
+		Service: service, Version: to, Attempt: int(revision), Evidence: why, Host: c.cfg.Self.ID,
+	})
+	if err != nil {
+		c.cfg.Log.Error().Err(err).Str("service", string(service)).Msg("veto not accepted")
+	}
+}
+
+// Note takes a message of another node.
+func (c *Control) Note(message []byte) {
+	var t rollout.Tally
+	if err := cbor.Unmarshal(message, &t); err != nil || t.Service == "" || t.Host == "" {
+		c.count("notes.unreadable")
+		return
+	}
+	c.coordinator.takeTally(&t)
+}
--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,386 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/internal/hop"
+	"nutmeghoist.example/nutmeghoist/internal/view"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/retry"
+	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/traffic"
+)
+
+const (
+	// maxPlaces bounds the targets that are asked for one call. Asking one that
+	// refuses costs a round trip, not an attempt.
+	maxPlaces = 3
+	// defaultRetryAfter is told when nothing is known of when there will be room.
+	defaultRetryAfter = 250 * time.Millisecond
+	// maxDeadline bounds the time of a call whose caller names none.
+	maxDeadline = time.Minute
+)
+
+// The reasons for an answer of the node's own.
+const (
+	reasonNotReady   = "not_ready"
+	reasonBadRequest = "bad_request"
+	reasonNoRoute    = "no_route"
+	reasonNoTarget   = "no_target"
+	reasonDeadline   = "deadline"
+	reasonNodeDown   = "node_unreachable"
+	reasonNodeLost   = "node_lost"
+)
+
+// Local runs calls at the target of this host.
+type Local interface {
+	Call(ctx context.Context, r *hop.Request) *hop.Response
+}
+
+// Observer sees each attempt that reached a target, for rollouts.
+type Observer interface {
+	Begin(s *view.Service, isNew bool)
+	End(s *view.Service, isNew bool, route string, failed bool, took time.Duration)
+}
+
+// Config holds what an entry needs.
+type Config struct {
+	Self    mesh.HostID
+	IP      net.IP
+	Service mesh.ServiceName // of this host; calls that begin here are sent in its name
+	Names   traffic.Headers
+	// Snapshot returns the snapshot in force, or nil.
+	Snapshot  func() *view.Snapshot
+	Local     Local
+	Observer  Observer
+	Budget    *retry.Budget
+	Placement routing.Placement
+	Metrics   metrics.Registry
+	Log       *log.Logger
+}
+
+// Entry runs the calls that begin on this host. It is safe for concurrent use.
+type Entry struct {
+	cfg      Config
+	splitter traffic.Splitter
+	drawer   view.Drawer
+	rng      *rand.Rand
+
+	mu    sync.Mutex
+	pools map[string]*hop.Pool
+}
+
+// globalSource draws from the process-wide generator, which is safe for
+// concurrent use.
+type globalSource struct{}
+
+func (globalSource) Uint64() uint64 { return rand.Uint64() }
+
+// New returns an entry.
+func New(cfg Config) *Entry {
+	return &Entry{cfg: cfg, rng: rand.New(globalSource{}), pools: make(map[string]*hop.Pool)}
+}
+
+// Pool returns the connections to a node.
+func (e *Entry) Pool(address string) *hop.Pool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[address]
+	if p == nil {
+		p = hop.NewPool(e.cfg.IP, address)
+		e.pools[address] = p
+	}
+	return p
+}
+
+// Prune closes the connections to nodes that are gone.
+func (e *Entry) Prune(keep map[string]bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for address, p := range e.pools {
+		if !keep[address] {
+			p.Close()
+			delete(e.pools, address)
+		}
+	}
+}
+
+// call is one call of a caller.
+type call struct {
+	e        *Entry
+	ctx      context.Context
+	caller   context.Context // ends when the caller has left
+	req      *Request
+	id       string
+	snapshot *view.Snapshot
+	route    *traffic.Route
+	deadline time.Time
+	aim      time.Time
+
+	places   int // targets that were asked
+	attempts int // targets that the call was sent to
+	sheds    int
+	unknown  bool // the call may have run
+	tried    routing.Tried
+	failed   *hop.Response // a server error that is given when nothing better comes
+	reason   string
+	after    time.Duration
+	target   mesh.TargetID // the last one
+}
+
+// Handle runs a call and returns the answer for the caller.
+func (e *Entry) Handle(ctx context.Context, req *Request) *Answer {
+	c := &call{e: e, caller: ctx, req: req, id: req.Header.Get(e.cfg.Names.RequestID), snapshot: e.cfg.Snapshot()}
+	e.count("calls.received")
+	a := c.prepare()
+	if a == nil {
+		var cancel context.CancelFunc
+		c.ctx, cancel = context.WithDeadline(ctx, c.deadline)
+		defer cancel()
+		e.cfg.Budget.Earn()
+		a = c.run()
+	}
+	c.report(a)
+	return a
+}
+
+// prepare finds the route and the deadline; it returns the answer to a call
+// that cannot be placed.
+func (c *call) prepare() *Answer {
+	if c.snapshot == nil {
+		return c.refuse(http.StatusServiceUnavailable, reasonNotReady, defaultRetryAfter)
+	}
+	if c.id == "" {
+		return c.refuse(http.StatusBadRequest, reasonBadRequest, 0)
+	}
+	c.route = c.snapshot.Matcher.Match(c.req.Host, c.req.Path)
+	if c.route == nil {
+		return c.refuse(http.StatusNotFound, reasonNoRoute, 0)
+	}
+	limit := min(c.route.Timeout, maxDeadline)
+	if ms, err := strconv.ParseInt(c.req.Header.Get(c.e.cfg.Names.DeadlineMs), 10, 64); err == nil {
+		limit = min(limit, time.Duration(ms)*time.Millisecond)
+	}
+	c.deadline = c.req.Arrived.Add(limit)
+	c.aim = c.req.Arrived.Add(c.route.LatencyTarget)
+	if limit <= 0 {
+		return c.refuse(http.StatusServiceUnavailable, reasonDeadline, 0)
+	}
+	return nil
+}
+
+// run places the call at targets until one answers or it is given up.
+func (c *call) run() *Answer {
+	service := c.snapshot.Services[c.e.splitter.Pick(c.route)]
+	if service == nil {
+		return c.refuse(http.StatusServiceUnavailable, reasonNoTarget, defaultRetryAfter)
+	}
+	set, isNew := c.e.drawer.Draw(service)
+	for {
+		var t *routing.Candidate
+		if set != nil {
+			t = set.Place(time.Now(), c.e.rng, &c.tried, c.e.cfg.Placement)
+		}
+		if t == nil {
+			break
+		}
+		resp := c.try(service, t, isNew)
+		c.learn(t, resp)
+		if resp.Outcome == hop.Answered && !c.repeatable(resp) {
+			return c.pass(resp)
+		}
+		if !c.again(resp) {
+			break
+		}
+		c.tried.Targets = append(c.tried.Targets, t)
+	}
+	return c.giveUp()
+}
+
+// try asks one target.
+func (c *call) try(service *view.Service, t *routing.Candidate, isNew bool) *hop.Response {
+	c.places++
+	c.target = t.ID
+	r := hop.Request{
+		Target: t.ID, Service: t.Service, Version: t.Version, Caller: c.e.cfg.Service, ID: c.id,
+		Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: endToEnd(c.req.Header), Body: c.req.Body,
+		Priority: c.route.Priority, Idempotent: c.route.Idempotent, Route: c.route.Name,
+	}
+	t.Stat.Begin()
+	c.e.cfg.Observer.Begin(service, isNew)
+	started := time.Now()
+	resp := c.send(t, &r)
+	t.Stat.End()
+	failed := resp.Outcome == hop.Lost && c.caller.Err() == nil || resp.Outcome == hop.Answered && resp.Status >= http.StatusInternalServerError
+	route := ""
+	if resp.Offered && (resp.Outcome != hop.Lost || failed) {
+		route = c.route.Name
+	}
+	took := time.Duration(resp.ServiceUs) * time.Microsecond
+	if took == 0 {
+		took = time.Since(started)
+	}
+	c.e.cfg.Observer.End(service, isNew, route, failed, took)
+	if resp.Load != nil {
+		t.Stat.ReportLoad(routing.Load{
+			InFlight: resp.Load.InFlight, Queued: resp.Load.Queued, Limit: resp.Load.Limit,
+			Mean: time.Duration(resp.Load.MeanUs) * time.Microsecond,
+		}, time.Now())
+	}
+	return resp
+}
+
+// send sends the call to the owner of a target, on this host or another.
+func (c *call) send(t *routing.Candidate, r *hop.Request) *hop.Response {
+	if t.Host == c.e.cfg.Self {
+		r.DeadlineAt = c.deadline.Sub(hop.TimeAt(0)).Microseconds()
+		r.AimAt = c.aim.Sub(hop.TimeAt(0)).Microseconds()
+		return c.e.cfg.Local.Call(c.ctx, r)
+	}
+	resp, err := c.e.Pool(t.CallAddress).Call(c.ctx, *r, c.deadline, c.aim)
+	if err == nil {
+		return resp
+	}
+	if isNotSent(err) {
+		return &hop.Response{Outcome: hop.NotRun, Reason: reasonNodeDown}
+	}
+	reason := reasonNodeLost
+	if c.ctx.Err() != nil {
+		reason = reasonDeadline
+	}
+	return &hop.Response{Outcome: hop.Lost, Reason: reason, Offered: true}
+}
+
+// learn keeps what an attempt showed about the target.
+func (c *call) learn(t *routing.Candidate, resp *hop.Response) {
+	if c.caller.Err() != nil {
+		return
+	}
+	now := time.Now()
+	switch {
+	case resp.Outcome == hop.Answered && resp.Status >= http.StatusInternalServerError:
+		t.Stat.Signal(routing.SignalServerError, 0, now)
+	case resp.Outcome == hop.Answered:
+		t.Stat.Signal(routing.SignalAnswer, 0, now)
+	case resp.Outcome == hop.Lost:
+		t.Stat.Signal(routing.SignalNoAnswer, 0, now)
+	case resp.Reason == reasonNodeDown, resp.Reason == "target_unreachable":
+		t.Stat.Signal(routing.SignalUnreachable, 0, now)
+	default:
+		t.Stat.Signal(routing.SignalShed, time.Duration(resp.RetryAfterMs)*time.Millisecond, now)
+	}
+}
+
+// repeatable reports whether an answer is a failure that another target may
+// make good.
+func (c *call) repeatable(resp *hop.Response) bool {
+	return resp.Status >= http.StatusInternalServerError && c.route.Idempotent
+}
+
+// again decides whether the call is placed once more after an attempt that
+// gave no good answer.
+func (c *call) again(resp *hop.Response) bool {
+	c.reason, c.after = resp.Reason, time.Duration(resp.RetryAfterMs)*time.Millisecond
+	if resp.Outcome == hop.Answered {
+		c.failed, c.reason = resp, "server_error"
+	}
+	if resp.Outcome == hop.Lost {
+		c.unknown = true
+	}
+	if resp.Offered {
+		c.attempts++
+	}
+	if c.caller.Err() != nil || c.ctx.Err() != nil {
+		return false
+	}
+	if !resp.Offered {
+		return c.places < maxPlaces
+	}
+	if resp.Outcome == hop.NotRun {
+		c.sheds++
+	}
+	if c.attempts >= c.route.MaxAttempts {
+		c.e.count("noretry.attempts")
+		return false
+	}
+	d := retry.Decide(retry.Attempt{
+		NotRun: !c.unknown && c.failed == nil, ByLoad: resp.Outcome == hop.NotRun, Idempotent: c.route.Idempotent, Replayable: true,
+		Tries: c.attempts, LoadTries: c.sheds, Left: time.Until(c.deadline), PathBudget: 1,
+	}, c.e.cfg.Budget, c.e.rng)
+	if !d.Retry {
+		c.e.count("noretry." + string(d.Reason))
+		return false
+	}
+	c.e.count("retried." + string(d.Reason))
+	return true
+}
+
+// pass gives the target's answer to the caller.
+func (c *call) pass(resp *hop.Response) *Answer {
+	c.reason = ""
+	return &Answer{Status: resp.Status, Header: resp.Header, Body: resp.Body}
+}
+
+// giveUp returns the answer to a call that no target answered well.
+func (c *call) giveUp() *Answer {
+	switch {
+	case c.failed != nil:
+		return c.pass(c.failed)
+	case c.unknown && c.ctx.Err() != nil:
+		return c.refuse(http.StatusGatewayTimeout, reasonDeadline, 0)
+	case c.unknown:
+		return c.refuse(http.StatusBadGateway, c.reason, 0)
+	}
+	reason := c.reason
+	if reason == "" {
+		reason = reasonNoTarget
+	}
+	return c.refuse(http.StatusServiceUnavailable, reason, max(c.after, minRetryAfter))
+}
+
+// minRetryAfter keeps a caller from coming back within the same burst.
+const minRetryAfter = 50 * time.Millisecond
+
+// refuse returns an answer of the node's own.
+func (c *call) refuse(status int, reason string, after time.Duration) *Answer {
+	c.reason = reason
+	kind := "refused."
+	if c.unknown {
+		kind = "unknown."
+	}
+	c.e.count(kind + reason)
+	h := http.Header{}
+	if c.id != "" {
+		h.Set(c.e.cfg.Names.RequestID, c.id)
+	}
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	return &Answer{Status: status, Header: h}
+}
+
+// report logs how the call ended.
+func (c *call) report(a *Answer) {
+	took := time.Since(c.req.Arrived)
+	metrics.GetOrRegisterTimer("calls.time", c.e.cfg.Metrics).Update(took)
+	line := c.e.cfg.Log.Info().Str("id", c.id).Int("status", a.Status).Str("reason", c.reason).
+		Str("target", string(c.target)).Int("places", c.places).Int("attempts", c.attempts).Dur("took", took)
+	if c.route != nil {
+		line = line.Str("route", c.route.Name).Dur("left", time.Until(c.deadline)).Uint64("config", c.snapshot.Config.Version)
+	}
+	line.Bool("caller_left", c.caller.Err() != nil).Msg("call ended")
+}
+
+func (e *Entry) count(name string) { metrics.GetOrRegisterCounter(name, e.cfg.Metrics).Inc(1) }
+
+func isNotSent(err error) bool { return errors.Is(err, hop.ErrNotSent) }
--- /dev/null
+++ b/internal/owner/call.go
@@ -0,0 +1,152 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/internal/exchange"
+	"nutmeghoist.example/nutmeghoist/internal/hop"
+	"nutmeghoist.example/nutmeghoist/pkg/admission"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// The reasons for refusals of the owner itself.
+const (
+	reasonUnknown  = "target_unknown"  // no such target here, or not heard from yet
+	reasonDraining = "target_draining" // the target leaves
+	reasonSilent   = "target_silent"   // its heartbeats stopped
+)
+
+// classOf maps a priority, 0 being the highest, to the classes of admission.
+func classOf(priority int) mesh.Class {
+	switch {
+	case priority <= 1:
+		return mesh.ClassUrgent
+	case priority == 2:
+		return mesh.ClassNormal
+	default:
+		return mesh.ClassBackground
+	}
+}
+
+// Call runs a call at a target of this host.
+func (o *Owner) Call(ctx context.Context, r *hop.Request) *hop.Response {
+	t, reason := o.find(r)
+	if t == nil {
+		o.count("refused." + reason)
+		return &hop.Response{Outcome: hop.NotRun, Reason: reason}
+	}
+	deadline := hop.TimeAt(r.DeadlineAt)
+	arrived := time.Now()
+	if err := t.limiter.Acquire(ctx, classOf(r.Priority), deadline); err != nil {
+		return o.refused(t, r, err, arrived)
+	}
+	if o.tooLate(t) {
+		t.limiter.Release(admission.Done{})
+		o.count("refused." + reasonDraining)
+		return o.withLoad(t, &hop.Response{Outcome: hop.NotRun, Reason: reasonDraining})
+	}
+	sent := time.Now()
+	res := t.client.Do(ctx, &exchange.Call{
+		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
+		Caller: r.Caller, Expect: t.ID, Idempotent: r.Idempotent, Deadline: deadline,
+	})
+	took := time.Since(sent)
+	t.limiter.Release(admission.Done{
+		Shed: res.Reason == exchange.Shed, Answer: res.Kind == exchange.Answered, Service: took,
+	})
+	metrics.GetOrRegisterTimer("target.time", o.cfg.Metrics).Update(took)
+	resp := o.response(&res)
+	resp.ServiceUs = took.Microseconds()
+	if res.Kind != exchange.Answered {
+		o.count("target." + string(res.Reason))
+		o.cfg.Log.Info().Str("id", r.ID).Str("target", string(t.ID)).Str("route", r.Route).Str("reason", string(res.Reason)).
+			Bool("sent", res.Sent).Dur("took", took).Dur("left", time.Until(deadline)).AnErr("cause", res.Err).Msg("target gave no answer")
+	}
+	return o.withLoad(t, resp)
+}
+
+// find returns the target that a call is meant for, or the reason for a refusal.
+func (o *Owner) find(r *hop.Request) (*target, string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.targets[r.Target]
+	switch {
+	case t == nil || t.Service != r.Service || t.Version != r.Version:
+		return nil, reasonUnknown
+	case !t.leaving.IsZero() && time.Since(t.leaving) > time.Duration(admitShare*float64(o.cfg.Drain)):
+		return nil, reasonDraining
+	case t.silent:
+		return nil, reasonSilent
+	}
+	return t, ""
+}
+
+// tooLate reports whether the target left so long ago that a call must not be
+// sent. It is asked right before the send, also after a wait.
+func (o *Owner) tooLate(t *target) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !t.leaving.IsZero() && time.Since(t.leaving) > time.Duration(sendShare*float64(o.cfg.Drain))
+}
+
+func (o *Owner) refused(t *target, r *hop.Request, err error, arrived time.Time) *hop.Response {
+	resp := &hop.Response{Outcome: hop.NotRun}
+	var refusal *admission.Refusal
+	if errors.As(err, &refusal) {
+		resp.Reason = string(refusal.Reason)
+		resp.RetryAfterMs = refusal.RetryAfter.Milliseconds()
+	}
+	o.count("refused." + resp.Reason)
+	load := t.limiter.Load()
+	o.cfg.Log.Info().Str("id", r.ID).Str("target", string(t.ID)).Str("route", r.Route).Str("reason", resp.Reason).
+		Dur("waited", time.Since(arrived)).Dur("left", time.Until(hop.TimeAt(r.DeadlineAt))).
+		Int("in_flight", load.InFlight).Int("queued", load.Queued).Int("limit", load.Limit).Dur("mean", load.Mean).Msg("call not admitted")
+	return o.withLoad(t, resp)
+}
+
+func (o *Owner) response(res *exchange.Result) *hop.Response {
+	resp := &hop.Response{Reason: string(res.Reason), Offered: res.Sent}
+	switch res.Kind {
+	case exchange.Answered:
+		resp.Outcome, resp.Status, resp.Header, resp.Body = hop.Answered, res.Status, res.Header, res.Body
+	case exchange.NotRun:
+		resp.Outcome = hop.NotRun
+	default:
+		resp.Outcome = hop.Lost
+	}
+	return resp
+}
+
+func (o *Owner) withLoad(t *target, resp *hop.Response) *hop.Response {
+	l := t.limiter.Load()
+	resp.Load = &hop.Load{InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, MeanUs: l.Mean.Microseconds()}
+	return resp
+}
+
+// Load returns the load of a target of this host.
+func (o *Owner) Load(id mesh.TargetID) (admission.Load, bool) {
+	o.mu.Lock()
+	t := o.targets[id]
+	o.mu.Unlock()
+	if t == nil {
+		return admission.Load{}, false
+	}
+	return t.limiter.Load(), true
+}
+
+// Busy returns the number of calls at the targets of this host and in their
+// queues.
+func (o *Owner) Busy() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for _, t := range o.targets {
+		l := t.limiter.Load()
+		n += l.InFlight + l.Queued
+	}
+	return n
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,301 @@
+// Package sidecar wires the parts of a node that runs beside a target on the
+// users' platform.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/internal/control"
+	"nutmeghoist.example/nutmeghoist/internal/entry"
+	"nutmeghoist.example/nutmeghoist/internal/hop"
+	"nutmeghoist.example/nutmeghoist/internal/owner"
+	"nutmeghoist.example/nutmeghoist/internal/telemetry"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/retry"
+	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/traffic"
+)
+
+// Config holds what a sidecar needs.
+type Config struct {
+	Host       mesh.HostID
+	DataCentre mesh.DataCentre
+	IP         netip.Addr
+	Service    mesh.ServiceName
+
+	CallerAddress   netip.AddrPort
+	CallAddress     netip.AddrPort
+	ReadyAddress    netip.AddrPort
+	AnnounceAddress netip.AddrPort
+	MetricsAddress  netip.AddrPort
+
+	Names        traffic.Headers
+	Drain        time.Duration // a leaving target gets no call later than this
+	Grace        time.Duration // from the signal to stop until the process is killed
+	BeatInterval time.Duration
+	RetrySlack   int // repeats above the ratio that all hosts share
+
+	Store    control.Store
+	Provider control.Provider
+	// AnnounceHandler serves the targets' heartbeats, ReadyHandler the
+	// platform's checks.
+	AnnounceHandler func(Announcements) http.Handler
+	ReadyHandler    func(ready func() bool) http.Handler
+
+	Metrics metrics.Registry
+	Log     *log.Logger
+}
+
+// Announcements takes what the target of this host says about itself.
+type Announcements interface {
+	Heartbeat(owner.Heartbeat) error
+	Leave(mesh.TargetID)
+	Invalid(error)
+}
+
+const (
+	// readyChecks is how long a node that stops goes on serving at the least: two
+	// checks a second apart tell callers that it is not ready.
+	readyChecks = 2200 * time.Millisecond
+	// graceMargin is kept of the time until the process is killed.
+	graceMargin = 700 * time.Millisecond
+	stopPoll    = 20 * time.Millisecond
+	// settleTime is how long a new node waits for the targets of others.
+	settleTime  = time.Second
+	prunePeriod = 5 * time.Second
+	// remoteCost is the way to another data centre and back, and the load on the
+	// links between data centres, in the units of routing.Placement.
+	remoteCost = 30 * time.Millisecond
+	// coldFor is how long a target is slow after its start.
+	coldFor = 3 * time.Second
+)
+
+// Sidecar is one node. It is made by New and operated by Run.
+type Sidecar struct {
+	cfg     Config
+	control *control.Control
+	owner   *owner.Owner
+	entry   *entry.Entry
+	callers *entry.Server
+	peers   *hop.Server
+	budget  *retry.Budget
+
+	stopping atomic.Bool
+	started  time.Time
+}
+
+// New opens the listeners of a node.
+func New(cfg Config) (*Sidecar, error) {
+	s := &Sidecar{cfg: cfg, budget: retry.NewBudget(), started: time.Now()}
+	calls, err := listen(cfg.CallAddress)
+	if err != nil {
+		return nil, err
+	}
+	callers, err := listen(cfg.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	ip := net.IP(cfg.IP.AsSlice())
+	s.peers = hop.NewServer(calls, s)
+	s.control, err = control.New(control.Config{
+		Self: membership.Host{
+			ID: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: uint64(time.Now().UnixMilli()),
+			PeerAddress: cfg.CallAddress.String(), CallAddress: cfg.CallAddress.String(), Status: membership.StatusAlive,
+		},
+		Transport: hop.NewTransport(cfg.Host, ip, s.peers),
+		Store:     cfg.Store, Provider: cfg.Provider,
+		Load: s.load,
+		Send: func(ctx context.Context, address string, note []byte) error {
+			return s.entry.Pool(address).Note(ctx, note)
+		},
+		Metrics: cfg.Metrics, Log: cfg.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.owner = owner.New(owner.Config{
+		Names: cfg.Names, Drain: cfg.Drain, BeatInterval: cfg.BeatInterval,
+		MaxConnections: s.maxConnections, Changed: s.control.SetTargets, Metrics: cfg.Metrics, Log: cfg.Log,
+	})
+	s.entry = entry.New(entry.Config{
+		Self: cfg.Host, IP: ip, Service: cfg.Service, Names: cfg.Names, Snapshot: s.control.Snapshot,
+		Local: s.owner, Observer: s.control.Observer(), Budget: s.budget,
+		Placement: routing.Placement{RemoteCost: remoteCost, ColdFor: coldFor}, Metrics: cfg.Metrics, Log: cfg.Log,
+	})
+	s.callers = entry.NewServer(callers, s.entry.Handle, s.limits)
+	telemetry.RegisterProcess(cfg.Metrics)
+	return s, nil
+}
+
+func listen(address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen at %s: %w", address, err)
+	}
+	return l, nil
+}
+
+// defaultConnections applies until the configuration names the connections that
+// a target accepts.
+const defaultConnections = 64
+
+func (s *Sidecar) maxConnections(service mesh.ServiceName) int {
+	if v := s.control.Snapshot(); v != nil {
+		if n := v.Config.Services[service].MaxConnections; n > 0 {
+			return n
+		}
+	}
+	return defaultConnections
+}
+
+func (s *Sidecar) limits() (traffic.Limits, bool) {
+	v := s.control.Snapshot()
+	if v == nil {
+		return traffic.Limits{}, false
+	}
+	return v.Config.Limits, true
+}
+
+func (s *Sidecar) load(id mesh.TargetID) (routing.Load, bool) {
+	l, ok := s.owner.Load(id)
+	return routing.Load{InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, Mean: l.Mean}, ok
+}
+
+// Call implements hop.Handler.
+func (s *Sidecar) Call(ctx context.Context, r *hop.Request) *hop.Response {
+	return s.owner.Call(ctx, r)
+}
+
+// Note implements hop.Handler.
+func (s *Sidecar) Note(message []byte) { s.control.Note(message) }
+
+// Heartbeat implements Announcements.
+func (s *Sidecar) Heartbeat(h owner.Heartbeat) error { return s.owner.Heartbeat(h) }
+
+// Leave implements Announcements.
+func (s *Sidecar) Leave(id mesh.TargetID) { s.owner.Leave(id) }
+
+// Invalid implements Announcements.
+func (s *Sidecar) Invalid(err error) {
+	metrics.GetOrRegisterCounter("heartbeats.invalid", s.cfg.Metrics).Inc(1)
+	s.cfg.Log.Warn().Err(err).Msg("heartbeat cannot be read")
+}
+
+// Ready reports whether the node serves calls.
+func (s *Sidecar) Ready() bool {
+	return !s.stopping.Load() && s.control.Snapshot() != nil && time.Since(s.started) > settleTime
+}
+
+// Run operates the node until the context ends, and then stops it gracefully.
+func (s *Sidecar) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	failed := make(chan error, 8)
+	var wg sync.WaitGroup
+	run := func(name string, f func() error) {
+		wg.Go(func() {
+			if err := f(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("%s: %w", name, err)
+			}
+		})
+	}
+	servers, err := s.httpServers()
+	if err != nil {
+		return err
+	}
+	for name, h := range servers {
+		run(name, h.run)
+	}
+	run("calls", s.peers.Run)
+	run("callers", s.callers.Run)
+	run("control", func() error { return s.control.Run(work) })
+	run("owner", func() error { s.owner.Run(work); return nil })
+	run("upkeep", func() error { s.upkeep(work); return nil })
+	s.cfg.Log.Info().Str("data_centre", string(s.cfg.DataCentre)).Str("service", string(s.cfg.Service)).Msg("node started")
+	select {
+	case <-ctx.Done():
+		s.stop()
+	case err = <-failed:
+		s.cfg.Log.Error().Err(err).Msg("node failed")
+	}
+	stopWork()
+	s.callers.Close()
+	s.peers.Close()
+	for _, h := range servers {
+		_ = h.server.Close() // the process ends
+	}
+	wg.Wait()
+	s.cfg.Log.Info().Msg("node stopped")
+	return err
+}
+
+// stop lets callers and other nodes turn away, and finishes the calls in flight.
+func (s *Sidecar) stop() {
+	begun := time.Now()
+	s.stopping.Store(true)
+	s.cfg.Log.Info().Int("in_flight", s.callers.Busy()).Msg("node stops")
+	s.owner.Stop()
+	s.control.Leave()
+	s.callers.Drain()
+	for time.Since(begun) < s.cfg.Grace-graceMargin {
+		time.Sleep(stopPoll)
+		if time.Since(begun) > readyChecks && s.callers.Busy() == 0 && s.owner.Busy() == 0 {
+			return
+		}
+	}
+	s.cfg.Log.Warn().Int("in_flight", s.callers.Busy()).Msg("calls were cut at the end of the grace time")
+}
+
+// upkeep adapts what depends on the number of hosts.
+func (s *Sidecar) upkeep(ctx context.Context) {
+	t := time.NewTicker(prunePeriod)
+	defer t.Stop()
+	for {
+		s.budget.SetBurst(max(1, min(retry.DefaultBurst, s.cfg.RetrySlack/s.control.Hosts())))
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.entry.Prune(s.control.Addresses())
+		}
+	}
+}
+
+// httpServer is one of the node's own HTTP interfaces.
+type httpServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (h *httpServer) run() error { return h.server.Serve(h.listener) }
+
+func (s *Sidecar) httpServers() (map[string]*httpServer, error) {
+	out := make(map[string]*httpServer)
+	for name, h := range map[string]struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		"ready":     {s.cfg.ReadyAddress, s.cfg.ReadyHandler(s.Ready)},
+		"announces": {s.cfg.AnnounceAddress, s.cfg.AnnounceHandler(s)},
+		"metrics":   {s.cfg.MetricsAddress, telemetry.Handler(s.cfg.Metrics)},
+	} {
+		l, err := listen(h.address)
+		if err != nil {
+			return nil, err
+		}
+		out[name] = &httpServer{listener: l, server: &http.Server{Handler: h.handler, ReadHeaderTimeout: 5 * time.Second}}
+	}
+	return out, nil
+}
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -35,6 +35,8 @@
 	InFlight int `json:"in_flight"` // calls at the target
 	Queued   int `json:"queued"`    // calls that wait
 	Limit    int `json:"limit"`     // calls that may be at the target at once
+	// Mean is the mean time of a call at the target; 0 before the first.
+	Mean time.Duration `json:"mean"`
 }
 
 // Done tells the limiter how an admitted call ended.
@@ -213,7 +215,7 @@
 func (l *Limiter) Load() Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Load{InFlight: l.inFlight, Queued: l.queue.len(), Limit: l.limit.now}
+	return Load{InFlight: l.inFlight, Queued: l.queue.len(), Limit: l.limit.now, Mean: l.service.mean}
 }
 
 // retryAfter is the time in which the present queue is worked off.
--- a/pkg/membership/record.go
+++ b/pkg/membership/record.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/rollout"
 )
 
 // Status is the state of a host as the mesh sees it. A higher status wins a
@@ -54,4 +55,8 @@
 	Sequence    uint64          `cbor:"6,keyasint" json:"sequence"`     // rises with each change of the record
 	Status      Status          `cbor:"7,keyasint" json:"status"`
 	Targets     []Target        `cbor:"8,keyasint" json:"targets,omitempty"`
+	// Rollouts are those that this host coordinates or coordinated last.
+	Rollouts []rollout.Progress `cbor:"9,keyasint,omitempty" json:"rollouts,omitempty"`
+	// Detached means that the host cannot reach the platform's store.
+	Detached bool `cbor:"10,keyasint,omitempty" json:"detached,omitempty"`
 }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -201,8 +201,9 @@
 // gone reports whether the status is final within its incarnation.
 func (s Status) gone() bool { return s == StatusFailed || s == StatusLeft }
 
-// clone copies the targets, so that no caller shares them with the table.
+// clone copies the lists, so that no caller shares them with the table.
 func clone(h Host) Host {
 	h.Targets = slices.Clone(h.Targets)
+	h.Rollouts = slices.Clone(h.Rollouts)
 	return h
 }
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -17,6 +17,10 @@
 	// ErrOutcomeUnknown means that the request may or may not have taken effect.
 	// Read back before writing again.
 	ErrOutcomeUnknown = errors.New("outcome unknown")
+	// ErrHistoryGone means that a feed cannot continue: read the table again.
+	ErrHistoryGone = errors.New("history is no longer available")
+	// ErrFull means that the platform has no room for the write.
+	ErrFull = errors.New("platform is full")
 )
 
 // RateLimitedError says that the platform refused a request because of its rate.
@@ -68,6 +72,28 @@
 	Commit(ctx context.Context, txn Txn) error
 }
 
+// Change is a row that was written, or dropped when Removed is set.
+type Change struct {
+	Row
+	Removed bool
+}
+
+// Changes are the changes of a table up to a version of the store.
+type Changes struct {
+	Rows    []Change
+	Version uint64
+}
+
+// Feed follows the changes of tables. A table is the part of a key before the
+// first slash. Implementations are safe for concurrent use.
+type Feed interface {
+	// Rows returns all rows of a table and the version at which Changes continues.
+	Rows(ctx context.Context, table string) ([]Row, uint64, error)
+	// Changes returns what changed after a version, as soon as there is a change
+	// or the wait is over. ErrHistoryGone means that Rows must be read again.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+}
+
 // ObjectStore keeps immutable objects named by the hex SHA-256 of their content.
 type ObjectStore interface {
 	// Put stores an object; storing it again is harmless.
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -92,7 +92,7 @@
 	}
 	reserve := int64(0)
 	if d.Reason == Load {
-		reserve = loadReserve
+		reserve = b.loadReserve()
 	}
 	if !b.take(reserve) {
 		return Decision{Reason: NodeBudget}
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -64,7 +64,7 @@
 				t.Fatalf("waits %s of %s", d.Wait, a.Left)
 			}
 		}
-		if retries > calls/10+burst {
+		if retries > calls/10+DefaultBurst {
 			t.Fatalf("%d retries of %d calls", retries, calls)
 		}
 	})
@@ -76,7 +76,7 @@
 	b, rng := NewBudget(), rand.New(rand.NewPCG(1, 1))
 	a := good()
 	a.ByLoad = true
-	for range 10 * burst {
+	for range 10 * DefaultBurst {
 		Decide(a, b, rng)
 	}
 	a.ByLoad = false
--- a/pkg/routing/params.go
+++ b/pkg/routing/params.go
@@ -40,6 +40,19 @@
 	// hintAge is how long a health report counts.
 	hintAge = 5 * time.Second
 
+	// faultGain is the weight of one call in the share of failed calls.
+	faultGain = 0.1
+	// faultCost is what a target costs that fails every call, in placing: about
+	// the time of an attempt that is lost and made again elsewhere.
+	faultCost = 400 * time.Millisecond
+	// unknownMean stands for the time of a call until a target's owner tells it.
+	unknownMean = 80 * time.Millisecond
+	// busyCost is the part of a call's time that a full target adds to it, since
+	// some targets slow down when they are nearly full.
+	busyCost = 0.3
+	// coldFactor is how much longer a cold target takes.
+	coldFactor = 2
+
 	// tookSamples is the weight of the past in the mean time to an answer.
 	tookSamples = 16
 	// silenceFactor times the mean must fit into half of the time left before a
--- a/pkg/routing/stat.go
+++ b/pkg/routing/stat.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,7 +31,8 @@
 type Load struct {
 	InFlight int
 	Queued   int
-	Limit    int // calls that the owner lets run at once
+	Limit    int           // calls that the owner lets run at once
+	Mean     time.Duration // mean time of a call at the target; 0 when not known
 }
 
 type loadReport struct {
@@ -51,7 +53,8 @@
 	shedUntil    atomic.Int64
 	lastAnswer   atomic.Int64
 
-	took atomic.Int64 // mean time to an answer in nanoseconds
+	took   atomic.Int64  // mean time to an answer in nanoseconds
+	faults atomic.Uint64 // share of calls that failed lately, as float bits
 
 	failing   atomic.Bool // the last answer was not a success
 	probation atomic.Bool // was ejected and has not answered since
@@ -111,6 +114,7 @@
 // Signal takes what a call showed. retryAfter is the time that a shedding
 // target asked for; 0 when it said none.
 func (s *Stat) Signal(sig Signal, retryAfter time.Duration, now time.Time) {
+	s.countFault(sig != SignalAnswer)
 	switch sig {
 	case SignalShed:
 		s.shed(retryAfter, now)
@@ -147,6 +151,17 @@
 	return left / 2
 }
 
+// countFault keeps the share of failed calls as a moving average.
+func (s *Stat) countFault(failed bool) {
+	share := math.Float64frombits(s.faults.Load())
+	if failed {
+		share += faultGain * (1 - share)
+	} else {
+		share -= faultGain * share
+	}
+	s.faults.Store(math.Float64bits(share)) // a lost race loses one call
+}
+
 // shed makes picks avoid the target for a while. The refusal itself is an
 // answer, so it does not speak against the target's health.
 func (s *Stat) shed(retryAfter time.Duration, now time.Time) {
