Read the host rows again after writing the own one

Cause: hosts that start within 60 ms all read an empty table before any row was written, so no host knew another until a later one joined. Change: a host that has written its row reads the table once more.

--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -165,12 +165,34 @@
 	}
 }
 
-// join reads the rows of the hosts and writes the own one where it differs.
+// join reads the rows of the hosts and writes the own one where it differs. A
+// host that has written its row reads again: of two hosts that start at the same
+// time, one sees the other's row.
 func (f *follower) join(ctx context.Context) error {
-	rows, _, err := f.c.cfg.Store.Rows(ctx, hostTable)
+	present, err := f.readHosts(ctx)
 	if err != nil {
 		return err
 	}
+	if !present {
+		if err := f.writeSelf(ctx); err != nil {
+			return err
+		}
+		if _, err := f.readHosts(ctx); err != nil {
+			return err
+		}
+	}
+	f.joined = true
+	f.c.cfg.Log.Info().Int("hosts", len(f.c.members.Hosts())).Bool("row_written", !present).Msg("joined through the store")
+	return nil
+}
+
+// readHosts takes the rows of all hosts, and reports whether that of this host
+// is there.
+func (f *follower) readHosts(ctx context.Context) (bool, error) {
+	rows, _, err := f.c.cfg.Store.Rows(ctx, hostTable)
+	if err != nil {
+		return false, err
+	}
 	self := f.c.members.Self()
 	var hosts []membership.Host
 	present := false
@@ -187,14 +209,7 @@
 		hosts = append(hosts, h)
 	}
 	f.c.members.Merge(hosts)
-	if !present {
-		if err := f.writeSelf(ctx); err != nil {
-			return err
-		}
-	}
-	f.joined = true
-	f.c.cfg.Log.Info().Int("hosts", len(hosts)).Bool("row_written", !present).Msg("joined through the store")
-	return nil
+	return present, nil
 }
 
 // writeSelf writes the row of this host. It is the same at each attempt, so
