Let calls that cannot meet their latency target wait behind the others

The queue served by deadline, so that calls past their target made those behind them late as well. Change: the queue orders by latency target; a call that cannot meet it runs only when no other waits, and is refused at once while others fill the queue.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -27,6 +28,9 @@
 	maxPlaces = 3
 	// defaultRetryAfter is told when nothing is known of when there will be room.
 	defaultRetryAfter = 250 * time.Millisecond
+	// stopRetryAfter is told by a node that stops: the time in which another
+	// process or another node takes the calls.
+	stopRetryAfter = time.Second
 	// maxDeadline bounds the time of a call whose caller names none.
 	maxDeadline = time.Minute
 )
@@ -34,6 +38,7 @@
 // The reasons for an answer of the node's own.
 const (
 	reasonNotReady   = "not_ready"
+	reasonStopping   = "stopping" // the node stops too soon for a whole call
 	reasonBadRequest = "bad_request"
 	reasonNoRoute    = "no_route"
 	reasonNoTarget   = "no_target"
@@ -72,6 +77,7 @@
 // Entry runs the calls that begin on this host. It is safe for concurrent use.
 type Entry struct {
 	cfg      Config
+	stopping atomic.Bool
 	splitter traffic.Splitter
 	drawer   view.Drawer
 	rng      *rand.Rand
@@ -115,6 +121,9 @@
 	}
 }
 
+// Stop refuses new calls; those that were taken go on.
+func (e *Entry) Stop() { e.stopping.Store(true) }
+
 // call is one call of a caller.
 type call struct {
 	e        *Entry
@@ -160,6 +169,9 @@
 	if c.snapshot == nil {
 		return c.refuse(http.StatusServiceUnavailable, reasonNotReady, defaultRetryAfter)
 	}
+	if c.e.stopping.Load() {
+		return c.refuse(http.StatusServiceUnavailable, reasonStopping, stopRetryAfter)
+	}
 	if c.id == "" {
 		return c.refuse(http.StatusBadRequest, reasonBadRequest, 0)
 	}
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -41,7 +41,10 @@
 	}
 	deadline := hop.TimeAt(r.DeadlineAt)
 	arrived := time.Now()
-	if err := t.limiter.Acquire(ctx, classOf(r.Priority), deadline); err != nil {
+	err := t.limiter.Admit(ctx, admission.Work{
+		Class: classOf(r.Priority), Kind: r.Route, Aim: hop.TimeAt(r.AimAt), Deadline: deadline,
+	})
+	if err != nil {
 		return o.refused(t, r, err, arrived)
 	}
 	if o.tooLate(t) {
@@ -56,7 +59,7 @@
 	})
 	took := time.Since(sent)
 	t.limiter.Release(admission.Done{
-		Shed: res.Reason == exchange.Shed, Answer: res.Kind == exchange.Answered, Service: took,
+		Kind: r.Route, Shed: res.Reason == exchange.Shed, Answer: res.Kind == exchange.Answered, Service: took,
 	})
 	metrics.GetOrRegisterTimer("target.time", o.cfg.Metrics).Update(took)
 	resp := o.response(&res)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -251,6 +251,9 @@
 	s.callers.Drain()
 	for time.Since(begun) < s.cfg.Grace-graceMargin {
 		time.Sleep(stopPoll)
+		if time.Since(begun) > readyChecks {
+			s.entry.Stop()
+		}
 		if time.Since(begun) > readyChecks && s.callers.Busy() == 0 && s.owner.Busy() == 0 {
 			return
 		}
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -28,8 +28,24 @@
 	queue    queue
 	limit    adaptive
 	service  estimate
+	kinds    map[string]*estimate // service times by Work.Kind
 }
 
+// Work describes a call that asks to be admitted.
+type Work struct {
+	Class mesh.Class
+	// Kind names calls that take about the same time, for example a route.
+	Kind string
+	// Aim is when the answer stops being worth its full benefit; zero means that
+	// only the deadline counts. A call that cannot meet its aim any more runs only
+	// when no other waits.
+	Aim      time.Time
+	Deadline time.Time
+}
+
+// maxKinds bounds the kinds of which a limiter keeps estimates.
+const maxKinds = 4096
+
 // Load is the work at the target as its owner sees it.
 type Load struct {
 	InFlight int `json:"in_flight"` // calls at the target
@@ -41,6 +57,7 @@
 
 // Done tells the limiter how an admitted call ended.
 type Done struct {
+	Kind    string        // of the call's Work
 	Shed    bool          // the target refused for load without running the call
 	Answer  bool          // the target ran the call and its answer was complete
 	Service time.Duration // from dispatch to the end of the answer
@@ -62,14 +79,21 @@
 	}
 }
 
-// Acquire admits a call or returns a *Refusal. It refuses at once when the
-// deadline cannot be met, and otherwise waits for a slot. An admitted call
-// must be ended with Release.
+// Acquire admits a call for which only the deadline counts, see Admit.
 func (l *Limiter) Acquire(ctx context.Context, class mesh.Class, deadline time.Time) error {
+	return l.Admit(ctx, Work{Class: class, Deadline: deadline})
+}
+
+// Admit admits a call or returns a *Refusal. It refuses at once when the
+// deadline cannot be met, or when the aim cannot be met and there is too much
+// to do for a late call, and otherwise waits for a slot. An admitted call must
+// be ended with Release.
+func (l *Limiter) Admit(ctx context.Context, work Work) error {
 	now := time.Now()
 	l.mu.Lock()
 	l.limit.probe(now)
-	if reason := l.refuse(class, deadline, now); reason != "" {
+	late, reason := l.refuse(&work, now)
+	if reason != "" {
 		err := &Refusal{Reason: reason, RetryAfter: l.retryAfter()}
 		l.mu.Unlock()
 		return err
@@ -79,35 +103,61 @@
 		l.mu.Unlock()
 		return nil
 	}
-	w := newWaiter(class, deadline)
+	w := newWaiter(&work)
+	w.takes = l.takes(work.Kind)
 	patience := l.patience(w, now)
-	l.queue.push(w)
+	if late {
+		l.queue.pushLate(w)
+	} else {
+		l.queue.push(w)
+	}
 	l.admitWaiting(now)
 	l.mu.Unlock()
 	return l.wait(ctx, w, patience)
 }
 
-// refuse returns the reason to refuse a call that arrives, or "".
-func (l *Limiter) refuse(class mesh.Class, deadline, now time.Time) Reason {
-	left := deadline.Sub(now)
+// refuse returns the reason to refuse a call that arrives, or "", and whether
+// the call is late: it can meet its deadline but not its aim.
+func (l *Limiter) refuse(work *Work, now time.Time) (late bool, reason Reason) {
+	left := work.Deadline.Sub(now)
 	switch {
 	case l.draining:
-		return ReasonDraining
+		return false, ReasonDraining
 	case left <= 0 || l.service.tooLong(left, now):
-		return ReasonDeadline
+		return false, ReasonDeadline
 	case l.inFlight < l.limit.now && l.queue.len() == 0:
-		return ""
-	case l.queue.full(class, l.limit.now):
-		return ReasonQueueFull
-	case l.expectedWait(class, deadline)+l.service.fast > left:
-		return ReasonDeadline
+		return false, ""
+	case l.queue.full(work.Class, l.limit.now):
+		return false, ReasonQueueFull
+	}
+	wait := l.expectedWait(work)
+	if wait+l.service.fast > left {
+		return false, ReasonDeadline
+	}
+	if work.Aim.IsZero() || !now.Add(wait+l.takes(work.Kind)).After(work.Aim) {
+		return false, ""
 	}
-	return ""
+	if l.queue.len() >= max(1, l.limit.now/lateRoom) {
+		return true, ReasonLate
+	}
+	return true, ""
 }
 
-// expectedWait estimates how long a call of the class would wait.
-func (l *Limiter) expectedWait(class mesh.Class, deadline time.Time) time.Duration {
-	turns := l.queue.ahead(class, deadline) + 1
+// lateRoom is the part of the limit, as a divisor, up to which calls may wait
+// when one that is late joins them.
+const lateRoom = 2
+
+// takes is the mean service time of a kind of call.
+func (l *Limiter) takes(kind string) time.Duration {
+	if e := l.kinds[kind]; e != nil {
+		return e.mean
+	}
+	return l.service.mean
+}
+
+// expectedWait estimates how long a call would wait.
+func (l *Limiter) expectedWait(work *Work) time.Duration {
+	turns := l.queue.ahead(work) + 1
 	return time.Duration(turns) * l.service.mean / time.Duration(l.limit.now)
 }
 
@@ -116,11 +166,11 @@
 // service times are always allowed: when calls started together, the first slot
 // is free only after a whole one.
 func (l *Limiter) patience(w *waiter, now time.Time) time.Duration {
-	half := w.deadline.Sub(now) / 2
+	half := w.Deadline.Sub(now) / 2
 	if l.service.mean == 0 {
 		return min(blindPatience, half)
 	}
-	return min(max(2*l.service.mean+patienceFactor*l.expectedWait(w.class, w.deadline), minPatience), half)
+	return min(max(2*l.service.mean+patienceFactor*l.expectedWait(&w.Work), minPatience), half)
 }
 
 const (
@@ -176,6 +226,7 @@
 	l.inFlight--
 	if d.Answer {
 		l.service.add(d.Service, now)
+		l.learnKind(d, now)
 	}
 	if d.Shed {
 		l.limit.shed(l.inFlight, now)
@@ -184,15 +235,30 @@
 	l.admitWaiting(now)
 }
 
+func (l *Limiter) learnKind(d Done, now time.Time) {
+	if d.Kind == "" {
+		return
+	}
+	e := l.kinds[d.Kind]
+	if e == nil {
+		if l.kinds == nil || len(l.kinds) >= maxKinds {
+			l.kinds = make(map[string]*estimate)
+		}
+		e = &estimate{}
+		l.kinds[d.Kind] = e
+	}
+	e.add(d.Service, now)
+}
+
 // admitWaiting gives free slots to the calls that wait. A call whose deadline
 // can no longer be met is refused instead.
 func (l *Limiter) admitWaiting(now time.Time) {
 	for l.inFlight < l.limit.now {
-		w := l.queue.pop()
+		w := l.queue.pop(now)
 		if w == nil {
 			return
 		}
-		if left := w.deadline.Sub(now); left <= 0 || l.service.tooLong(left, now) {
+		if left := w.Deadline.Sub(now); left <= 0 || l.service.tooLong(left, now) {
 			w.decided <- ReasonDeadline
 			continue
 		}
@@ -206,7 +272,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.draining = true
-	for w := l.queue.pop(); w != nil; w = l.queue.pop() {
+	now := time.Now()
+	for w := l.queue.pop(now); w != nil; w = l.queue.pop(now) {
 		w.decided <- ReasonDraining
 	}
 }
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -24,20 +24,31 @@
 // waiter is a call that waits. decided gets "" when it is admitted, and
 // otherwise the reason for its refusal.
 type waiter struct {
-	class    mesh.Class
-	deadline time.Time
-	decided  chan Reason
-	index    int // in its heap; -1 when it is in none
+	Work
+	takes   time.Duration // expected service time
+	decided chan Reason
+	heap    *byDue // the heap it is in; nil when it is in none
+	index   int    // in its heap
 }
 
-func newWaiter(class mesh.Class, deadline time.Time) *waiter {
-	return &waiter{class: class, deadline: deadline, decided: make(chan Reason, 1), index: -1}
+func newWaiter(work *Work) *waiter {
+	return &waiter{Work: *work, decided: make(chan Reason, 1)}
 }
 
-// queue holds the waiting calls: per class by deadline, between the classes by
-// weight (stride scheduling).
+// due is when the call should have its answer.
+func (w *Work) due() time.Time {
+	if w.Aim.IsZero() || w.Aim.After(w.Deadline) {
+		return w.Deadline
+	}
+	return w.Aim
+}
+
+// queue holds the waiting calls: per class by the time when they are due,
+// between the classes by weight (stride scheduling). Calls that cannot meet
+// their aim any more wait behind all others.
 type queue struct {
-	heaps [classes]byDeadline
+	heaps [classes]byDue
+	late  byDue
 	pass  [classes]float64 // virtual time at which the class is next
 	clock float64          // virtual time of the last call taken
 	n     int
@@ -51,84 +62,106 @@
 }
 
 func (q *queue) push(w *waiter) {
-	h := &q.heaps[w.class]
+	h := &q.heaps[w.Class]
 	if h.Len() == 0 {
 		// A class that was empty gets no credit for the time it did not wait.
-		q.pass[w.class] = max(q.pass[w.class], q.clock)
+		q.pass[w.Class] = max(q.pass[w.Class], q.clock)
 	}
+	w.heap = h
 	heap.Push(h, w)
 	q.n++
 }
 
+func (q *queue) pushLate(w *waiter) {
+	// Among late calls only the deadline counts.
+	w.Aim = time.Time{}
+	w.heap = &q.late
+	heap.Push(&q.late, w)
+	q.n++
+}
+
 // pop takes the next call, or nil.
-func (q *queue) pop() *waiter {
-	next := -1
-	for c := range q.heaps {
-		if q.heaps[c].Len() > 0 && (next < 0 || q.pass[c] < q.pass[next]) {
-			next = c
+func (q *queue) pop(now time.Time) *waiter {
+	for {
+		next := -1
+		for c := range q.heaps {
+			if q.heaps[c].Len() > 0 && (next < 0 || q.pass[c] < q.pass[next]) {
+				next = c
+			}
+		}
+		if next < 0 {
+			break
+		}
+		w := heap.Pop(&q.heaps[next]).(*waiter)
+		q.n--
+		if !w.Aim.IsZero() && now.Add(w.takes).After(w.Aim) {
+			q.pushLate(w)
+			continue
 		}
+		q.clock = q.pass[next]
+		q.pass[next] += 1 / weights[next]
+		return w
 	}
-	if next < 0 {
+	if q.late.Len() == 0 {
 		return nil
 	}
-	q.clock = q.pass[next]
-	q.pass[next] += 1 / weights[next]
 	q.n--
-	return heap.Pop(&q.heaps[next]).(*waiter)
+	return heap.Pop(&q.late).(*waiter)
 }
 
 // remove takes a call out; it reports false when the call was taken already.
 func (q *queue) remove(w *waiter) bool {
-	if w.index < 0 {
+	if w.heap == nil {
 		return false
 	}
-	heap.Remove(&q.heaps[w.class], w.index)
+	heap.Remove(w.heap, w.index)
 	q.n--
 	return true
 }
 
 // ahead estimates how many calls are served before a call that arrives now:
-// those of its class with an earlier deadline, and the other classes' share.
-func (q *queue) ahead(class mesh.Class, deadline time.Time) int {
+// those of its class that are due earlier, and the other classes' share.
+func (q *queue) ahead(work *Work) int {
 	same := 0
-	for _, w := range q.heaps[class] {
-		if w.deadline.Before(deadline) {
+	due := work.due()
+	for _, w := range q.heaps[work.Class] {
+		if w.due().Before(due) {
 			same++
 		}
 	}
-	active := weights[class]
+	active := weights[work.Class]
 	for c := range q.heaps {
-		if c != int(class) && q.heaps[c].Len() > 0 {
+		if c != int(work.Class) && q.heaps[c].Len() > 0 {
 			active += weights[c]
 		}
 	}
-	return min(q.n, int(float64(same+1)*active/weights[class])-1)
+	return min(q.n, int(float64(same+1)*active/weights[work.Class])-1)
 }
 
-// byDeadline is a heap of waiters, earliest deadline first.
-type byDeadline []*waiter
+// byDue is a heap of waiters, the one that is due first at the top.
+type byDue []*waiter
 
-func (h byDeadline) Len() int           { return len(h) }
-func (h byDeadline) Less(i, j int) bool { return h[i].deadline.Before(h[j].deadline) }
+func (h byDue) Len() int           { return len(h) }
+func (h byDue) Less(i, j int) bool { return h[i].due().Before(h[j].due()) }
 
-func (h byDeadline) Swap(i, j int) {
+func (h byDue) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
 }
 
 // Push implements heap.Interface.
-func (h *byDeadline) Push(x any) {
+func (h *byDue) Push(x any) {
 	w := x.(*waiter)
 	w.index = len(*h)
 	*h = append(*h, w)
 }
 
 // Pop implements heap.Interface.
-func (h *byDeadline) Pop() any {
+func (h *byDue) Pop() any {
 	last := len(*h) - 1
 	w := (*h)[last]
 	(*h)[last] = nil
 	*h = (*h)[:last]
-	w.index = -1
+	w.heap = nil
 	return w
 }
--- a/pkg/admission/refusal.go
+++ b/pkg/admission/refusal.go
@@ -12,6 +12,7 @@
 const (
 	ReasonQueueFull Reason = "queue_full" // no room to wait in the call's class
 	ReasonDeadline  Reason = "deadline"   // the deadline cannot be met
+	ReasonLate      Reason = "late"       // the aim cannot be met, and others can meet theirs
 	ReasonQueueWait Reason = "queue_wait" // waited much longer than expected
 	ReasonCancelled Reason = "cancelled"  // the caller left while the call waited
 	ReasonDraining  Reason = "draining"   // the target takes no new work
@@ -29,7 +30,7 @@
 
 // IsLoad reports whether the call was refused because of load.
 func (r *Refusal) IsLoad() bool {
-	return r.Reason == ReasonQueueFull || r.Reason == ReasonDeadline || r.Reason == ReasonQueueWait
+	return r.Reason == ReasonQueueFull || r.Reason == ReasonLate || r.Reason == ReasonDeadline || r.Reason == ReasonQueueWait
 }
 
 // refusalOf returns the error for a decision; nil when it is "".
