Keep calls in their data centre while they can be answered in time there

Change: a target of the own data centre is taken when its expected time, with half of it to spare, fits what is left of the latency target; a remote one is weighed with the bytes of the route's answers.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -65,13 +65,17 @@
 	Service mesh.ServiceName // of this host; calls that begin here are sent in its name
 	Names   traffic.Headers
 	// Snapshot returns the snapshot in force, or nil.
-	Snapshot  func() *view.Snapshot
-	Local     Local
-	Observer  Observer
-	Budget    *retry.Budget
-	Placement routing.Placement
-	Metrics   metrics.Registry
-	Log       *log.Logger
+	Snapshot func() *view.Snapshot
+	Local    Local
+	Observer Observer
+	Budget   *retry.Budget
+	// RemoteCost and RemoteByteCost are what a call to another data centre costs,
+	// see routing.Placement: for each call, and for each byte of its answer.
+	RemoteCost     time.Duration
+	RemoteByteCost time.Duration
+	ColdFor        time.Duration // how long a target is slow after its start
+	Metrics        metrics.Registry
+	Log            *log.Logger
 }
 
 // Entry runs the calls that begin on this host. It is safe for concurrent use.
@@ -81,6 +85,7 @@
 	splitter traffic.Splitter
 	drawer   view.Drawer
 	rng      *rand.Rand
+	routes   routeStats
 
 	mu    sync.Mutex
 	pools map[string]*hop.Pool
@@ -201,7 +206,7 @@
 	for {
 		var t *routing.Candidate
 		if set != nil {
-			t = set.Place(time.Now(), c.e.rng, &c.tried, c.e.cfg.Placement)
+			t = set.Place(time.Now(), c.e.rng, &c.tried, c.placement())
 		}
 		if t == nil {
 			break
@@ -219,6 +224,16 @@
 	return c.giveUp()
 }
 
+// placement says how the call is to be placed, by what calls of its route took
+// so far.
+func (c *call) placement() routing.Placement {
+	takes, size := c.e.routes.expect(c.route.Name)
+	return routing.Placement{
+		Left: time.Until(c.aim), Takes: takes, ColdFor: c.e.cfg.ColdFor,
+		RemoteCost: c.e.cfg.RemoteCost + time.Duration(size)*c.e.cfg.RemoteByteCost,
+	}
+}
+
 // try asks one target.
 func (c *call) try(service *view.Service, t *routing.Candidate, isNew bool) *hop.Response {
 	c.places++
@@ -243,6 +258,9 @@
 		took = time.Since(started)
 	}
 	c.e.cfg.Observer.End(service, isNew, route, failed, took)
+	if resp.Outcome == hop.Answered && resp.Status < http.StatusBadRequest {
+		c.e.routes.learn(c.route.Name, took, len(resp.Body))
+	}
 	if resp.Load != nil {
 		t.Stat.ReportLoad(routing.Load{
 			InFlight: resp.Load.InFlight, Queued: resp.Load.Queued, Limit: resp.Load.Limit,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -75,9 +75,11 @@
 	// settleTime is how long a new node waits for the targets of others.
 	settleTime  = time.Second
 	prunePeriod = 5 * time.Second
-	// remoteCost is the way to another data centre and back, and the load on the
-	// links between data centres, in the units of routing.Placement.
-	remoteCost = 30 * time.Millisecond
+	// remoteCost is the way to another data centre and back, and the load of a call
+	// on the links between data centres, as routing.Placement weighs it.
+	// remoteByteCost is that of each byte of the answer.
+	remoteCost     = 25 * time.Millisecond
+	remoteByteCost = 10 * time.Microsecond
 	// coldFor is how long a target is slow after its start.
 	coldFor = 3 * time.Second
 )
@@ -132,7 +134,7 @@
 	s.entry = entry.New(entry.Config{
 		Self: cfg.Host, IP: ip, Service: cfg.Service, Names: cfg.Names, Snapshot: s.control.Snapshot,
 		Local: s.owner, Observer: s.control.Observer(), Budget: s.budget,
-		Placement: routing.Placement{RemoteCost: remoteCost, ColdFor: coldFor}, Metrics: cfg.Metrics, Log: cfg.Log,
+		RemoteCost: remoteCost, RemoteByteCost: remoteByteCost, ColdFor: coldFor, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	s.callers = entry.NewServer(callers, s.entry.Handle, s.limits)
 	telemetry.RegisterProcess(cfg.Metrics)
--- a/pkg/routing/place.go
+++ b/pkg/routing/place.go
@@ -8,6 +8,10 @@
 
 // Placement says how a call is to be placed.
 type Placement struct {
+	// Left is the time until the answer stops being worth its full benefit.
+	Left time.Duration
+	// Takes is the mean time of such calls at a target; 0 when not known.
+	Takes time.Duration
 	// RemoteCost is what a call to another data centre costs beyond its time at
 	// the target: the way there and back, and the load on links between data
 	// centres that others share.
@@ -16,38 +20,69 @@
 	ColdFor time.Duration
 }
 
+// spareTime is the factor by which the time left must exceed the expected time
+// at a target of the own data centre for the call to stay there. Calls of one
+// kind differ in their time, and few take longer than this times the mean.
+const spareTime = 1.5
+
 // Place returns the target with the least expected cost for a call, or nil. The
 // cost is the expected wait for a slot and the time at the target, plus what
-// speaks against it: another data centre, failures, a cold start. Targets that
+// speaks against it: another data centre, failures, a cold start. A call stays
+// in its data centre as long as it can be answered in time there. Targets that
 // are down, ejected or suspected are used only when there is no other.
 func (s *Set) Place(now time.Time, rng *rand.Rand, tried *Tried, p Placement) *Candidate {
-	total, ejected := 0, 0
+	keepOut := s.mayEject(now)
+	if c, cost := s.cheapest(now, rng, tried, &p, keepOut, true, false); c != nil && cost*spareTime <= float64(p.Left) {
+		return c
+	}
+	if c, _ := s.cheapest(now, rng, tried, &p, keepOut, true, true); c != nil {
+		return c
+	}
+	c, _ := s.cheapest(now, rng, tried, &p, false, false, true)
+	return c
+}
+
+// mayEject reports whether ejected targets are left out: not when they are more
+// than half of the set.
+func (s *Set) mayEject(now time.Time) bool {
+	ejected := 0
 	for _, list := range [...][]*Candidate{s.own, s.other} {
 		for _, c := range list {
-			total++
 			if c.Stat.ejected(now) {
 				ejected++
 			}
 		}
 	}
-	// No more than half of a set is ejected at once.
-	keepOut := ejected*2 <= total
-	best := s.cheapest(now, rng, tried, p, keepOut, true)
-	if best == nil {
-		best = s.cheapest(now, rng, tried, p, false, false)
+	return ejected*2 <= s.Len()
+}
+
+// speedOf returns the mean time of calls over the targets that told theirs.
+func (s *Set) speedOf(now time.Time) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, list := range [...][]*Candidate{s.own, s.other} {
+		for _, c := range list {
+			if l, ok := c.Stat.known(now); ok && l.Mean > 0 {
+				sum += l.Mean
+				n++
+			}
+		}
+	}
+	if n == 0 {
+		return 0
 	}
-	return best
+	return sum / time.Duration(n)
 }
 
-func (s *Set) cheapest(now time.Time, rng *rand.Rand, tried *Tried, p Placement, keepOut, sound bool) *Candidate {
+func (s *Set) cheapest(now time.Time, rng *rand.Rand, tried *Tried, p *Placement, keepOut, sound, remote bool) (*Candidate, float64) {
 	var best *Candidate
 	least := math.Inf(1)
-	visit := func(c *Candidate, remote time.Duration) {
+	mean := s.speedOf(now)
+	visit := func(c *Candidate, extra time.Duration) {
 		if tried.contains(c) || sound && (c.Suspect || c.Stat.down(now)) || keepOut && c.Stat.ejected(now) {
 			return
 		}
 		// The jitter spreads calls over targets that cost the same.
-		cost := (c.Cost(now, p.ColdFor) + float64(remote)) * (1 + 0.02*rng.Float64())
+		cost := (c.cost(now, p, mean) + float64(extra)) * (1 + 0.02*rng.Float64())
 		if cost < least {
 			best, least = c, cost
 		}
@@ -55,47 +90,46 @@
 	for _, c := range s.own {
 		visit(c, 0)
 	}
-	for _, c := range s.other {
-		visit(c, p.RemoteCost)
+	if remote {
+		for _, c := range s.other {
+			visit(c, p.RemoteCost)
+		}
 	}
-	return best
+	return best, least
 }
 
-// Cost is the expected time of a call at the target, in nanoseconds, with what
-// speaks against the target.
-func (c *Candidate) Cost(now time.Time, coldFor time.Duration) float64 {
-	mean, limit := float64(unknownMean), float64(max(1, c.Slots))
+// cost is the expected time of a call at the target, in nanoseconds, with what
+// speaks against the target. mean is the mean time over all targets.
+func (c *Candidate) cost(now time.Time, p *Placement, mean time.Duration) float64 {
+	own, limit := float64(unknownMean), float64(max(1, c.Slots))
+	if mean > 0 {
+		own = float64(mean)
+	}
 	if l, ok := c.Stat.known(now); ok {
 		if l.Mean > 0 {
-			mean = float64(l.Mean)
+			own = float64(l.Mean)
 		}
 		if l.Limit > 0 {
 			limit = float64(l.Limit)
 		}
 	}
+	takes := own
+	if p.Takes > 0 && mean > 0 {
+		takes = float64(p.Takes) * own / float64(mean)
+	}
 	load := float64(c.Stat.load(now))
-	wait := max(0, load+1-limit) * mean / limit
-	cost := wait + mean*(1+busyCost*min(1, load/limit))
-	if now.Sub(c.since) < coldFor {
+	wait := max(0, load+1-limit) * own / limit
+	cost := wait + takes*(1+busyCost*min(1, load/limit))
+	if now.Sub(c.since) < p.ColdFor {
 		cost *= coldFactor
 	}
 	cost += math.Float64frombits(c.Stat.faults.Load()) * float64(faultCost)
 	if c.Stat.shedding(now) {
-		cost += mean
+		cost += own
 	}
 	return cost
 }
 
-// Wait is the expected wait for a slot at the target.
-func (c *Candidate) Wait(now time.Time) time.Duration {
-	l, ok := c.Stat.known(now)
-	if !ok || l.Limit == 0 {
-		return 0
-	}
-	ahead := c.Stat.load(now) + 1 - int64(l.Limit)
-	return max(0, time.Duration(ahead)*l.Mean/time.Duration(l.Limit))
-}
-
 // known returns the load that the owner told lately.
 func (s *Stat) known(now time.Time) (Load, bool) {
 	if f := s.source.Load(); f != nil {
