--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -40,6 +40,13 @@
 		return
 	}
 	hosts := c.members.Hosts()
+	alive := 0
+	for i := range hosts {
+		if hosts[i].Status == membership.StatusAlive {
+			alive++
+		}
+	}
+	c.alive.Store(int64(alive))
 	progress := newestProgress(hosts)
 	s := &view.Snapshot{Config: c.config, Matcher: c.matcher, Services: make(map[mesh.ServiceName]*view.Service)}
 	targets := targetsByService(hosts)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -64,7 +64,7 @@
 	gossip  *distribution.Gossip
 	tracker *routing.Tracker
 	current atomic.Pointer[view.Snapshot]
-	changed chan struct{} // capacity 1; wakes the loop that builds snapshots
+	alive   atomic.Int64 // hosts that are alive
 
 	mu      sync.Mutex
 	config  *traffic.Config
@@ -91,7 +91,7 @@
 // New returns a control that does not run yet.
 func New(cfg Config) (*Control, error) {
 	c := &Control{
-		cfg: cfg, tracker: routing.NewTracker(), changed: make(chan struct{}, 1),
+		cfg: cfg, tracker: routing.NewTracker(),
 		members: membership.NewTable(cfg.Self, membership.Options{}),
 		orders:  make(map[mesh.ServiceName]seenOrder), vetoes: make(map[rolloutID]string),
 	}
@@ -132,15 +132,7 @@
 func (c *Control) Observer() *Watcher { return c.watcher }
 
 // Hosts returns the number of hosts that are alive.
-func (c *Control) Hosts() int {
-	n := 0
-	for _, h := range c.members.Hosts() {
-		if h.Status == membership.StatusAlive {
-			n++
-		}
-	}
-	return max(1, n)
-}
+func (c *Control) Hosts() int { return max(1, int(c.alive.Load())) }
 
 // SetTargets tells the mesh the targets of this host.
 func (c *Control) SetTargets(list []membership.Target) {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -68,7 +68,8 @@
 	Snapshot func() *view.Snapshot
 	Local    Local
 	Observer Observer
-	Budget   *retry.Budget
+	// RetryBurst returns the repeats that this node may save up for a service.
+	RetryBurst func() int
 	// RemoteCost and RemoteByteCost are what a call to another data centre costs,
 	// see routing.Placement: for each call, and for each byte of its answer.
 	RemoteCost     time.Duration
@@ -87,8 +88,9 @@
 	rng      *rand.Rand
 	routes   routeStats
 
-	mu    sync.Mutex
-	pools map[string]*hop.Pool
+	mu      sync.Mutex
+	pools   map[string]*hop.Pool
+	budgets map[mesh.ServiceName]*retry.Budget // each service bears only a share of its own calls again
 }
 
 // globalSource draws from the process-wide generator, which is safe for
@@ -99,7 +101,20 @@
 
 // New returns an entry.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg, rng: rand.New(globalSource{}), pools: make(map[string]*hop.Pool)}
+	return &Entry{cfg: cfg, rng: rand.New(globalSource{}), pools: make(map[string]*hop.Pool), budgets: make(map[mesh.ServiceName]*retry.Budget)}
+}
+
+// budget returns the repeats that are left for a service.
+func (e *Entry) budget(service mesh.ServiceName) *retry.Budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.budgets[service]
+	if b == nil {
+		b = retry.NewBudget()
+		e.budgets[service] = b
+	}
+	b.SetBurst(e.cfg.RetryBurst())
+	return b
 }
 
 // Pool returns the connections to a node.
@@ -138,6 +153,7 @@
 	id       string
 	snapshot *view.Snapshot
 	route    *traffic.Route
+	budget   *retry.Budget
 	deadline time.Time
 	aim      time.Time
 
@@ -161,7 +177,6 @@
 		var cancel context.CancelFunc
 		c.ctx, cancel = context.WithDeadline(ctx, c.deadline)
 		defer cancel()
-		e.cfg.Budget.Earn()
 		a = c.run()
 	}
 	c.report(a)
@@ -202,6 +217,8 @@
 	if service == nil {
 		return c.refuse(http.StatusServiceUnavailable, reasonNoTarget, defaultRetryAfter)
 	}
+	c.budget = c.e.budget(service.Name)
+	c.budget.Earn()
 	set, isNew := c.e.drawer.Draw(service)
 	for {
 		var t *routing.Candidate
@@ -346,7 +363,7 @@
 	d := retry.Decide(retry.Attempt{
 		NotRun: !c.unknown && c.failed == nil, ByLoad: resp.Outcome == hop.NotRun, Idempotent: c.route.Idempotent, Replayable: true,
 		Tries: c.attempts, LoadTries: c.sheds, Left: time.Until(c.deadline), PathBudget: 1,
-	}, c.e.cfg.Budget, c.e.rng)
+	}, c.budget, c.e.rng)
 	if !d.Retry {
 		c.e.count("noretry." + string(d.Reason))
 		return false
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -92,7 +92,6 @@
 	entry   *entry.Entry
 	callers *entry.Server
 	peers   *hop.Server
-	budget  *retry.Budget
 
 	stopping atomic.Bool
 	started  time.Time
@@ -100,7 +99,7 @@
 
 // New opens the listeners of a node.
 func New(cfg Config) (*Sidecar, error) {
-	s := &Sidecar{cfg: cfg, budget: retry.NewBudget(), started: time.Now()}
+	s := &Sidecar{cfg: cfg, started: time.Now()}
 	calls, err := listen(cfg.CallAddress)
 	if err != nil {
 		return nil, err
@@ -133,7 +132,7 @@
 	})
 	s.entry = entry.New(entry.Config{
 		Self: cfg.Host, IP: ip, Service: cfg.Service, Names: cfg.Names, Snapshot: s.control.Snapshot,
-		Local: s.owner, Observer: s.control.Observer(), Budget: s.budget,
+		Local: s.owner, Observer: s.control.Observer(), RetryBurst: s.retryBurst,
 		RemoteCost: remoteCost, RemoteByteCost: remoteByteCost, ColdFor: coldFor, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	s.callers = entry.NewServer(callers, s.entry.Handle, s.limits)
@@ -263,12 +262,16 @@
 	s.cfg.Log.Warn().Int("in_flight", s.callers.Busy()).Msg("calls were cut at the end of the grace time")
 }
 
-// upkeep adapts what depends on the number of hosts.
+// retryBurst divides what all hosts may repeat above the ratio by their number.
+func (s *Sidecar) retryBurst() int {
+	return max(1, min(retry.DefaultBurst, s.cfg.RetrySlack/s.control.Hosts()))
+}
+
+// upkeep closes the connections to nodes that are gone.
 func (s *Sidecar) upkeep(ctx context.Context) {
 	t := time.NewTicker(prunePeriod)
 	defer t.Stop()
 	for {
-		s.budget.SetBurst(max(1, min(retry.DefaultBurst, s.cfg.RetrySlack/s.control.Hosts())))
 		select {
 		case <-ctx.Done():
 			return
