--- /dev/null
+++ b/internal/entry/call_test.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/internal/hop"
+	"nutmeghoist.example/nutmeghoist/internal/view"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/rollout"
+	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+	"nutmeghoist.example/nutmeghoist/pkg/traffic"
+)
+
+// fakeOwner answers the n-th call, from 0, by a script.
+type fakeOwner struct {
+	mu     sync.Mutex
+	calls  []hop.Request
+	script func(n int, r *hop.Request) *hop.Response
+}
+
+func (f *fakeOwner) Call(_ context.Context, r *hop.Request) *hop.Response {
+	f.mu.Lock()
+	n := len(f.calls)
+	f.calls = append(f.calls, *r)
+	f.mu.Unlock()
+	return f.script(n, r)
+}
+
+type noObserver struct{}
+
+func (noObserver) Begin(*view.Service, bool)                            {}
+func (noObserver) End(*view.Service, bool, string, bool, time.Duration) {}
+
+func newEntry(f *fakeOwner, targets int) *Entry {
+	tracker := routing.NewTracker()
+	var list []snapshot.Target
+	for i := range targets {
+		list = append(list, snapshot.Target{
+			Target: membership.Target{ID: mesh.TargetID(fmt.Sprint("t", i)), Service: "orderdesk", Version: "v1", Slots: 4, State: membership.TargetReady},
+			Host:   "h", DataCentre: "north",
+		})
+	}
+	config := &traffic.Config{
+		Version: 7, Services: map[mesh.ServiceName]traffic.Service{"orderdesk": {}},
+		Routes: []traffic.Route{
+			{Name: "menus", Host: "m", Prefix: "/menus/", Idempotent: true, Timeout: time.Second, LatencyTarget: 500 * time.Millisecond, MaxAttempts: 2, Split: []traffic.Share{{Service: "orderdesk", Weight: 1}}},
+			{Name: "orders", Host: "m", Prefix: "/orders/", Timeout: time.Second, LatencyTarget: 500 * time.Millisecond, MaxAttempts: 2, Split: []traffic.Share{{Service: "orderdesk", Weight: 1}}},
+		},
+	}
+	s := &view.Snapshot{Config: config, Matcher: traffic.NewMatcher(config), Services: map[mesh.ServiceName]*view.Service{
+		"orderdesk": {Name: "orderdesk", Stable: tracker.NewSet("north", list, time.Now())},
+	}}
+	return New(Config{
+		Self: "h", IP: net.IPv4(127, 0, 0, 1), Service: "galley", Names: traffic.Headers{RequestID: "Call-Name", DeadlineMs: "Left-Ms"},
+		Snapshot: func() *view.Snapshot { return s }, Local: f, Observer: noObserver{}, RetryBurst: func() int { return 10 },
+		Metrics: metrics.NewRegistry(), Log: &log.Logger{Level: log.PanicLevel + 1},
+	})
+}
+
+func callTo(path string) *Request {
+	return &Request{Method: "GET", URI: path, Path: path, Host: "m:80", Header: http.Header{"Call-Name": {"c"}, "Left-Ms": {"400"}}, Arrived: time.Now()}
+}
+
+func ok(*hop.Request) *hop.Response {
+	return &hop.Response{Outcome: hop.Answered, Status: 200, Header: http.Header{"Proof": {"p"}}, Body: []byte("menu"), Offered: true}
+}
+
+// Guards against an order that is sent twice, a refusal that is not true, and
+// attempts beyond those that the route allows.
+func TestWhatCallersGet(t *testing.T) {
+	lost := &hop.Response{Outcome: hop.Lost, Reason: "connection_broken", Offered: true}
+	full := &hop.Response{Outcome: hop.NotRun, Reason: "queue_full", RetryAfterMs: 120}
+	shed := &hop.Response{Outcome: hop.NotRun, Reason: "target_shed", Offered: true}
+	broken := &hop.Response{Outcome: hop.Answered, Status: 500, Header: http.Header{"Proof": {"p"}}, Offered: true}
+	cases := []struct {
+		name    string
+		path    string
+		script  []*hop.Response // nil is a good answer
+		status  int
+		targets int // distinct targets that were asked
+	}{
+		{"answer", "/menus/1", []*hop.Response{nil}, 200, 1},
+		{"unknown route", "/nothing/1", nil, 404, 0},
+		{"lookup lost, then answered", "/menus/1", []*hop.Response{lost, nil}, 200, 2},
+		{"lookup lost twice", "/menus/1", []*hop.Response{lost, lost, nil}, 502, 2},
+		{"lookup failed by the target, then answered", "/menus/1", []*hop.Response{broken, nil}, 200, 2},
+		{"lookup failed twice", "/menus/1", []*hop.Response{broken, broken, nil}, 500, 2},
+		{"order lost", "/orders/1", []*hop.Response{lost, nil}, 502, 1},
+		{"order failed by the target", "/orders/1", []*hop.Response{broken, nil}, 500, 1},
+		{"order not admitted, then answered", "/orders/1", []*hop.Response{full, nil}, 200, 2},
+		{"order shed, then answered", "/orders/1", []*hop.Response{shed, nil}, 200, 2},
+		{"order not admitted, then lost", "/orders/1", []*hop.Response{full, lost, nil}, 502, 2},
+		{"order shed twice", "/orders/1", []*hop.Response{shed, shed, nil}, 503, 2},
+		{"nowhere admitted", "/orders/1", []*hop.Response{full, full, full, nil}, 503, 3},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := &fakeOwner{script: func(n int, r *hop.Request) *hop.Response {
+				if tc.script[n] == nil {
+					return ok(r)
+				}
+				resp := *tc.script[n]
+				return &resp
+			}}
+			a := newEntry(f, 4).Handle(t.Context(), callTo(tc.path))
+			if a.Status != tc.status {
+				t.Errorf("status %d, want %d", a.Status, tc.status)
+			}
+			asked := map[mesh.TargetID]bool{}
+			for _, r := range f.calls {
+				asked[r.Target] = true
+			}
+			if len(asked) != tc.targets || len(f.calls) != tc.targets {
+				t.Errorf("%d calls at %d targets, want %d", len(f.calls), len(asked), tc.targets)
+			}
+			if refused := a.Status == 503; refused != (a.Header.Get("Retry-After") != "") {
+				t.Errorf("status %d with Retry-After %q", a.Status, a.Header.Get("Retry-After"))
+			}
+			if a.Status == 503 && strings.Contains(tc.name, "lost") {
+				t.Error("a call that may have run was refused")
+			}
+		})
+	}
+}
+
+// Guards against a node that answers 404 before it knows any configuration.
+func TestWithoutConfiguration(t *testing.T) {
+	e := newEntry(&fakeOwner{}, 0)
+	e.cfg.Snapshot = func() *view.Snapshot { return nil }
+	if a := e.Handle(t.Context(), callTo("/menus/1")); a.Status != 503 || a.Header.Get("Retry-After") == "" {
+		t.Errorf("got %d with Retry-After %q", a.Status, a.Header.Get("Retry-After"))
+	}
+}
+
+// Guards against targets that are handed more time than the caller or the
+// route leaves.
+func TestDeadlineIsTheShorterOne(t *testing.T) {
+	for left, want := range map[string]time.Duration{"400": 400 * time.Millisecond, "5000": time.Second, "": time.Second} {
+		f := &fakeOwner{script: func(_ int, r *hop.Request) *hop.Response { return ok(r) }}
+		r := callTo("/menus/1")
+		r.Header.Set("Left-Ms", left)
+		newEntry(f, 1).Handle(t.Context(), r)
+		if got := hop.TimeAt(f.calls[0].DeadlineAt).Sub(r.Arrived); got < want-time.Millisecond || got > want+time.Millisecond {
+			t.Errorf("caller leaves %q ms: the target gets %s, want %s", left, got, want)
+		}
+	}
+}
+
+// Guards against repeats that pile up when every attempt fails: a service gets
+// a tenth of its calls again and what the node has saved up.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	f := &fakeOwner{script: func(int, *hop.Request) *hop.Response {
+		return &hop.Response{Outcome: hop.Lost, Reason: "connection_broken", Offered: true}
+	}}
+	e := newEntry(f, 4)
+	const calls = 500
+	for range calls {
+		e.Handle(t.Context(), callTo("/menus/1"))
+	}
+	if extra := len(f.calls) - calls; extra > calls/10+10 {
+		t.Errorf("%d repeats of %d calls", extra, calls)
+	}
+}
+
+// Guards against a new version that gets more than its share, or calls after
+// it was taken back.
+func TestShareOfTheNextVersion(t *testing.T) {
+	tracker := routing.NewTracker()
+	set := func(id mesh.TargetID) *routing.Set {
+		return tracker.NewSet("north", []snapshot.Target{{Target: membership.Target{ID: id, State: membership.TargetReady, Slots: 1}, Host: "h", DataCentre: "north"}}, time.Now())
+	}
+	for _, permille := range []int{0, 40, 500, 1000} {
+		var d view.Drawer
+		s := &view.Service{Name: "orderdesk", Stable: set("old"), Next: set("new"), Rollout: &rollout.Progress{Permille: permille}}
+		got := 0
+		for range 1000 {
+			if _, isNew := d.Draw(s); isNew {
+				got++
+			}
+		}
+		if got != permille {
+			t.Errorf("%d of 1000 calls, want %d", got, permille)
+		}
+		s.Next = nil
+		if _, isNew := d.Draw(s); isNew {
+			t.Error("a call went to a version that was taken back")
+		}
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -34,6 +34,9 @@
 	answerTimeout = 10 * time.Second
 	// bodyTimeout bounds the time to read a body.
 	bodyTimeout = 15 * time.Second
+	// headerSlack is what a header may exceed its bound by, in bytes, since its
+	// line ends count differently in places.
+	headerSlack = 512
 	// defaultIdle and defaultHeader apply until a configuration is known.
 	defaultIdle        = 30 * time.Second
 	defaultHeader      = 5 * time.Second
@@ -248,7 +251,7 @@
 	if limits.HeaderTimeout > 0 {
 		_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // an error shows at the read
 	}
-	c.input.left = int64(limits.HeaderBytes) + 4<<10
+	c.input.left, c.input.err = int64(limits.HeaderBytes)+headerSlack, nil
 	req, err := http.ReadRequest(c.r)
 	c.input.left = -1
 	if err != nil {
@@ -285,8 +288,12 @@
 	return nil
 }
 
-// unreadable returns the answer to a call that could not be read.
+// unreadable returns the answer to a call that could not be read. The parser's
+// error hides why the input ended.
 func (c *callerConn) unreadable(err error) *Answer {
+	if c.input.err != nil {
+		err = c.input.err
+	}
 	var timeout net.Error
 	switch {
 	case errors.Is(err, errTooLong):
@@ -366,16 +373,19 @@
 type meter struct {
 	r    io.Reader
 	left int64 // -1 means no bound
+	err  error // the last error of r
 }
 
 func (m *meter) Read(b []byte) (int, error) {
 	if m.left == 0 {
+		m.err = errTooLong
 		return 0, errTooLong
 	}
 	if m.left > 0 && int64(len(b)) > m.left {
 		b = b[:m.left]
 	}
 	n, err := m.r.Read(b)
+	m.err = err
 	if m.left > 0 {
 		m.left -= int64(n)
 	}
--- a/internal/hop/gossip.go
+++ b/internal/hop/gossip.go
@@ -22,6 +22,9 @@
 	acceptRate = 32
 	// maxAsks bounds the requests of one peer that are answered at a time.
 	maxAsks = 8
+	// maxFrames bounds the frames that wait to be received; a peer that sends
+	// more is slowed down.
+	maxFrames = 16
 )
 
 // greeting opens a gossip link.
@@ -148,11 +151,13 @@
 	ctx     context.Context // ends with the link
 	cancel  context.CancelFunc
 	slots   chan struct{} // asks of the peer that are answered now
+	frames  chan []byte   // received and not taken yet
 
 	mu     sync.Mutex
 	next   uint64
 	asks   map[uint64]chan answer
 	closed *distribution.ClosedError
+	failed error // why reading ended
 }
 
 type answer struct {
@@ -170,10 +175,12 @@
 
 func newLink(c *conn, peer mesh.HostID, dialed bool, h distribution.Handler) *link {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &link{
+	l := &link{
 		c: c, peer: peer, dialed: dialed, handler: h, ctx: ctx, cancel: cancel,
-		slots: make(chan struct{}, maxAsks), asks: make(map[uint64]chan answer),
+		slots: make(chan struct{}, maxAsks), asks: make(map[uint64]chan answer), frames: make(chan []byte, maxFrames),
 	}
+	go l.read()
+	return l
 }
 
 // Peer implements distribution.Link.
@@ -190,31 +197,58 @@
 	return l.c.writeFrame(frameGossip, frame)
 }
 
-// Receive implements distribution.Link. It also serves the peer's asks and
-// takes the answers to those of this end.
+// Receive implements distribution.Link.
 func (l *link) Receive() ([]byte, error) {
+	frame, ok := <-l.frames
+	if !ok {
+		return nil, l.why()
+	}
+	return frame, nil
+}
+
+// read takes frames until the link ends. It serves the peer's asks and passes
+// on the answers to those of this end.
+func (l *link) read() {
+	defer close(l.frames)
 	for {
-		kind, payload, err := l.c.readFrame()
+		err := l.readOne()
 		if err != nil {
-			return nil, l.end(err)
+			l.mu.Lock()
+			l.failed = err
+			l.mu.Unlock()
+			l.cancel()
+			_ = l.c.Close() // the link is over in any case
+			return
 		}
-		switch kind {
-		case frameGossip:
-			return payload, nil
-		case frameAsk, frameAnswer, frameFailure:
-			var a ask
-			if err := cbor.Unmarshal(payload, &a); err != nil {
-				return nil, l.end(err)
-			}
-			l.take(kind, a)
-		case frameClose:
-			if len(payload) == 1 {
-				l.setClosed(distribution.CloseReason(payload[0]), true)
-			}
-		default:
-			return nil, l.end(errFrame)
+	}
+}
+
+func (l *link) readOne() error {
+	kind, payload, err := l.c.readFrame()
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case frameGossip:
+		select {
+		case l.frames <- payload:
+		case <-l.ctx.Done():
+			return l.ctx.Err()
+		}
+	case frameAsk, frameAnswer, frameFailure:
+		var a ask
+		if err := cbor.Unmarshal(payload, &a); err != nil {
+			return err
+		}
+		l.take(kind, a)
+	case frameClose:
+		if len(payload) == 1 {
+			l.setClosed(distribution.CloseReason(payload[0]), true)
 		}
+	default:
+		return errFrame
 	}
+	return nil
 }
 
 func (l *link) take(kind byte, a ask) {
@@ -279,7 +313,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-l.ctx.Done():
-		return nil, l.end(net.ErrClosed)
+		return nil, l.why()
 	}
 }
 
@@ -307,14 +341,15 @@
 	return true
 }
 
-// end closes the connection and returns why the link ended.
-func (l *link) end(err error) error {
-	l.cancel()
-	_ = l.c.Close() // the link is over in any case
+// why returns the reason for which the link ended.
+func (l *link) why() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed != nil {
 		return l.closed
 	}
-	return err
+	if l.failed != nil {
+		return l.failed
+	}
+	return net.ErrClosed
 }
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -55,7 +55,7 @@
 	sent := time.Now()
 	res := t.client.Do(ctx, &exchange.Call{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
-		Caller: r.Caller, Expect: t.ID, Idempotent: r.Idempotent, Deadline: deadline,
+		Caller: r.Caller, Expect: r.Target, Idempotent: r.Idempotent, Deadline: deadline,
 	})
 	took := time.Since(sent)
 	t.limiter.Release(admission.Done{
@@ -66,7 +66,7 @@
 	resp.ServiceUs = took.Microseconds()
 	if res.Kind != exchange.Answered {
 		o.count("target." + string(res.Reason))
-		o.cfg.Log.Info().Str("id", r.ID).Str("target", string(t.ID)).Str("route", r.Route).Str("reason", string(res.Reason)).
+		o.cfg.Log.Info().Str("id", r.ID).Str("target", string(r.Target)).Str("route", r.Route).Str("reason", string(res.Reason)).
 			Bool("sent", res.Sent).Dur("took", took).Dur("left", time.Until(deadline)).AnErr("cause", res.Err).Msg("target gave no answer")
 	}
 	return o.withLoad(t, resp)
@@ -105,7 +105,7 @@
 	}
 	o.count("refused." + resp.Reason)
 	load := t.limiter.Load()
-	o.cfg.Log.Info().Str("id", r.ID).Str("target", string(t.ID)).Str("route", r.Route).Str("reason", resp.Reason).
+	o.cfg.Log.Info().Str("id", r.ID).Str("target", string(r.Target)).Str("route", r.Route).Str("reason", resp.Reason).
 		Dur("waited", time.Since(arrived)).Dur("left", time.Until(hop.TimeAt(r.DeadlineAt))).
 		Int("in_flight", load.InFlight).Int("queued", load.Queued).Int("limit", load.Limit).Dur("mean", load.Mean).Msg("call not admitted")
 	return o.withLoad(t, resp)
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,230 @@
+package owner
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/internal/hop"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/traffic"
+)
+
+const drain = 400 * time.Millisecond
+
+func newOwner(published *[]membership.Target) *Owner {
+	return New(Config{
+		Names: traffic.Headers{RequestID: "Call-Name", DeadlineMs: "Left-Ms", Stamp: "Proof", ExpectInstance: "Meant-For", NotRun: "Not-Run", CallerService: "From"},
+		Drain: drain, BeatInterval: 100 * time.Millisecond,
+		MaxConnections: func(mesh.ServiceName) int { return 10 },
+		Changed: func(l []membership.Target) {
+			if published != nil {
+				*published = l
+			}
+		},
+		Metrics: metrics.NewRegistry(), Log: &log.Logger{Level: log.PanicLevel + 1},
+	})
+}
+
+func beat(id mesh.TargetID, started int64, sequence uint64, draining bool) Heartbeat {
+	return Heartbeat{ID: id, Address: "127.0.0.1:1", Service: "galley", Version: "v1", Slots: 2, Draining: draining, Sequence: sequence, Started: started}
+}
+
+// Guards against a target that comes back by a heartbeat that was held up, and
+// against a new start that counts as the old one.
+func TestHeartbeatsOutOfOrder(t *testing.T) {
+	elsewhere := func(h Heartbeat) Heartbeat { h.Address = "127.0.0.1:2"; return h }
+	cases := []struct {
+		name  string
+		beats []Heartbeat
+		leave mesh.TargetID // after the beats
+		late  []Heartbeat   // after that
+		want  string        // targets with their states
+	}{
+		{"ready", []Heartbeat{beat("a", 10, 1, false)}, "", nil, "a:2"},
+		{"draining", []Heartbeat{beat("a", 10, 1, false), beat("a", 10, 2, true)}, "", nil, "a:3"},
+		{"known only as draining", []Heartbeat{beat("a", 10, 2, true)}, "", nil, "a:3"},
+		{"held-up ready after draining", []Heartbeat{beat("a", 10, 2, true), beat("a", 10, 1, false)}, "", nil, "a:3"},
+		{"no way back in one start", []Heartbeat{beat("a", 10, 2, true), beat("a", 10, 3, false)}, "", nil, "a:3"},
+		{"same name starts again", []Heartbeat{beat("a", 10, 9, true), beat("a", 20, 1, false)}, "", nil, "a:2"},
+		{"earlier start is heard late", []Heartbeat{beat("a", 20, 1, false), beat("a", 10, 9, true)}, "", nil, "a:2"},
+		{"leave without draining", []Heartbeat{beat("a", 10, 1, false)}, "a", []Heartbeat{beat("a", 10, 2, false)}, "a:3"},
+		{"leave before the first heartbeat", nil, "a", []Heartbeat{beat("a", 10, 1, false)}, ""},
+		{"address passes on", []Heartbeat{beat("a", 10, 1, false), beat("b", 20, 1, false)}, "", nil, "b:2"},
+		{"dead one reports late at an address that passed on", []Heartbeat{beat("b", 20, 1, false), beat("a", 10, 5, false)}, "", nil, "b:2"},
+		{"two targets", []Heartbeat{beat("a", 10, 1, false), elsewhere(beat("b", 10, 1, false))}, "", nil, "a:2 b:2"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var published []membership.Target
+			o := newOwner(&published)
+			send := func(list []Heartbeat) {
+				for _, h := range list {
+					if err := o.Heartbeat(h); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			send(tc.beats)
+			if tc.leave != "" {
+				o.Leave(tc.leave)
+			}
+			send(tc.late)
+			got := ""
+			for _, id := range []mesh.TargetID{"a", "b"} {
+				for _, p := range published {
+					if p.ID == id {
+						got += fmt.Sprintf(" %s:%d", p.ID, p.State)
+					}
+				}
+			}
+			if got != "" {
+				got = got[1:]
+			}
+			if got != tc.want {
+				t.Errorf("published %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// server is a target that answers each call after a time and keeps when the
+// last one came.
+func server(t *testing.T, takes time.Duration, last *atomic.Int64) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					last.Store(time.Now().UnixNano())
+					time.Sleep(takes)
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCall-Name: %s\r\nProof: p\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Call-Name"))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func request(target mesh.TargetID, left time.Duration) *hop.Request {
+	at := time.Now().Add(left).Sub(hop.TimeAt(0)).Microseconds()
+	return &hop.Request{
+		Target: target, Service: "galley", Version: "v1", Caller: "orderdesk", ID: "c", Method: "GET", URI: "/", Host: "m",
+		Idempotent: true, Priority: 1, DeadlineAt: at, AimAt: at,
+	}
+}
+
+// Guards against a call that reaches a leaving target later than the drain time
+// after the acknowledgement, also when it waited for a slot.
+func TestNoCallAfterTheDrainTime(t *testing.T) {
+	var last atomic.Int64
+	o := newOwner(nil)
+	h := beat("a", 10, 1, false)
+	h.Address = server(t, 60*time.Millisecond, &last)
+	if err := o.Heartbeat(h); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithTimeout(t.Context(), 2*drain)
+	defer stop()
+	var answered, refused atomic.Int64
+	for range 8 { // four times the slots, so that calls wait
+		go func() {
+			for ctx.Err() == nil {
+				switch resp := o.Call(ctx, request("a", time.Second)); resp.Outcome {
+				case hop.Answered:
+					answered.Add(1)
+				case hop.NotRun:
+					refused.Add(1)
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		}()
+	}
+	time.Sleep(drain / 2)
+	h.Sequence, h.Draining = 2, true
+	if err := o.Heartbeat(h); err != nil {
+		t.Fatal(err)
+	}
+	acknowledged := time.Now()
+	<-ctx.Done()
+	time.Sleep(100 * time.Millisecond)
+	if late := time.Unix(0, last.Load()).Sub(acknowledged); late > drain {
+		t.Errorf("the last call came %s after the acknowledgement, at most %s", late, drain)
+	}
+	if answered.Load() == 0 || refused.Load() == 0 {
+		t.Errorf("%d answered, %d refused: the load did not reach both sides", answered.Load(), refused.Load())
+	}
+}
+
+// Guards against calls at a target that is not the one the caller's node chose.
+func TestCallsForOthersAreNotRun(t *testing.T) {
+	var last atomic.Int64
+	o := newOwner(nil)
+	h := beat("a", 10, 1, false)
+	h.Address = server(t, 0, &last)
+	if err := o.Heartbeat(h); err != nil {
+		t.Fatal(err)
+	}
+	change := map[string]func(*hop.Request){
+		"another target":  func(r *hop.Request) { r.Target = "b" },
+		"another service": func(r *hop.Request) { r.Service = "orderdesk" },
+		"another version": func(r *hop.Request) { r.Version = "v2" },
+		"no time left":    func(r *hop.Request) { r.DeadlineAt = 0 },
+	}
+	for name, f := range change {
+		r := request("a", time.Second)
+		f(r)
+		if resp := o.Call(t.Context(), r); resp.Outcome != hop.NotRun || resp.Offered {
+			t.Errorf("%s: outcome %d, offered %v", name, resp.Outcome, resp.Offered)
+		}
+	}
+	if last.Load() != 0 {
+		t.Error("a call reached the target")
+	}
+}
+
+// Guards against a target that went silent and goes on getting calls.
+func TestTargetWithoutHeartbeatsIsTakenOut(t *testing.T) {
+	var published []membership.Target
+	o := newOwner(&published)
+	if err := o.Heartbeat(beat("a", 10, 1, false)); err != nil {
+		t.Fatal(err)
+	}
+	o.expire(time.Now().Add(time.Second))
+	if len(published) != 1 || published[0].State != membership.TargetStarting {
+		t.Errorf("published %+v", published)
+	}
+	if resp := o.Call(t.Context(), request("a", time.Second)); resp.Outcome != hop.NotRun || resp.Reason != reasonSilent {
+		t.Errorf("got %+v", resp)
+	}
+	if err := o.Heartbeat(beat("a", 10, 2, false)); err != nil {
+		t.Fatal(err)
+	}
+	if published[0].State != membership.TargetReady {
+		t.Errorf("published %+v after the next heartbeat", published)
+	}
+}
--- /dev/null
+++ b/pkg/admission/aim_test.go
@@ -0,0 +1,75 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+)
+
+// played is what callers got in a simulated load.
+type played struct{ inAim, late, refused, calls int }
+
+// play sends calls with exponential gaps to a target of 9 slots whose calls
+// take 60 ms on average, for 20 s of virtual time.
+func play(t *testing.T, perSecond float64, aim, deadline time.Duration) played {
+	t.Helper()
+	var p played
+	synctest.Test(t, func(t *testing.T) {
+		l := New(Config{Slots: 9, Connections: 9})
+		rng := rand.New(rand.NewPCG(1, 2))
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for begin := time.Now(); time.Since(begin) < 20*time.Second; {
+			time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
+			service := time.Duration((0.5 + rng.Float64()) * float64(60*time.Millisecond))
+			p.calls++
+			wg.Go(func() {
+				came := time.Now()
+				err := l.Admit(t.Context(), Work{Class: mesh.ClassNormal, Kind: "menus", Aim: came.Add(aim), Deadline: came.Add(deadline)})
+				if err == nil {
+					time.Sleep(service)
+					l.Release(Done{Kind: "menus", Answer: true, Service: service})
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				switch took := time.Since(came); {
+				case err != nil:
+					p.refused++
+				case took <= aim:
+					p.inAim++
+				default:
+					p.late++
+				}
+			})
+		}
+		wg.Wait()
+	})
+	return p
+}
+
+// Guards against an overload in which the target works mostly on calls that
+// have missed their latency target, which then makes those behind them miss
+// theirs. The target can answer 150 calls a second; at 1.5 and at 3 times that
+// at least 85% of what it can answer must be in time.
+func TestOverloadAnswersInTime(t *testing.T) {
+	const capacity = 9 / 0.060
+	for _, factor := range []float64{0.6, 1.5, 3} {
+		p := play(t, factor*capacity, 200*time.Millisecond, 500*time.Millisecond)
+		able := min(float64(p.calls), 20*capacity)
+		if float64(p.inAim) < 0.85*able {
+			t.Errorf("load %.1f: %d of %.0f calls in time (%d late, %d refused of %d)", factor, p.inAim, able, p.late, p.refused, p.calls)
+		}
+	}
+}
+
+// Guards against a late call that is refused although the target has room.
+func TestLateCallsRunWhenThereIsRoom(t *testing.T) {
+	p := play(t, 30, 20*time.Millisecond, 500*time.Millisecond)
+	if p.refused > 0 {
+		t.Errorf("%d of %d calls refused at a fifth of the load", p.refused, p.calls)
+	}
+}
--- /dev/null
+++ b/pkg/rollout/rollout_test.go
@@ -0,0 +1,139 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a schedule that exposes more than a tenth of the calls before
+// the full share has been judged, or that leaves no time to complete.
+func TestScheduleExposure(t *testing.T) {
+	o := &Order{Within: 16 * time.Second}
+	exposed, full := 0.0, time.Duration(0)
+	const step = 10 * time.Millisecond
+	for e := time.Duration(0); e < o.Within; e += step {
+		share := Share(o, e)
+		if share == 1000 {
+			if full == 0 {
+				full = e
+			}
+			continue
+		}
+		exposed += float64(share) / 1000 * float64(step) / float64(o.Within)
+	}
+	// A fault that shows only at the full share is decided within 400 ms.
+	if total := exposed + 0.4/16; total > 0.105 {
+		t.Errorf("a bad version gets %.3f of the calls", total)
+	}
+	if !MayComplete(o, 13*time.Second) || full > 12*time.Second {
+		t.Errorf("full share at %s, complete at 13 s: %v", full, MayComplete(o, 13*time.Second))
+	}
+}
+
+// Guards against shares that fall while time passes.
+func TestShareNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &Order{Within: time.Duration(rapid.IntRange(1, 600_000).Draw(t, "within ms")) * time.Millisecond}
+		a := time.Duration(rapid.IntRange(0, 700_000).Draw(t, "a ms")) * time.Millisecond
+		b := a + time.Duration(rapid.IntRange(0, 100_000).Draw(t, "more ms"))*time.Millisecond
+		if Share(o, a) > Share(o, b) {
+			t.Errorf("share %d at %s, %d at %s", Share(o, a), a, Share(o, b), b)
+		}
+	})
+}
+
+// Guards against a roll-back that is undone by a late word of an earlier
+// coordinator, whatever the order in which words arrive.
+func TestProgressOrder(t *testing.T) {
+	rising := []Progress{
+		{Revision: 4, State: RolledBack, Epoch: 9, Step: 9},
+		{Revision: 5, State: Running, Epoch: 1, Step: 3, Permille: 40},
+		{Revision: 5, State: Running, Epoch: 2, Step: 0},
+		{Revision: 5, State: Running, Epoch: 2, Step: 1},
+		{Revision: 5, State: Completed, Epoch: 1, Step: 1},
+		{Revision: 5, State: RolledBack, Epoch: 1, Step: 0},
+		{Revision: 6, State: Running, Epoch: 1},
+	}
+	for i := range rising {
+		for j := range rising {
+			if got := rising[i].Compare(&rising[j]); (got > 0) != (i > j) || (got < 0) != (i < j) {
+				t.Errorf("compare %d with %d: %d", i, j, got)
+			}
+		}
+	}
+}
+
+// version says how a version behaves in a simulation.
+type version struct {
+	failRate float64
+	takes    time.Duration
+	onRoute  string // the route on which it behaves so; "" means all
+}
+
+// simulate sends calls to both versions at a share and returns the calls that
+// the new one got until it was judged bad, or -1.
+func simulate(seed uint64, calls int, share float64, sound, v version) (int, string) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	t := &Tally{Routes: make(map[string]Pair)}
+	got := 0
+	for i := range calls {
+		route := []string{"menus", "menus", "orders"}[i%3]
+		isNew := rng.Float64() < share
+		b := sound
+		if isNew {
+			got++
+			if v.onRoute == "" || v.onRoute == route {
+				b = v
+			}
+		}
+		took := time.Duration((0.4 + 1.2*rng.Float64()) * float64(b.takes))
+		t.Observe(route, isNew, rng.Float64() < b.failRate, took)
+		if i%20 == 0 {
+			if why := Judge(t); why != "" {
+				return got, why
+			}
+		}
+	}
+	return -1, ""
+}
+
+// Guards against bad versions that are noticed too late, and against alarms
+// about sound ones. A bad version may get 50 bad answers before its calls must
+// end; here it is judged within 60 calls on a quiet service.
+func TestJudge(t *testing.T) {
+	sound := version{failRate: 0.01, takes: 60 * time.Millisecond}
+	bad := map[string]version{
+		"errors":         {failRate: 0.3, takes: 60 * time.Millisecond},
+		"many errors":    {failRate: 0.6, takes: 60 * time.Millisecond},
+		"slow":           {failRate: 0.01, takes: 480 * time.Millisecond},
+		"errors, orders": {failRate: 0.5, takes: 60 * time.Millisecond, onRoute: "orders"},
+	}
+	for name, v := range bad {
+		for seed := range uint64(40) {
+			if got, _ := simulate(seed, 4000, 0.05, sound, v); got < 0 || got > 60 {
+				t.Errorf("%s, seed %d: judged after %d calls", name, seed, got)
+			}
+		}
+	}
+	noisy := map[string]version{
+		"same":                 sound,
+		"cold, twice the time": {failRate: 0.01, takes: 120 * time.Millisecond},
+	}
+	for name, v := range noisy {
+		for seed := range uint64(200) {
+			if got, why := simulate(seed, 4000, 0.3, sound, v); got >= 0 {
+				t.Errorf("%s, seed %d: alarm after %d calls: %s", name, seed, got, why)
+			}
+		}
+	}
+	// What fails both versions is not the new one's fault.
+	storm := version{failRate: 0.4, takes: 60 * time.Millisecond}
+	for seed := range uint64(200) {
+		if got, why := simulate(seed, 4000, 0.3, storm, storm); got >= 0 {
+			t.Errorf("both fail, seed %d: alarm after %d calls: %s", seed, got, why)
+		}
+	}
+}
