--- a/pkg/platform/platformtest/store.go
+++ b/pkg/platform/platformtest/store.go
@@ -21,6 +21,9 @@
 	stale    *rows // what reads see while reads are stale
 	objects  map[string][]byte
 	sequence uint64 // last row version given out; never reused
+	history  []platform.Change
+	dropped  uint64        // version up to which the history is gone
+	changed  chan struct{} // closed at the next change
 	faults   Faults
 	table    limits
 	object   limits
@@ -29,7 +32,10 @@
 	writesPerSecond, readsPerSecond int // own rates; -1 means no limit
 }
 
-var _ platform.Table = (*Store)(nil)
+var (
+	_ platform.Table = (*Store)(nil)
+	_ platform.Feed  = (*Store)(nil)
+)
 
 // New returns an empty store without faults and with the default rate limits.
 func New() *Store { return NewWithRates(DefaultWritesPerSecond, DefaultReadsPerSecond) }
@@ -40,6 +46,7 @@
 		writesPerSecond: writesPerSecond, readsPerSecond: readsPerSecond,
 		rows:    newRows(),
 		objects: make(map[string][]byte),
+		changed: make(chan struct{}),
 		stats:   newStats(),
 	}
 	s.SetFaults(Faults{})
@@ -98,12 +105,16 @@
 	}
 	for _, w := range txn.Writes {
 		s.sequence++
+		row := platform.Row{Key: w.Key, Value: w.Value, Version: s.sequence}
+		s.history = append(s.history, platform.Change{Row: row, Removed: w.Delete})
 		if w.Delete {
 			s.rows.remove(w.Key)
 			continue
 		}
-		s.rows.put(platform.Row{Key: w.Key, Value: w.Value, Version: s.sequence})
+		s.rows.put(row)
 	}
+	close(s.changed)
+	s.changed = make(chan struct{})
 	return nil
 }
 
