--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,415 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"nutmeghoist.example/nutmeghoist/internal/memnet"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
+	"nutmeghoist.example/nutmeghoist/pkg/rollout"
+	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/traffic"
+)
+
+// gatedStore turns one host away when it is shut.
+type gatedStore struct {
+	*platformtest.Store
+	mu   sync.Mutex
+	shut bool
+}
+
+func (g *gatedStore) set(shut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = shut
+}
+
+func (g *gatedStore) err() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (g *gatedStore) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := g.err(); err != nil {
+		return platform.Row{}, err
+	}
+	return g.Store.Get(ctx, key)
+}
+
+func (g *gatedStore) Commit(ctx context.Context, txn platform.Txn) error {
+	if err := g.err(); err != nil {
+		return err
+	}
+	return g.Store.Commit(ctx, txn)
+}
+
+func (g *gatedStore) Rows(ctx context.Context, table string) ([]platform.Row, uint64, error) {
+	if err := g.err(); err != nil {
+		return nil, 0, err
+	}
+	return g.Store.Rows(ctx, table)
+}
+
+func (g *gatedStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	if err := g.err(); err != nil {
+		return platform.Changes{}, err
+	}
+	return g.Store.Changes(ctx, table, after, wait)
+}
+
+// testMesh is a mesh of controls over an in-memory network.
+type testMesh struct {
+	t     *testing.T
+	store *platformtest.Store
+	net   *memnet.Network
+	nodes map[mesh.HostID]*testNode
+	order []mesh.HostID
+}
+
+type testNode struct {
+	*Control
+	store *gatedStore
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+// provider reads configurations written as a version number, and orders
+// written as "VERSION SECONDS".
+var provider = Provider{
+	Table: "op", ConfigKey: "op/config",
+	DecodeConfig: func(value []byte) (*traffic.Config, error) {
+		c := &traffic.Config{Services: map[mesh.ServiceName]traffic.Service{"orderdesk": {}}}
+		_, err := fmt.Sscan(string(value), &c.Version)
+		return c, err
+	},
+	DecodeOrder: func(key string, value []byte, version uint64) (rollout.Order, bool, error) {
+		service, ok := strings.CutPrefix(key, "op/rollout/")
+		o := rollout.Order{Service: mesh.ServiceName(service), Revision: version}
+		var seconds int
+		_, err := fmt.Sscan(string(value), &o.To, &seconds)
+		o.Within = time.Duration(seconds) * time.Second
+		return o, ok, err
+	},
+	StatusKey:    func(s mesh.ServiceName) string { return "status/rollout/" + string(s) },
+	EncodeStatus: func(to mesh.TargetVersion, s rollout.State) []byte { return []byte(string(to) + " " + string(s)) },
+}
+
+func newMesh(t *testing.T) *testMesh {
+	return &testMesh{t: t, store: platformtest.NewWithRates(-1, -1), net: memnet.New(), nodes: make(map[mesh.HostID]*testNode)}
+}
+
+func (m *testMesh) start(id mesh.HostID, dc mesh.DataCentre) *testNode {
+	n := &testNode{store: &gatedStore{Store: m.store}, done: make(chan struct{})}
+	address := string(id) + ":1"
+	var err error
+	n.Control, err = New(Config{
+		Self: membership.Host{
+			ID: id, DataCentre: dc, PeerAddress: address, CallAddress: address,
+			Incarnation: uint64(time.Now().UnixMilli()), Status: membership.StatusAlive,
+		},
+		Transport: m.net.Transport(id, address), Store: n.store, Provider: provider,
+		Load: func(mesh.TargetID) (routing.Load, bool) { return routing.Load{}, false },
+		Send: func(_ context.Context, to string, note []byte) error {
+			if other := m.nodes[mesh.HostID(strings.TrimSuffix(to, ":1"))]; other != nil && other.stop != nil {
+				other.Note(note)
+			}
+			return nil
+		},
+		Metrics: metrics.NewRegistry(), Log: &log.Logger{Level: log.PanicLevel + 1},
+	})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go func() { defer close(n.done); _ = n.Run(ctx) }()
+	if m.nodes[id] == nil {
+		m.order = append(m.order, id)
+	}
+	m.nodes[id] = n
+	return n
+}
+
+func (m *testMesh) end(id mesh.HostID) {
+	n := m.nodes[id]
+	if n.stop == nil {
+		return
+	}
+	n.stop()
+	<-n.done
+	n.stop = nil
+}
+
+func (m *testMesh) endAll() {
+	for _, id := range m.order {
+		m.end(id)
+	}
+}
+
+func (m *testMesh) put(key, value string) {
+	m.t.Helper()
+	if err := m.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+// behind returns the nodes that do not serve the configuration version.
+func (m *testMesh) behind(version uint64) []mesh.HostID {
+	var out []mesh.HostID
+	for _, id := range m.order {
+		if n := m.nodes[id]; n.stop != nil && n.active().Revision != version {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (m *testMesh) startAll() {
+	for i := range 9 {
+		m.start(mesh.HostID(fmt.Sprint("h", i)), mesh.DataCentre([]string{"north", "south", "west"}[i%3]))
+	}
+}
+
+// Guards against hosts that start at the same moment, read an empty table and
+// never find each other.
+func TestHostsThatStartTogetherFindEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.endAll()
+		m.put("op/config", "1")
+		m.startAll()
+		time.Sleep(4 * time.Second)
+		for _, id := range m.order {
+			if n := m.nodes[id].Hosts(); n != 9 {
+				t.Errorf("%s knows %d hosts of 9", id, n)
+			}
+		}
+	})
+}
+
+// Guards against configurations that reach a host late or not at all: calm,
+// while the store turns hosts away, after its history is gone, and on a host
+// that starts while the store is down.
+func TestConfigurationReachesAllHosts(t *testing.T) {
+	const bound = 2 * time.Second
+	cases := map[string]func(m *testMesh){
+		"calm": func(*testMesh) {},
+		"store turns a third away": func(m *testMesh) {
+			for _, id := range m.order[:3] {
+				m.nodes[id].store.set(true)
+			}
+		},
+		"store turns a whole data centre away": func(m *testMesh) {
+			for _, id := range m.order {
+				if m.nodes[id].cfg.Self.DataCentre == "south" {
+					m.nodes[id].store.set(true)
+				}
+			}
+		},
+		"history is gone": func(m *testMesh) { m.store.DropHistory() },
+		"a host is killed": func(m *testMesh) {
+			m.end("h0")
+			time.Sleep(10 * time.Millisecond)
+		},
+	}
+	for name, trouble := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t)
+				defer m.endAll()
+				m.put("op/config", "1")
+				m.startAll()
+				time.Sleep(5 * time.Second)
+				trouble(m)
+				for version := uint64(2); version < 6; version++ {
+					m.put("op/config", fmt.Sprint(version))
+					time.Sleep(bound)
+					if late := m.behind(version); len(late) > 0 {
+						t.Errorf("version %d is not in force on %v after %s", version, late, bound)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a host that starts while the store is down and serves nothing
+// although its peers know the configuration, or serves an older one later.
+func TestStartWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.endAll()
+		m.put("op/config", "3")
+		m.startAll()
+		time.Sleep(5 * time.Second)
+		m.end("h4")
+		m.store.SetFaults(platformtest.Faults{Down: true})
+		time.Sleep(time.Second)
+		m.start("h4", "south")
+		time.Sleep(10 * time.Second)
+		if late := m.behind(3); len(late) > 0 {
+			t.Errorf("%v do not serve version 3", late)
+		}
+		m.store.SetFaults(platformtest.Faults{})
+		m.put("op/config", "4")
+		time.Sleep(4 * time.Second)
+		if late := m.behind(4); len(late) > 0 {
+			t.Errorf("%v do not serve version 4", late)
+		}
+	})
+}
+
+// Guards against reads of the store that grow with the hosts: one host of each
+// data centre follows it.
+func TestFewHostsFollowTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.endAll()
+		m.put("op/config", "1")
+		m.startAll()
+		time.Sleep(5 * time.Second)
+		before := m.store.Stats().Reads.Total
+		time.Sleep(20 * time.Second)
+		if reads := m.store.Stats().Reads.Total - before; reads > 60 {
+			t.Errorf("%d reads in 20 s with 9 hosts", reads)
+		}
+	})
+}
+
+func (m *testMesh) progress() *rollout.Progress {
+	for _, id := range m.order {
+		if n := m.nodes[id]; n.stop != nil {
+			if s := n.Snapshot(); s != nil && s.Services["orderdesk"].Rollout != nil {
+				return s.Services["orderdesk"].Rollout
+			}
+		}
+	}
+	return nil
+}
+
+// traffic plays calls of a service at all hosts until the time is over. It
+// returns the calls that the new version got.
+func (m *testMesh) traffic(d time.Duration, bad bool) int {
+	newCalls := 0
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, id := range m.order {
+			n := m.nodes[id]
+			s := n.Snapshot()
+			if n.stop == nil || s == nil {
+				continue
+			}
+			service := s.Services["orderdesk"]
+			for i := range 5 {
+				isNew := service.Next != nil && service.Rollout.Permille > 0 && time.Now().UnixNano()/1e6*7919%1000+int64(i) < int64(service.Rollout.Permille)
+				n.Observer().Begin(service, isNew)
+				n.Observer().End(service, isNew, "menus", isNew && bad, 50*time.Millisecond)
+				if isNew {
+					newCalls++
+				}
+			}
+		}
+	}
+	return newCalls
+}
+
+func (m *testMesh) status() string {
+	row, err := m.store.Get(context.Background(), "status/rollout/orderdesk")
+	if err != nil {
+		return err.Error()
+	}
+	return string(row.Value)
+}
+
+// Guards against good versions that are not completed in time, and bad ones
+// that are completed or get calls for long, also when the coordinator dies and
+// when answers of the store are lost.
+func TestRollouts(t *testing.T) {
+	killCoordinator := func(m *testMesh) {
+		if p := m.progress(); p != nil {
+			m.end(p.Holder)
+		}
+	}
+	cases := map[string]struct {
+		bad     bool
+		trouble func(m *testMesh) // a third into the rollout
+		want    string
+	}{
+		"good":                       {false, func(*testMesh) {}, "v2 completed"},
+		"bad":                        {true, func(*testMesh) {}, "v2 rolled_back"},
+		"good, coordinator dies":     {false, killCoordinator, "v2 completed"},
+		"bad, coordinator dies":      {true, killCoordinator, "v2 rolled_back"},
+		"good, store's answers lost": {false, func(m *testMesh) { m.store.SetFaults(platformtest.Faults{LoseAfter: 3}) }, "v2 completed"},
+		"good, store's writes lost":  {false, func(m *testMesh) { m.store.SetFaults(platformtest.Faults{LoseBefore: 3}) }, "v2 completed"},
+		"good, store away for a time": {false, func(m *testMesh) {
+			m.store.SetFaults(platformtest.Faults{Down: true})
+			time.AfterFunc(4*time.Second, func() { m.store.SetFaults(platformtest.Faults{}) })
+		}, "v2 completed"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newMesh(t)
+				defer m.endAll()
+				m.put("op/config", "1")
+				m.startAll()
+				time.Sleep(5 * time.Second)
+				started := time.Now()
+				for i, id := range m.order {
+					version := mesh.TargetVersion([]string{"v1", "v1", "v2"}[i%3])
+					since := map[mesh.TargetVersion]time.Time{"v1": started.Add(-time.Minute), "v2": started}[version]
+					m.nodes[id].SetTargets([]membership.Target{{ID: mesh.TargetID(id), Service: "orderdesk", Version: version, State: membership.TargetReady, Slots: 9, ReadySince: since}})
+				}
+				time.Sleep(time.Second)
+				m.put("op/rollout/orderdesk", "v2 16")
+				newCalls := m.traffic(5*time.Second, tc.bad)
+				tc.trouble(m)
+				newCalls += m.traffic(11*time.Second, tc.bad)
+				if got := m.status(); got != tc.want {
+					row, _ := m.store.Get(context.Background(), "rollouts/orderdesk")
+					t.Errorf("status %q, want %q; row %s", got, tc.want, row.Value)
+				}
+				if tc.bad && newCalls > 400 {
+					t.Errorf("the bad version got %d calls", newCalls)
+				}
+				for _, id := range m.order {
+					if m.nodes[id].stop == nil {
+						continue
+					}
+					s := m.nodes[id].Snapshot().Services["orderdesk"]
+					if s.Next != nil && s.Next.Len() > 0 {
+						t.Errorf("%s still splits the calls", id)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a rollout row that another process cannot continue from.
+func TestRolloutRowKeepsTheProgress(t *testing.T) {
+	in := rolloutRow{Progress: rollout.Progress{Service: "s", To: "v2", Revision: 3, Epoch: 2, Step: 1, Permille: 40, State: rollout.Running, Elapsed: 900, Holder: "h"}, Nonce: 7}
+	value, err := json.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out rolloutRow
+	if err := json.Unmarshal(value, &out); err != nil || out != in {
+		t.Errorf("got %+v, %v from %s", out, err, value)
+	}
+}
