--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -80,6 +80,9 @@
 	net   *memnet.Network
 	nodes map[mesh.HostID]*testNode
 	order []mesh.HostID
+
+	mu      sync.Mutex
+	running map[string]*Control // by call address
 }
 
 type testNode struct {
@@ -111,7 +114,16 @@
 }
 
 func newMesh(t *testing.T) *testMesh {
-	return &testMesh{t: t, store: platformtest.NewWithRates(-1, -1), net: memnet.New(), nodes: make(map[mesh.HostID]*testNode)}
+	return &testMesh{t: t, store: platformtest.NewWithRates(-1, -1), net: memnet.New(), nodes: make(map[mesh.HostID]*testNode), running: make(map[string]*Control)}
+}
+
+func (m *testMesh) send(to string, note []byte) {
+	m.mu.Lock()
+	c := m.running[to]
+	m.mu.Unlock()
+	if c != nil {
+		c.Note(note)
+	}
 }
 
 func (m *testMesh) start(id mesh.HostID, dc mesh.DataCentre) *testNode {
@@ -126,9 +138,7 @@
 		Transport: m.net.Transport(id, address), Store: n.store, Provider: provider,
 		Load: func(mesh.TargetID) (routing.Load, bool) { return routing.Load{}, false },
 		Send: func(_ context.Context, to string, note []byte) error {
-			if other := m.nodes[mesh.HostID(strings.TrimSuffix(to, ":1"))]; other != nil && other.stop != nil {
-				other.Note(note)
-			}
+			m.send(to, note)
 			return nil
 		},
 		Metrics: metrics.NewRegistry(), Log: &log.Logger{Level: log.PanicLevel + 1},
@@ -138,6 +148,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
+	m.mu.Lock()
+	m.running[address] = n.Control
+	m.mu.Unlock()
 	go func() { defer close(n.done); _ = n.Run(ctx) }()
 	if m.nodes[id] == nil {
 		m.order = append(m.order, id)
@@ -151,6 +164,9 @@
 	if n.stop == nil {
 		return
 	}
+	m.mu.Lock()
+	delete(m.running, n.cfg.Self.CallAddress)
+	m.mu.Unlock()
 	n.stop()
 	<-n.done
 	n.stop = nil
