--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -140,7 +140,7 @@
 }
 
 func (o *Owner) limits(h Heartbeat) admission.Config {
-	return admission.Config{Slots: h.Slots, Connections: o.cfg.MaxConnections(h.Service)}
+	return admission.Config{Slots: h.Slots, Connections: o.cfg.MaxConnections(h.Service), Fixed: true}
 }
 
 func (o *Owner) add(h Heartbeat) *target {
--- a/pkg/admission/aim_test.go
+++ b/pkg/admission/aim_test.go
@@ -73,3 +73,21 @@
 		t.Errorf("%d of %d calls refused at a fifth of the load", p.refused, p.calls)
 	}
 }
+
+// Guards against a target that sheds at random and is then starved of calls,
+// although all calls to it pass through this limiter.
+func TestFixedLimitOutlivesSheds(t *testing.T) {
+	for fixed, want := range map[bool]bool{true: true, false: false} {
+		l := New(Config{Slots: 9, Connections: 9, Fixed: fixed})
+		for range 40 {
+			if err := l.Acquire(t.Context(), mesh.ClassNormal, time.Now().Add(time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			l.Release(Done{Shed: true})
+			time.Sleep(time.Millisecond)
+		}
+		if kept := l.Load().Limit == 9; kept != want {
+			t.Errorf("fixed=%v: limit %d", fixed, l.Load().Limit)
+		}
+	}
+}
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -16,6 +16,9 @@
 type Config struct {
 	Slots       int // calls that the target runs at once
 	Connections int // connections that the target accepts
+	// Fixed keeps the limit when the target sheds. Set it where no one else calls
+	// the target: it then sheds for another reason than load.
+	Fixed bool
 }
 
 func (c Config) limit() int { return max(1, min(c.Slots, c.Connections)) }
@@ -27,6 +30,7 @@
 	draining bool
 	queue    queue
 	limit    adaptive
+	fixed    bool
 	service  estimate
 	kinds    map[string]*estimate // service times by Work.Kind
 }
@@ -65,7 +69,7 @@
 
 // New returns a limiter for a target.
 func New(c Config) *Limiter {
-	return &Limiter{limit: adaptive{nominal: c.limit(), now: c.limit()}}
+	return &Limiter{limit: adaptive{nominal: c.limit(), now: c.limit()}, fixed: c.Fixed}
 }
 
 // Resize changes the target's slots and connections. Calls that are at the
@@ -228,7 +232,7 @@
 		l.service.add(d.Service, now)
 		l.learnKind(d, now)
 	}
-	if d.Shed {
+	if d.Shed && !l.fixed {
 		l.limit.shed(l.inFlight, now)
 	}
 	l.limit.probe(now)
