Send recurring fields of calls as table references between nodes

Cause: of about 1 KB a call between data centres, half were header names and values that recur from call to call. Change: HPACK (golang.org/x/net) per connection for headers, host, route and target; headers that the nodes set themselves do not travel.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -3,33 +3,10 @@
 import (
 	"bytes"
 	"net/http"
-	"net/textproto"
 	"strconv"
-	"strings"
-)
-
-// connectionHeaders concern one connection only and are not forwarded.
-var connectionHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
-}
 
-// endToEnd returns the headers without those that concern one connection.
-func endToEnd(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	named := map[string]bool{}
-	for _, v := range h["Connection"] {
-		for _, name := range strings.Split(v, ",") {
-			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for name, values := range h {
-		if !connectionHeaders[name] && !named[name] {
-			out[name] = values
-		}
-	}
-	return out
-}
+	"nutmeghoist.example/nutmeghoist/internal/header"
+)
 
 // encodeAnswer returns the bytes of an answer with its length.
 func encodeAnswer(a *Answer, method string, last bool) []byte {
@@ -40,7 +17,7 @@
 		text = "Status"
 	}
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(a.Status) + " " + text + "\r\n")
-	for name, values := range endToEnd(a.Header) {
+	for name, values := range header.EndToEnd(a.Header) {
 		for _, v := range values {
 			b.WriteString(name + ": " + v + "\r\n")
 		}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"nutmeghoist.example/nutmeghoist/internal/header"
 	"nutmeghoist.example/nutmeghoist/internal/hop"
 	"nutmeghoist.example/nutmeghoist/internal/view"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -257,7 +258,7 @@
 	c.target = t.ID
 	r := hop.Request{
 		Target: t.ID, Service: t.Service, Version: t.Version, Caller: c.e.cfg.Service, ID: c.id,
-		Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: endToEnd(c.req.Header), Body: c.req.Body,
+		Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: c.header(), Body: c.req.Body,
 		Priority: c.route.Priority, Idempotent: c.route.Idempotent, Route: c.route.Name,
 	}
 	t.Stat.Begin()
@@ -375,7 +376,25 @@
 // pass gives the target's answer to the caller.
 func (c *call) pass(resp *hop.Response) *Answer {
 	c.reason = ""
-	return &Answer{Status: resp.Status, Header: resp.Header, Body: resp.Body}
+	h := resp.Header
+	if h == nil {
+		h = make(http.Header, 2)
+	}
+	h.Set(c.e.cfg.Names.RequestID, c.id)
+	if resp.Stamp != "" {
+		h.Set(c.e.cfg.Names.Stamp, resp.Stamp)
+	}
+	return &Answer{Status: resp.Status, Header: h, Body: resp.Body}
+}
+
+// header returns the headers of the call but for those that nodes set.
+func (c *call) header() http.Header {
+	h := header.EndToEnd(c.req.Header)
+	n := &c.e.cfg.Names
+	for _, name := range [...]string{n.RequestID, n.DeadlineMs, n.CallerService, n.ExpectInstance} {
+		delete(h, name)
+	}
+	return h
 }
 
 // giveUp returns the answer to a call that no target answered well.
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -6,8 +6,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 const (
@@ -212,7 +210,7 @@
 	c.mu.Unlock()
 	r.DeadlineAt = c.toPeer(deadline)
 	r.AimAt = c.toPeer(aim)
-	if err := c.writeMessage(frameRequest, &r); err != nil {
+	if err := c.writeRequest(&r); err != nil {
 		c.forget(r.Stream)
 		return nil, errors.Join(ErrBroken, err)
 	}
@@ -318,8 +316,8 @@
 		if kind != frameResponse {
 			continue
 		}
-		resp := &Response{}
-		if err := cbor.Unmarshal(payload, resp); err != nil {
+		resp, err := c.readResponse(payload)
+		if err != nil {
 			return
 		}
 		c.mu.Lock()
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -22,26 +22,26 @@
 
 // Request is a call on its way to the node of its target's host.
 type Request struct {
-	Stream     uint64             `cbor:"1,keyasint"` // names the call on its connection
-	Target     mesh.TargetID      `cbor:"2,keyasint"`
-	Service    mesh.ServiceName   `cbor:"3,keyasint"`
-	Version    mesh.TargetVersion `cbor:"4,keyasint"`
-	Caller     mesh.ServiceName   `cbor:"5,keyasint"` // service of the host where the call began
-	ID         string             `cbor:"6,keyasint"` // the caller's name of the attempt
-	Method     string             `cbor:"7,keyasint"`
-	URI        string             `cbor:"8,keyasint"`
-	Host       string             `cbor:"9,keyasint"`
-	Header     http.Header        `cbor:"10,keyasint,omitempty"`
-	Body       []byte             `cbor:"11,keyasint,omitempty"`
-	Chunked    bool               `cbor:"12,keyasint,omitempty"` // the body came in chunks
-	Priority   int                `cbor:"13,keyasint"`           // 0 is the highest
-	Idempotent bool               `cbor:"14,keyasint,omitempty"`
-	// Deadline and Target time are on the steady clock of the receiving node, in
+	Stream     uint64 // names the call on its connection
+	Target     mesh.TargetID
+	Service    mesh.ServiceName
+	Version    mesh.TargetVersion
+	Caller     mesh.ServiceName // service of the host where the call began
+	ID         string           // the caller's name of the attempt
+	Method     string
+	URI        string
+	Host       string
+	Header     http.Header
+	Body       []byte
+	Priority   int // 0 is the highest
+	Idempotent bool
+	Route      string
+	// DeadlineAt and AimAt are on the steady clock of the receiving node, in
 	// microseconds since its start, so that a call that was held up on the way
-	// arrives as late as it is.
-	DeadlineAt int64  `cbor:"15,keyasint"`
-	AimAt      int64  `cbor:"16,keyasint"` // when the answer stops being worth its full benefit
-	Route      string `cbor:"17,keyasint,omitempty"`
+	// arrives as late as it is. AimAt is when the answer stops being worth its
+	// full benefit.
+	DeadlineAt int64
+	AimAt      int64
 }
 
 // Outcome says what is known of a call after an attempt.
@@ -64,16 +64,17 @@
 
 // Response is how a call ended at the owner of its target.
 type Response struct {
-	Stream       uint64      `cbor:"1,keyasint"`
-	Outcome      Outcome     `cbor:"2,keyasint"`
-	Reason       string      `cbor:"3,keyasint,omitempty"`
-	RetryAfterMs int64       `cbor:"4,keyasint,omitempty"`
-	Offered      bool        `cbor:"5,keyasint,omitempty"` // bytes of the call reached the target
-	Status       int         `cbor:"6,keyasint,omitempty"`
-	Header       http.Header `cbor:"7,keyasint,omitempty"`
-	Body         []byte      `cbor:"8,keyasint,omitempty"`
-	Load         *Load       `cbor:"9,keyasint,omitempty"`
-	ServiceUs    int64       `cbor:"10,keyasint,omitempty"` // time at the target, in microseconds
+	Stream       uint64
+	Outcome      Outcome
+	Reason       string
+	RetryAfterMs int64
+	Offered      bool // bytes of the call reached the target
+	Status       int
+	Stamp        string // the target's proof that it made the answer
+	Header       http.Header
+	Body         []byte
+	Load         *Load
+	ServiceUs    int64 // time at the target, in microseconds
 }
 
 // The kinds of frames on a call connection.
@@ -129,8 +130,11 @@
 // conn writes and reads frames. Writes are serialized; one goroutine reads.
 type conn struct {
 	net.Conn
-	r  *bufio.Reader
-	mu sync.Mutex
+	r      *bufio.Reader
+	fields fieldReader
+
+	mu  sync.Mutex // of what follows
+	out fieldWriter
 }
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c, r: bufio.NewReaderSize(c, 4<<10)} }
@@ -138,12 +142,17 @@
 // writeFrame sends one frame. A frame that was cut short leaves the connection
 // unusable, so every error closes it.
 func (c *conn) writeFrame(kind byte, payload []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeLocked(kind, payload)
+}
+
+// writeLocked is writeFrame with c.mu held.
+func (c *conn) writeLocked(kind byte, payload []byte) error {
 	buf := make([]byte, frameHeader, frameHeader+len(payload))
 	binary.BigEndian.PutUint32(buf, uint32(len(payload)))
 	buf[4] = kind
 	buf = append(buf, payload...)
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
@@ -155,6 +164,13 @@
 }
 
 func (c *conn) writeMessage(kind byte, message any) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeMessageLocked(kind, message)
+}
+
+// writeMessageLocked is writeMessage with c.mu held.
+func (c *conn) writeMessageLocked(kind byte, message any) error {
 	payload, err := encMode().Marshal(message)
 	if err != nil {
 		return fmt.Errorf("encode frame: %w", err)
@@ -162,7 +178,7 @@
 	if len(payload) > MaxFrame {
 		return fmt.Errorf("%w: %d bytes", errFrame, len(payload))
 	}
-	return c.writeFrame(kind, payload)
+	return c.writeLocked(kind, payload)
 }
 
 func (c *conn) readFrame() (byte, []byte, error) {
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 )
 
@@ -152,8 +150,8 @@
 			err = decodeErr
 			calls.stop(stream)
 		case frameRequest:
-			r := &Request{}
-			if err = cbor.Unmarshal(payload, r); err == nil {
+			var r *Request
+			if r, err = c.readRequest(payload); err == nil {
 				call, stop := context.WithCancel(ctx)
 				calls.start(r.Stream, stop)
 				go s.run(call, c, r, calls)
@@ -172,7 +170,7 @@
 	resp := s.handler.Call(ctx, r)
 	resp.Stream = r.Stream
 	// An error closes the connection, and the caller's node sees that.
-	_ = c.writeMessage(frameResponse, resp)
+	_ = c.writeResponse(resp)
 }
 
 // running holds the calls of a connection.
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"nutmeghoist.example/nutmeghoist/internal/exchange"
+	"nutmeghoist.example/nutmeghoist/internal/header"
 	"nutmeghoist.example/nutmeghoist/internal/hop"
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -115,7 +117,8 @@
 	resp := &hop.Response{Reason: string(res.Reason), Offered: res.Sent}
 	switch res.Kind {
 	case exchange.Answered:
-		resp.Outcome, resp.Status, resp.Header, resp.Body = hop.Answered, res.Status, res.Header, res.Body
+		resp.Outcome, resp.Status, resp.Body = hop.Answered, res.Status, res.Body
+		resp.Stamp, resp.Header = res.Header.Get(o.cfg.Names.Stamp), o.endToEnd(res.Header)
 	case exchange.NotRun:
 		resp.Outcome = hop.NotRun
 	default:
@@ -124,6 +127,14 @@
 	return resp
 }
 
+// endToEnd returns the headers of an answer that its caller's node cannot know.
+func (o *Owner) endToEnd(h http.Header) http.Header {
+	out := header.EndToEnd(h)
+	delete(out, o.cfg.Names.Stamp)
+	delete(out, o.cfg.Names.RequestID)
+	return out
+}
+
 func (o *Owner) withLoad(t *target, resp *hop.Response) *hop.Response {
 	l := t.limiter.Load()
 	resp.Load = &hop.Load{InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, MeanUs: l.Mean.Microseconds()}
