Leave the data centre only for a target that answers in time

Cause: calls that could be in time nowhere still went to the cheapest remote target, and a call refused for load was offered to two more targets whatever their load. Change: a late call stays in its data centre; after a refusal for load only a target that is expected to be in time is asked.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -17,6 +17,7 @@
 	"nutmeghoist.example/nutmeghoist/internal/header"
 	"nutmeghoist.example/nutmeghoist/internal/hop"
 	"nutmeghoist.example/nutmeghoist/internal/view"
+	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/retry"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
@@ -351,6 +352,9 @@
 	if c.caller.Err() != nil || c.ctx.Err() != nil {
 		return false
 	}
+	if resp.Outcome == hop.NotRun && isLoad(resp.Reason) {
+		c.tried.Shed = true
+	}
 	if !resp.Offered {
 		return c.places < maxPlaces
 	}
@@ -450,3 +454,12 @@
 func (e *Entry) count(name string) { metrics.GetOrRegisterCounter(name, e.cfg.Metrics).Inc(1) }
 
 func isNotSent(err error) bool { return errors.Is(err, hop.ErrNotSent) }
+
+// isLoad reports whether an owner refused a call since it has too much to do.
+func isLoad(reason string) bool {
+	switch admission.Reason(reason) {
+	case admission.ReasonQueueFull, admission.ReasonDeadline, admission.ReasonLate, admission.ReasonQueueWait:
+		return true
+	}
+	return false
+}
--- a/pkg/routing/place.go
+++ b/pkg/routing/place.go
@@ -27,14 +27,29 @@
 
 // Place returns the target with the least expected cost for a call, or nil. The
 // cost is the expected wait for a slot and the time at the target, plus what
-// speaks against it: another data centre, failures, a cold start. A call stays
-// in its data centre as long as it can be answered in time there. Targets that
-// are down, ejected or suspected are used only when there is no other.
+// speaks against it: another data centre, failures, a cold start.
+//
+// A call stays in its data centre as long as it can be answered in time there,
+// and leaves it only for a target that answers in time: a late answer is not
+// worth the way. A call that was refused for load is placed again only where
+// it is expected to be in time. Targets that are down, ejected or suspected are
+// used only when there is no other.
 func (s *Set) Place(now time.Time, rng *rand.Rand, tried *Tried, p Placement) *Candidate {
 	keepOut := s.mayEject(now)
-	if c, cost := s.cheapest(now, rng, tried, &p, keepOut, true, false); c != nil && cost*spareTime <= float64(p.Left) {
+	left := float64(p.Left)
+	own, cost := s.cheapest(now, rng, tried, &p, keepOut, true, false)
+	if own != nil && cost*spareTime <= left {
+		return own
+	}
+	if c, cost := s.cheapest(now, rng, tried, &p, keepOut, true, true); c != nil && cost <= left {
 		return c
 	}
+	if tried.Shed {
+		return nil
+	}
+	if own != nil {
+		return own
+	}
 	if c, _ := s.cheapest(now, rng, tried, &p, keepOut, true, true); c != nil {
 		return c
 	}
