--- a/cmd/nutmeghoist-sidecar/main.go
+++ b/cmd/nutmeghoist-sidecar/main.go
@@ -40,6 +40,7 @@
 
 type options struct {
 	MetricsPort uint16 `long:"metrics-port" env:"NUTMEGHOIST_METRICS_PORT" default:"9464" description:"port for metrics on the host's address (HTTP)"`
+	Advertise   string `long:"advertise-address" env:"NUTMEGHOIST_ADVERTISE_ADDRESS" description:"IP:port at which other nodes reach this one, when it differs from the platform's settings"`
 	LogLevel    string `long:"log-level" env:"NUTMEGHOIST_LOG_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lines below it are not written"`
 	Check       bool   `long:"check-settings" description:"check the settings and exit"`
 	Version     bool   `long:"version" description:"print the version and exit"`
@@ -66,6 +67,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	var advertise netip.AddrPort
+	if o.Advertise != "" {
+		if advertise, err = netip.ParseAddrPort(o.Advertise); err != nil {
+			fmt.Fprintf(os.Stderr, "--advertise-address: %q is not IP:port (for example 10.1.0.38:8146)\n", o.Advertise)
+			return exitSettings
+		}
+	}
 	if o.Check {
 		fmt.Println("settings are valid")
 		return exitOK
@@ -74,7 +82,9 @@
 	out := telemetry.NewAsyncWriter(os.Stdout)
 	defer out.Flush(200 * time.Millisecond)
 	logger := telemetry.NewLogger(out, o.LogLevel, string(settings.Host))
-	s, err := sidecar.New(config(settings, &o, logger))
+	cfg := config(settings, &o, logger)
+	cfg.AdvertiseAddress = advertise
+	s, err := sidecar.New(cfg)
 	if err != nil {
 		logger.Error().Err(err).Msg("node cannot start")
 		return exitFailed
--- a/internal/bench/relay/relay.go
+++ b/internal/bench/relay/relay.go
@@ -21,7 +21,9 @@
 
 	mu       sync.Mutex
 	cut      map[pair]bool
+	delay    map[pair]time.Duration
 	silenced map[pair]int // open flows of an older generation are silent
+	flows    map[*flow]bool
 	healed   chan struct{}
 	closers  []io.Closer
 }
@@ -30,7 +32,7 @@
 
 // New returns a relay; zoneOf gives the zone that a connection comes from.
 func New(zoneOf func(netip.Addr) Zone) *Relay {
-	return &Relay{zoneOf: zoneOf, cut: map[pair]bool{}, silenced: map[pair]int{}, healed: make(chan struct{})}
+	return &Relay{zoneOf: zoneOf, cut: map[pair]bool{}, delay: map[pair]time.Duration{}, silenced: map[pair]int{}, flows: map[*flow]bool{}, healed: make(chan struct{})}
 }
 
 // Cut stops all traffic between two zones until Heal.
@@ -43,10 +45,44 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cut[pair{a, b}], r.cut[pair{b, a}] = cut, cut
+	r.wake()
+}
+
+// wake ends the waits for a change; r.mu is held.
+func (r *Relay) wake() {
 	close(r.healed)
 	r.healed = make(chan struct{})
 }
 
+// CutOneWay stops the bytes from one zone to another, or lets them pass again.
+func (r *Relay) CutOneWay(from, to Zone, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut[pair{from, to}] = cut
+	r.wake()
+}
+
+// Delay holds up the bytes from one zone to another.
+func (r *Relay) Delay(from, to Zone, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay[pair{from, to}] = d
+}
+
+// Reset ends the connections that are open between two zones with a reset.
+func (r *Relay) Reset(a, b Zone) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for f := range r.flows {
+		if f.pair == (pair{a, b}) || f.pair == (pair{b, a}) {
+			for _, c := range f.conns {
+				_ = c.SetLinger(0)
+				_ = c.Close()
+			}
+		}
+	}
+}
+
 // Silence makes the connections that are open between two zones silent for
 // good; new ones work.
 func (r *Relay) Silence(a, b Zone) {
@@ -105,7 +141,7 @@
 	from := r.zoneOf(c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr())
 	f := flow{r: r, pair: pair{from, to}}
 	_, f.generation, _ = r.state(f.pair)
-	if !f.wait(ctx) {
+	if !f.wait(ctx, f.pair) || !f.wait(ctx, f.back()) {
 		return
 	}
 	d := net.Dialer{Timeout: time.Second}
@@ -114,23 +150,46 @@
 		return
 	}
 	defer up.Close()
+	f.conns = []*net.TCPConn{c, up.(*net.TCPConn)}
+	r.track(&f, true)
+	defer r.track(&f, false)
 	var wg sync.WaitGroup
-	wg.Go(func() { f.copy(ctx, up.(*net.TCPConn), c) })
-	wg.Go(func() { f.copy(ctx, c, up.(*net.TCPConn)) })
+	wg.Go(func() { f.copy(ctx, f.pair, up.(*net.TCPConn), c) })
+	wg.Go(func() { f.copy(ctx, f.back(), c, up.(*net.TCPConn)) })
 	wg.Wait()
 }
 
+func (r *Relay) track(f *flow, open bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if open {
+		r.flows[f] = true
+	} else {
+		delete(r.flows, f)
+	}
+}
+
 // flow is one forwarded connection.
 type flow struct {
 	r          *Relay
-	pair       pair
+	pair       pair // of the end that opened it and the other
 	generation int
+	conns      []*net.TCPConn
 }
 
-// wait holds the flow while its zones are cut off.
-func (f *flow) wait(ctx context.Context) bool {
+// back is the direction of the answers.
+func (f *flow) back() pair { return pair{f.pair.to, f.pair.from} }
+
+// wait holds the bytes of a direction while it is cut off or delayed.
+func (f *flow) wait(ctx context.Context, way pair) bool {
+	f.r.mu.Lock()
+	delay := f.r.delay[way]
+	f.r.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
 	for {
-		cut, _, changed := f.r.state(f.pair)
+		cut, _, changed := f.r.state(way)
 		if !cut {
 			return true
 		}
@@ -148,12 +207,12 @@
 }
 
 // copy forwards one direction. A silent flow swallows what it reads.
-func (f *flow) copy(ctx context.Context, dst, src *net.TCPConn) {
+func (f *flow) copy(ctx context.Context, way pair, dst, src *net.TCPConn) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
 		if n > 0 && !f.silent() {
-			if !f.wait(ctx) {
+			if !f.wait(ctx, way) {
 				return
 			}
 			if _, werr := dst.Write(buf[:n]); werr != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -40,6 +40,8 @@
 	ReadyAddress    netip.AddrPort
 	AnnounceAddress netip.AddrPort
 	MetricsAddress  netip.AddrPort
+	// AdvertiseAddress is where other nodes reach CallAddress, when it differs.
+	AdvertiseAddress netip.AddrPort
 
 	Names        traffic.Headers
 	Drain        time.Duration // a leaving target gets no call later than this
@@ -109,11 +111,15 @@
 		return nil, err
 	}
 	ip := net.IP(cfg.IP.AsSlice())
+	reached := cfg.CallAddress
+	if cfg.AdvertiseAddress.IsValid() {
+		reached = cfg.AdvertiseAddress
+	}
 	s.peers = hop.NewServer(calls, s)
 	s.control, err = control.New(control.Config{
 		Self: membership.Host{
 			ID: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: uint64(time.Now().UnixMilli()),
-			PeerAddress: cfg.CallAddress.String(), CallAddress: cfg.CallAddress.String(), Status: membership.StatusAlive,
+			PeerAddress: reached.String(), CallAddress: reached.String(), Status: membership.StatusAlive,
 		},
 		Transport: hop.NewTransport(cfg.Host, ip, s.peers),
 		Store:     cfg.Store, Provider: cfg.Provider,
