Add the soak: nodes as processes under random faults, promises checked

A version that fails more than the old one, though too few calls prove it, now keeps its share and is taken back when the doubt lasts until the end.

--- /dev/null
+++ b/cmd/nutmeghoist-soak/main.go
@@ -0,0 +1,83 @@
+// Command nutmeghoist-soak runs nodes as separate processes under random
+// faults and checks the promises of the system.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"nutmeghoist.example/nutmeghoist/internal/soak"
+)
+
+type options struct {
+	Seed     uint64        `long:"seed" default:"1" description:"the first seed"`
+	Seeds    uint64        `long:"seeds" default:"1" description:"number of seeds, one after the other"`
+	Nodes    int           `long:"nodes" default:"6" description:"processes"`
+	Duration time.Duration `long:"duration" default:"15s" description:"time of the faults"`
+	Slot     int           `long:"slot" default:"0" description:"runs at the same time need different ones, 0 to 255"`
+	Keep     string        `long:"keep" default:"out/soak" description:"folder for the logs of seeds that broke a promise"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	signal.Ignore(syscall.SIGPIPE)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	self, err := os.Executable()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	failed := 0
+	for seed := o.Seed; seed < o.Seed+o.Seeds && ctx.Err() == nil; seed++ {
+		ok, err := play(ctx, &o, seed, filepath.Join(filepath.Dir(self), "nutmeghoist-sidecar"))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		if !ok {
+			failed++
+		}
+	}
+	fmt.Printf("seeds=%d failed=%d\n", o.Seeds, failed)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
+
+// play runs one seed and reports whether all promises held.
+func play(ctx context.Context, o *options, seed uint64, program string) (bool, error) {
+	dir := filepath.Join(o.Keep, fmt.Sprint("seed-", seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return false, err
+	}
+	broken, err := soak.Run(ctx, soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration, Program: program, Dir: dir, Slot: o.Slot}, os.Stdout)
+	if err != nil {
+		return false, err
+	}
+	for _, b := range broken {
+		fmt.Printf("seed=%d broken: %s\n", seed, b)
+	}
+	if len(broken) == 0 {
+		return true, os.RemoveAll(dir)
+	}
+	return false, nil
+}
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -309,7 +310,10 @@
 		return
 	}
 	elapsed := time.Since(l.begun)
-	why, sum := k.judge(l)
+	why, doubtful, sum := k.judge(l)
+	if why == "" && doubtful && !rollout.MayDoubt(&l.order, elapsed) {
+		why = fmt.Sprintf("in doubt until the end: %d of %d calls failed", sum.Failed, sum.Calls)
+	}
 	if why != "" {
 		k.c.veto(service, l.order.To, l.order.Revision, why)
 	}
@@ -322,9 +326,11 @@
 	case bad:
 		next.State, next.Permille = rollout.RolledBack, 0
 		k.settle(ctx, l, next, evidence)
-	case l.current.Permille == 1000 && rollout.MayComplete(&l.order, elapsed) && k.confirmed(l, hosts, elapsed):
+	case !doubtful && l.current.Permille == 1000 && rollout.MayComplete(&l.order, elapsed) && k.confirmed(l, hosts, elapsed):
 		next.State = rollout.Completed
 		k.settle(ctx, l, next, "")
+	case doubtful:
+		k.c.count("rollouts.held")
 	default:
 		share := max(l.current.Permille, rollout.Share(&l.order, elapsed))
 		if share != l.current.Permille {
@@ -381,9 +387,9 @@
 	}
 }
 
-// judge returns why the version is bad by the counts of all hosts, or "", and
-// the calls of the new version.
-func (k *coordinator) judge(l *lead) (string, rollout.Counts) {
+// judge returns why the version is bad by the counts of all hosts, or "",
+// whether it is in doubt, and the calls of the new version.
+func (k *coordinator) judge(l *lead) (string, bool, rollout.Counts) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	sum := rollout.Tally{Routes: make(map[string]rollout.Pair)}
@@ -396,7 +402,7 @@
 		total.Failed += p.New.Failed
 	}
 	l.history.Add(time.Now(), sum.Routes)
-	return l.history.Judge(), total
+	return l.history.Judge(), l.history.Doubtful(), total
 }
 
 // confirmed reports whether every host that is alive sends all calls to the new
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -77,14 +77,16 @@
 	// alarmOdds is the likelihood ratio from which a version counts as bad. Each
 	// of the some ten looks a second at a rollout of 16 s is one chance of a false
 	// alarm.
-	alarmOdds = 5000
+	alarmOdds = 1000
+	// doubtOdds is the likelihood ratio from which a version's share is not raised.
+	doubtOdds = 20
 	// A bad version fails at least this share of its calls above the old one's.
 	badShare = 0.12
 	// minRate is the failure rate assumed of a sound version at the least.
 	minRate = 0.01
 	// deviations is the width of the interval of the old version's rate, and
 	// maxSound the rate from which nothing is said of the new one's failures.
-	deviations = 2.5
+	deviations = 2.0
 	maxSound   = 0.8
 	// slowRatio is the least ratio of the typical times of a slow version. Cold
 	// targets take twice as long, and targets of one service differ by 2.3.
@@ -142,23 +144,44 @@
 }
 
 // judgeFailures is a sequential likelihood ratio test of the new version's
-// failures: the old version's rate against a rate that is higher by badShare.
+// failures: the old version's rate, at the upper end of what it may be, against
+// a rate that is higher by badShare.
 func (p *Pair) judgeFailures() string {
-	n, failed := float64(p.New.Calls), float64(p.New.Failed)
-	if failed < 3 {
+	if p.New.Failed < 3 || p.odds(upperRate(float64(p.Old.Failed), float64(p.Old.Calls))) < math.Log(alarmOdds) {
 		return ""
 	}
-	sound := max(minRate, upperRate(float64(p.Old.Failed), float64(p.Old.Calls)))
-	if sound >= maxSound {
-		return "" // too little is known of the old version, or it fails as well
+	return fmt.Sprintf("%d of %d calls failed, of the old version %d of %d", p.New.Failed, p.New.Calls, p.Old.Failed, p.Old.Calls)
+}
+
+// odds is the logarithm of the likelihood ratio of a bad version to one that
+// fails at the given rate.
+func (p *Pair) odds(sound float64) float64 {
+	sound = max(minRate, sound)
+	if sound >= maxSound || p.New.Calls == 0 {
+		return 0 // too little is known of the old version, or it fails as well
 	}
-	bad := min(0.9, sound*1.5+badShare)
-	if failed/n > bad {
-		bad = min(0.9, failed/n)
+	n, failed := float64(p.New.Calls), float64(p.New.Failed)
+	bad := min(0.9, max(sound*1.5+badShare, failed/n))
+	return failed*math.Log(bad/sound) + (n-failed)*math.Log((1-bad)/(1-sound))
+}
+
+// Doubtful reports whether the new version fails more than the old one, though
+// too few calls show it for a judgement.
+func Doubtful(t *Tally) bool {
+	var all Pair
+	for _, p := range t.Routes {
+		if p.doubtful() {
+			return true
+		}
+		all.New.add(p.New)
+		all.Old.add(p.Old)
 	}
-	odds := failed*math.Log(bad/sound) + (n-failed)*math.Log((1-bad)/(1-sound))
-	if odds < math.Log(alarmOdds) {
-		return ""
+	return all.doubtful()
+}
+
+func (p *Pair) doubtful() bool {
+	if p.New.Failed < 2 {
+		return false
 	}
-	return fmt.Sprintf("%d of %d calls failed, of the old version %d of %d", p.New.Failed, p.New.Calls, p.Old.Failed, p.Old.Calls)
+	return p.odds((float64(p.Old.Failed)+0.5)/(float64(p.Old.Calls)+1)) >= math.Log(doubtOdds)
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -103,3 +103,12 @@
 func MayComplete(o *Order, elapsed time.Duration) bool {
 	return float64(elapsed) >= completeFrom*float64(o.Within)
 }
+
+// doubtUntil is the part of the time up to which a doubtful version waits for
+// more evidence; after it, the version is taken back.
+const doubtUntil = 0.88
+
+// MayDoubt reports whether there is time to wait for more evidence.
+func MayDoubt(o *Order, elapsed time.Duration) bool {
+	return float64(elapsed) < doubtUntil*float64(o.Within)
+}
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -162,3 +162,14 @@
 		}
 	}
 }
+
+// Guards against a bad version that is completed on a quiet service, where few
+// calls show its fault before the end: it must be judged or in doubt.
+func TestFewCallsLeaveDoubt(t *testing.T) {
+	for failed, want := range map[int64]bool{0: false, 1: false, 2: false, 5: true, 8: true} {
+		tally := &Tally{Routes: map[string]Pair{"orders": {New: Counts{Calls: 15, Failed: failed}, Old: Counts{Calls: 60, Failed: 4}}}}
+		if got := Doubtful(tally) || Judge(tally) != ""; got != want {
+			t.Errorf("%d of 15 calls failed: in doubt %v, want %v", failed, got, want)
+		}
+	}
+}
--- a/pkg/rollout/window.go
+++ b/pkg/rollout/window.go
@@ -100,10 +100,15 @@
 const smoothing = 40
 
 // Judge returns why the new version is bad, or "".
-func (h *History) Judge() string {
-	t := Tally{Routes: make(map[string]Pair)}
+func (h *History) Judge() string { return Judge(h.tally()) }
+
+// Doubtful reports whether the new version's share should not be raised.
+func (h *History) Doubtful() bool { return Doubtful(h.tally()) }
+
+func (h *History) tally() *Tally {
+	t := &Tally{Routes: make(map[string]Pair)}
 	for route := range h.last {
 		t.Routes[route] = h.matched(route)
 	}
-	return Judge(&t)
+	return t
 }
