--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -34,7 +34,7 @@
 // Guards against settings, signals and findings that the page for operators
 // does not explain.
 func TestOperationsNamesEverything(t *testing.T) {
-	page, err := os.ReadFile("operations.md")
+	page, err := os.ReadFile("OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,7 +45,7 @@
 			for _, name := range names(t, filepath.Join("..", dir), n.re) {
 				found++
 				if !explains(text, name) {
-					t.Errorf("%s %q of %s is not in operations.md", n.what, name, dir)
+					t.Errorf("%s %q of %s is not in OPERATIONS.md", n.what, name, dir)
 				}
 			}
 		}
