Serve short calls also when they are late

Cause: calls between services (15 ms of work) were refused as late while the longer call that waits for them went on; the caller's call then failed whole. Change: calls that take less than half of the mean run in their turn.

--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 	w := newWaiter(&work)
-	w.takes = l.takes(work.Kind)
+	w.takes, w.short = l.takes(work.Kind), l.short(work.Kind)
 	patience := l.patience(w, now)
 	if late {
 		l.queue.pushLate(w)
@@ -138,7 +138,7 @@
 	if wait+l.service.fast > left {
 		return false, ReasonDeadline
 	}
-	if work.Aim.IsZero() || !now.Add(wait+l.takes(work.Kind)).After(work.Aim) {
+	if work.Aim.IsZero() || l.short(work.Kind) || !now.Add(wait+l.takes(work.Kind)).After(work.Aim) {
 		return false, ""
 	}
 	if l.queue.len() >= max(1, l.limit.now/lateRoom) {
@@ -151,6 +151,16 @@
 // when one that is late joins them.
 const lateRoom = 2
 
+// shortShare is the part of the mean service time below which a call counts as
+// short.
+const shortShare = 0.5
+
+// short reports whether calls of a kind take so little that they are served also
+// when late: another service often waits for them with a longer call of its own.
+func (l *Limiter) short(kind string) bool {
+	return float64(l.takes(kind)) < shortShare*float64(l.service.mean)
+}
+
 // takes is the mean service time of a kind of call.
 func (l *Limiter) takes(kind string) time.Duration {
 	if e := l.kinds[kind]; e != nil {
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -26,6 +26,7 @@
 type waiter struct {
 	Work
 	takes   time.Duration // expected service time
+	short   bool          // runs in its turn also when late
 	decided chan Reason
 	heap    *byDue // the heap it is in; nil when it is in none
 	index   int    // in its heap
@@ -94,7 +95,7 @@
 		}
 		w := heap.Pop(&q.heaps[next]).(*waiter)
 		q.n--
-		if !w.Aim.IsZero() && now.Add(w.takes).After(w.Aim) {
+		if !w.short && !w.Aim.IsZero() && now.Add(w.takes).After(w.Aim) {
 			q.pushLate(w)
 			continue
 		}
