Refuse calls on arrival that cannot be in time, by the pace of their class

The wait was estimated from the queue alone. Change: each class's pace of turns counts; a wait needs a margin of 1.4 to its estimate; a queued call that becomes late is refused while others fill the queue.

--- /dev/null
+++ b/cmd/nutmeghoist-trace/main.go
@@ -0,0 +1,64 @@
+// Command nutmeghoist-trace prints the log lines of one call from the logs of
+// several nodes, in order.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"nutmeghoist.example/nutmeghoist/internal/trace"
+)
+
+type options struct {
+	Args struct {
+		ID    string   `positional-arg-name:"ID" required:"yes" description:"the call's id"`
+		Files []string `positional-arg-name:"FILE" description:"logs of nodes; the standard input without any"`
+	} `positional-args:"yes"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	var t trace.Trace
+	if err := read(&t, &o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	if t.Len() == 0 {
+		fmt.Fprintf(os.Stderr, "no line of call %s\n", o.Args.ID)
+		return 1
+	}
+	if err := t.Write(os.Stdout); err != nil {
+		return 1
+	}
+	return 0
+}
+
+func read(t *trace.Trace, o *options) error {
+	if len(o.Args.Files) == 0 {
+		return t.Read(os.Stdin, o.Args.ID)
+	}
+	for _, name := range o.Args.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = t.Read(f, o.Args.ID)
+		_ = f.Close() // it was only read
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -45,6 +45,7 @@
 	reasonNoRoute    = "no_route"
 	reasonNoTarget   = "no_target"
 	reasonDeadline   = "deadline"
+	reasonCancelled  = "cancelled" // the caller left
 	reasonNodeDown   = "node_unreachable"
 	reasonNodeLost   = "node_lost"
 )
@@ -404,6 +405,8 @@
 // giveUp returns the answer to a call that no target answered well.
 func (c *call) giveUp() *Answer {
 	switch {
+	case c.caller.Err() != nil:
+		return c.refuse(http.StatusBadGateway, reasonCancelled, 0) // nobody reads it
 	case c.failed != nil:
 		return c.pass(c.failed)
 	case c.unknown && c.ctx.Err() != nil:
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -113,7 +113,7 @@
 	if late {
 		l.queue.pushLate(w)
 	} else {
-		l.queue.push(w)
+		l.queue.push(w, now)
 	}
 	l.admitWaiting(now)
 	l.mu.Unlock()
@@ -134,23 +134,30 @@
 	case l.queue.full(work.Class, l.limit.now):
 		return false, ReasonQueueFull
 	}
-	wait := l.expectedWait(work)
+	wait := l.expectedWait(work, now)
 	if wait+l.service.fast > left {
 		return false, ReasonDeadline
 	}
-	if work.Aim.IsZero() || l.short(work.Kind) || !now.Add(wait+l.takes(work.Kind)).After(work.Aim) {
+	if work.Aim.IsZero() || l.short(work.Kind) || !now.Add(time.Duration(waitMargin*float64(wait))+l.takes(work.Kind)).After(work.Aim) {
 		return false, ""
 	}
-	if l.queue.len() >= max(1, l.limit.now/lateRoom) {
+	if l.queue.len() >= l.roomForLate() {
 		return true, ReasonLate
 	}
 	return true, ""
 }
 
+// waitMargin is the factor by which a wait may exceed its estimate for a call
+// that is to meet its aim: a call that is refused after a wait has lost the time
+// in which another target could have taken it.
+const waitMargin = 1.4
+
 // lateRoom is the part of the limit, as a divisor, up to which calls may wait
 // when one that is late joins them.
 const lateRoom = 2
 
+func (l *Limiter) roomForLate() int { return max(1, l.limit.now/lateRoom) }
+
 // shortShare is the part of the mean service time below which a call counts as
 // short.
 const shortShare = 0.5
@@ -170,9 +177,8 @@
 }
 
 // expectedWait estimates how long a call would wait.
-func (l *Limiter) expectedWait(work *Work) time.Duration {
-	turns := l.queue.ahead(work) + 1
-	return time.Duration(turns) * l.service.mean / time.Duration(l.limit.now)
+func (l *Limiter) expectedWait(work *Work, now time.Time) time.Duration {
+	return l.queue.wait(work, l.service.mean/time.Duration(l.limit.now), now)
 }
 
 // patience bounds the wait of a queued call. A call that waits several times
@@ -184,7 +190,7 @@
 	if l.service.mean == 0 {
 		return min(blindPatience, half)
 	}
-	return min(max(2*l.service.mean+patienceFactor*l.expectedWait(&w.Work), minPatience), half)
+	return min(max(2*l.service.mean+patienceFactor*l.expectedWait(&w.Work, now), minPatience), half)
 }
 
 const (
@@ -268,7 +274,7 @@
 // can no longer be met is refused instead.
 func (l *Limiter) admitWaiting(now time.Time) {
 	for l.inFlight < l.limit.now {
-		w := l.queue.pop(now)
+		w := l.queue.pop(now, l.roomForLate())
 		if w == nil {
 			return
 		}
@@ -287,7 +293,7 @@
 	defer l.mu.Unlock()
 	l.draining = true
 	now := time.Now()
-	for w := l.queue.pop(now); w != nil; w = l.queue.pop(now) {
+	for w := l.queue.pop(now, 0); w != nil; w = l.queue.pop(now, 0) {
 		w.decided <- ReasonDraining
 	}
 }
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -50,11 +50,38 @@
 type queue struct {
 	heaps [classes]byDue
 	late  byDue
+	turns [classes]pace
 	pass  [classes]float64 // virtual time at which the class is next
 	clock float64          // virtual time of the last call taken
 	n     int
 }
 
+// pace is how fast a class gets its turns while it waits.
+type pace struct {
+	last time.Time // when a call of the class was taken, or began to wait
+	gap  time.Duration
+}
+
+// turnGain is the weight of one turn in the mean gap of a class; gaps older than
+// paceAge say nothing of the present.
+const (
+	turnGain = 0.2
+	paceAge  = time.Second
+)
+
+func (p *pace) took(now time.Time) {
+	p.gap += time.Duration(turnGain * float64(now.Sub(p.last)-p.gap))
+	p.last = now
+}
+
+// expect returns the mean time between turns, or 0 when none is known.
+func (p *pace) expect(now time.Time) time.Duration {
+	if now.Sub(p.last) > paceAge {
+		return 0
+	}
+	return p.gap
+}
+
 func (q *queue) len() int { return q.n }
 
 // full reports whether a call of the class finds no room.
@@ -62,11 +89,12 @@
 	return float64(q.n) >= max(1, queueFactor*float64(limit)*room[class])
 }
 
-func (q *queue) push(w *waiter) {
+func (q *queue) push(w *waiter, now time.Time) {
 	h := &q.heaps[w.Class]
 	if h.Len() == 0 {
 		// A class that was empty gets no credit for the time it did not wait.
 		q.pass[w.Class] = max(q.pass[w.Class], q.clock)
+		q.turns[w.Class].last = now
 	}
 	w.heap = h
 	heap.Push(h, w)
@@ -81,8 +109,9 @@
 	q.n++
 }
 
-// pop takes the next call, or nil.
-func (q *queue) pop(now time.Time) *waiter {
+// pop takes the next call, or nil. Calls that have become late wait behind all
+// others, or are refused while more than room calls wait.
+func (q *queue) pop(now time.Time, room int) *waiter {
 	for {
 		next := -1
 		for c := range q.heaps {
@@ -95,8 +124,13 @@
 		}
 		w := heap.Pop(&q.heaps[next]).(*waiter)
 		q.n--
+		q.turns[next].took(now)
 		if !w.short && !w.Aim.IsZero() && now.Add(w.takes).After(w.Aim) {
-			q.pushLate(w)
+			if q.n > room {
+				w.decided <- ReasonLate
+			} else {
+				q.pushLate(w)
+			}
 			continue
 		}
 		q.clock = q.pass[next]
@@ -120,9 +154,11 @@
 	return true
 }
 
-// ahead estimates how many calls are served before a call that arrives now:
-// those of its class that are due earlier, and the other classes' share.
-func (q *queue) ahead(work *Work) int {
+// wait estimates how long a call that arrives now waits, when a turn takes the
+// given time: for the calls of its class that are due earlier, and the other
+// classes' share of the turns. Calls of other classes that are still to come
+// show in the pace of its class.
+func (q *queue) wait(work *Work, turn time.Duration, now time.Time) time.Duration {
 	same := 0
 	due := work.due()
 	for _, w := range q.heaps[work.Class] {
@@ -136,7 +172,8 @@
 			active += weights[c]
 		}
 	}
-	return min(q.n, int(float64(same+1)*active/weights[work.Class])-1)
+	turns := min(q.n, int(float64(same+1)*active/weights[work.Class])-1) + 1
+	return max(time.Duration(turns)*turn, time.Duration(same+1)*q.turns[work.Class].expect(now))
 }
 
 // byDue is a heap of waiters, the one that is due first at the top.
