Recover faster after the whole mesh has lost power

Change: a node without links forms them within 100 ms; what it reads from the store is in force at once; it is ready once it knows targets.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -163,14 +163,14 @@
 	return mesh.ConfigVersion{Revision: s.Config.Version}
 }
 
-// offerConfig takes the operators' configuration row.
+// offerConfig takes the operators' configuration row. It is in force here at
+// once and then spread.
 func (c *Control) offerConfig(value []byte) {
-	config, err := c.cfg.Provider.DecodeConfig(value)
-	if err != nil {
-		c.count("config.rejected")
-		c.cfg.Log.Error().Err(err).Msg("configuration rejected; the last good one stays")
+	config, ok := c.decode(value)
+	if !ok {
 		return
 	}
+	c.enforce(config)
 	sum := sha256.Sum256(value)
 	head := source.Head{Revision: config.Version, Hash: hex.EncodeToString(sum[:])}
 	if err := c.gossip.AnnounceHead(head, value); err != nil {
@@ -178,14 +178,27 @@
 	}
 }
 
-// takeHead puts a configuration in force. Heads come in rising order.
+// takeHead takes a configuration that another host has spread.
 func (c *Control) takeHead(head source.Head, text []byte) {
-	config, err := c.cfg.Provider.DecodeConfig(text)
+	if head.Revision <= c.active().Revision {
+		return
+	}
+	if config, ok := c.decode(text); ok {
+		c.enforce(config)
+	}
+}
+
+func (c *Control) decode(value []byte) (*traffic.Config, bool) {
+	config, err := c.cfg.Provider.DecodeConfig(value)
 	if err != nil {
 		c.count("config.rejected")
-		c.cfg.Log.Error().Err(err).Uint64("version", head.Revision).Msg("configuration rejected; the last good one stays")
-		return
+		c.cfg.Log.Error().Err(err).Msg("configuration rejected; the last good one stays")
 	}
+	return config, err == nil
+}
+
+// enforce puts a configuration in force unless a newer one is.
+func (c *Control) enforce(config *traffic.Config) {
 	matcher := traffic.NewMatcher(config)
 	c.mu.Lock()
 	newer := c.config == nil || config.Version > c.config.Version
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -200,9 +200,19 @@
 	s.cfg.Log.Warn().Err(err).Msg("heartbeat cannot be read")
 }
 
-// Ready reports whether the node serves calls.
+// Ready reports whether the node serves calls: it has a configuration and knows
+// targets, or has waited long enough for them.
 func (s *Sidecar) Ready() bool {
-	return !s.stopping.Load() && s.control.Snapshot() != nil && time.Since(s.started) > settleTime
+	v := s.control.Snapshot()
+	if s.stopping.Load() || v == nil {
+		return false
+	}
+	for _, service := range v.Services {
+		if service.Stable.Len() > 0 {
+			return true
+		}
+	}
+	return time.Since(s.started) > settleTime
 }
 
 // Run operates the node until the context ends, and then stops it gracefully.
--- a/pkg/distribution/form.go
+++ b/pkg/distribution/form.go
@@ -24,7 +24,10 @@
 	minRejoinPeriod  = 2 * time.Second
 	maxRejoinPeriod  = 30 * time.Second
 	retryBase        = 250 * time.Millisecond
-	urgentJitter     = 100 * time.Millisecond
+	// startJitter is the jitter of a host without any link, which hears nothing
+	// until it has one. With the bound on accepted links a herd still spreads out.
+	startJitter  = 100 * time.Millisecond
+	urgentJitter = 100 * time.Millisecond
 )
 
 // formLinks keeps links open to the neighbours that the records call for.
@@ -34,7 +37,7 @@
 	delay := time.Duration(1)
 	for {
 		changed := g.cfg.Members.Changed()
-		if !sleep(ctx, g.jitter(delay)) {
+		if !sleep(ctx, g.jitter(min(delay, g.calm()))) {
 			return
 		}
 		delay = reformJitter
@@ -120,7 +123,7 @@
 			delete(g.dialing, id)
 			g.mu.Unlock()
 		}()
-		delay := reformJitter
+		delay := g.calm()
 		if urgent {
 			delay = urgentJitter
 		}
@@ -133,6 +136,14 @@
 	})
 }
 
+// calm returns the jitter of changes that are not urgent.
+func (g *Gossip) calm() time.Duration {
+	if g.Links() == 0 {
+		return startJitter
+	}
+	return reformJitter
+}
+
 func (g *Gossip) needsLink(id mesh.HostID, urgent bool) bool {
 	h, ok := g.cfg.Members.Get(id)
 	g.mu.Lock()
