Spend fewer bytes between data centres and fewer calls of the store

Each host read the hosts' rows twice at its start. Change: four hosts of a data centre open a link of their own choice beside the gateways; rows are read again only by a host that saw no other, or that has no link; feeds wait 3 s and pause 250 ms. All hosts still know each other in time (tests).

--- a/cmd/nutmeghoist-sidecar/main.go
+++ b/cmd/nutmeghoist-sidecar/main.go
@@ -107,7 +107,8 @@
 		MetricsAddress: netip.AddrPortFrom(settings.IP, o.MetricsPort),
 		Names:          platform.Headers, Drain: settings.Bounds.Drain, Grace: settings.Bounds.Grace,
 		BeatInterval: settings.Bounds.BeatInterval, RetrySlack: settings.Bounds.RetrySlack,
-		Store: platform.NewStore(settings.StoreAddress, registry),
+		FirstStart: settings.FirstStart,
+		Store:      platform.NewStore(settings.StoreAddress, registry),
 		Provider: control.Provider{
 			Table: platform.OperatorTable, ConfigKey: platform.ConfigKey,
 			DecodeConfig: platform.DecodeConfig, DecodeOrder: platform.DecodeOrder,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,6 +49,9 @@
 	Transport distribution.Transport
 	Store     Store
 	Provider  Provider
+	// FirstStart means that the whole system starts for the first time, so that no
+	// host has a row yet.
+	FirstStart bool
 	// Load returns the load of a target of this host.
 	Load func(mesh.TargetID) (routing.Load, bool)
 	// Send passes a note to the node at an address.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -219,6 +219,27 @@
 	})
 }
 
+// Guards against a host that knows only rows of hosts that are gone, while
+// others started at the same time.
+func TestHostsFindEachOtherBesideStaleRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.endAll()
+		m.put("op/config", "1")
+		m.put("hosts/gone", `{"id":"gone","data_centre":"north","peer_address":"gone:1","call_address":"gone:1","incarnation":1,"status":1}`)
+		m.startAll()
+		time.Sleep(12 * time.Second)
+		for _, id := range m.order {
+			if n := m.nodes[id].gossip.Links(); n == 0 {
+				t.Errorf("%s has no link", id)
+			}
+			if n := len(m.nodes[id].members.Hosts()); n < 9 {
+				t.Errorf("%s knows %d hosts of 9", id, n)
+			}
+		}
+	})
+}
+
 // Guards against configurations that reach a host late or not at all: calm,
 // while the store turns hosts away, after its history is gone, and on a host
 // that starts while the store is down.
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -20,9 +20,9 @@
 const (
 	// feedWait is how long a feed waits for a change. A feed whose connection has
 	// gone silent is noticed after it.
-	feedWait = 2 * time.Second
+	feedWait = 3 * time.Second
 	// feedPause lets changes that come together share one call of the feed.
-	feedPause = 100 * time.Millisecond
+	feedPause = 250 * time.Millisecond
 	// watchPeriod is how often a host that does not follow the store looks
 	// whether that has become its duty.
 	watchPeriod = 300 * time.Millisecond
@@ -31,8 +31,12 @@
 	backupPeriod = 10 * time.Second
 	// The time between calls of a store that does not answer. The longest keeps
 	// below the two seconds in which lapsed entries must be back.
-	minBackoff = 150 * time.Millisecond
-	maxBackoff = 1500 * time.Millisecond
+	// A host without any link reads the hosts' rows again after isolatedFirst, and
+	// then at up to twice the time each time.
+	isolatedFirst = 2 * time.Second
+	isolatedLast  = 30 * time.Second
+	minBackoff    = 150 * time.Millisecond
+	maxBackoff    = 1500 * time.Millisecond
 )
 
 // follower reads the store.
@@ -41,14 +45,19 @@
 	version uint64 // at which the feed continues; 0 means that the table must be read
 	joined  bool   // the hosts' rows were read and the own row is there
 	backoff time.Duration
+	// isolated is how long to wait for a link before the hosts' rows are read
+	// again, and readAt when they were read last.
+	isolated time.Duration
+	readAt   time.Time
 }
 
 // followStore reads the store until the context ends. One host of each data
 // centre follows the changes; the others read rarely and hear them by gossip.
 func (c *Control) followStore(ctx context.Context) {
-	f := &follower{c: c}
+	f := &follower{c: c, isolated: isolatedFirst}
 	nextBackup := time.Now()
 	for ctx.Err() == nil {
+		f.lookForHosts()
 		duty := c.followsStore()
 		if !duty && f.joined && time.Now().Before(nextBackup) {
 			if !sleep(ctx, watchPeriod) {
@@ -165,20 +174,38 @@
 	}
 }
 
-// join reads the rows of the hosts and writes the own one where it differs. A
-// host that has written its row reads again: of two hosts that start at the same
-// time, one sees the other's row.
+// lookForHosts makes a host that has no link read the hosts' rows again: those
+// that it knows may all be gone.
+func (f *follower) lookForHosts() {
+	if !f.joined || f.c.gossip.Links() > 0 {
+		f.isolated = isolatedFirst
+		return
+	}
+	if time.Since(f.readAt) > f.isolated {
+		f.joined = false
+		f.isolated = min(isolatedLast, 2*f.isolated)
+	}
+}
+
+// join reads the rows of the hosts and writes the own one where it differs. Of
+// two hosts that start at the same time, one must see the other's row: a host
+// that saw none reads again after it has written its own.
 func (f *follower) join(ctx context.Context) error {
-	present, err := f.readHosts(ctx)
-	if err != nil {
-		return err
+	present := false
+	if !f.c.cfg.FirstStart {
+		var err error
+		if present, err = f.readHosts(ctx); err != nil {
+			return err
+		}
 	}
 	if !present {
 		if err := f.writeSelf(ctx); err != nil {
 			return err
 		}
-		if _, err := f.readHosts(ctx); err != nil {
-			return err
+		if len(f.c.members.Hosts()) == 1 {
+			if _, err := f.readHosts(ctx); err != nil {
+				return err
+			}
 		}
 	}
 	f.joined = true
@@ -193,6 +220,7 @@
 	if err != nil {
 		return false, err
 	}
+	f.readAt = time.Now()
 	self := f.c.members.Self()
 	var hosts []membership.Host
 	present := false
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -49,8 +49,10 @@
 	BeatInterval time.Duration
 	RetrySlack   int // repeats above the ratio that all hosts share
 
-	Store    control.Store
-	Provider control.Provider
+	// FirstStart means that the whole system starts for the first time.
+	FirstStart bool
+	Store      control.Store
+	Provider   control.Provider
 	// AnnounceHandler serves the targets' heartbeats, ReadyHandler the
 	// platform's checks.
 	AnnounceHandler func(Announcements) http.Handler
@@ -122,7 +124,7 @@
 			PeerAddress: reached.String(), CallAddress: reached.String(), Status: membership.StatusAlive,
 		},
 		Transport: hop.NewTransport(cfg.Host, ip, s.peers),
-		Store:     cfg.Store, Provider: cfg.Provider,
+		Store:     cfg.Store, Provider: cfg.Provider, FirstStart: cfg.FirstStart,
 		Load: s.load,
 		Send: func(ctx context.Context, address string, note []byte) error {
 			return s.entry.Pool(address).Note(ctx, note)
--- a/pkg/membership/neighbours.go
+++ b/pkg/membership/neighbours.go
@@ -112,13 +112,30 @@
 			}
 		}
 	}
+	if !c.opensOwnLink() || len(c.out) >= limit {
+		return
+	}
 	id := xxhash.Sum64String(string(c.self.ID))
 	choice := slices.MaxFunc(others, func(a, b mesh.DataCentre) int {
 		return cmp.Compare(mix(id, xxhash.Sum64String(string(a))), mix(id, xxhash.Sum64String(string(b))))
 	})
-	if len(c.out) < limit {
-		c.add(top(id, c.byDC[choice], 1)[0])
+	c.add(top(id, c.byDC[choice], 1)[0])
+}
+
+// ownLinks is the number of hosts of a data centre that open a link to one of
+// their own choice, beside the gateways. Each change crosses every link between
+// data centres, where bytes are dear.
+const ownLinks = 4
+
+// opensOwnLink reports whether self is one of the first ownLinks of its data
+// centre.
+func (c *candidates) opensOwnLink() bool {
+	for _, h := range top(xxhash.Sum64String(string(c.self.DataCentre)), c.byDC[c.self.DataCentre], ownLinks) {
+		if h.ID == c.self.ID {
+			return true
+		}
 	}
+	return false
 }
 
 // top returns the n hosts that rank highest for a key.
