Let few hosts try a store that is away

Change: after three hosts of a data centre found out, only they try again. Test: 30 hosts make at most 120 calls in 20 s and notice the return within 2 s.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -329,6 +329,32 @@
 	})
 }
 
+// Guards against a whole data centre that calls a store which is away, and
+// against a mesh that does not notice its return within two seconds.
+func TestFewHostsTryAStoreThatIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.endAll()
+		m.put("op/config", "1")
+		for i := range 30 {
+			m.start(mesh.HostID(fmt.Sprint("h", i)), "north")
+		}
+		time.Sleep(8 * time.Second)
+		m.store.SetFaults(platformtest.Faults{Down: true})
+		before := m.store.Stats().Refused
+		time.Sleep(20 * time.Second)
+		if calls := m.store.Stats().Refused - before; calls > 3*20*2 {
+			t.Errorf("%d calls in 20 s by 30 hosts", calls)
+		}
+		m.store.SetFaults(platformtest.Faults{})
+		m.put("op/config", "2")
+		time.Sleep(2 * time.Second)
+		if late := m.behind(2); len(late) > 0 {
+			t.Errorf("%v do not serve version 2", late)
+		}
+	})
+}
+
 func (m *testMesh) progress() *rollout.Progress {
 	for _, id := range m.order {
 		if n := m.nodes[id]; n.stop != nil {
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -111,11 +111,25 @@
 	return out
 }
 
+// maxDetached is the number of hosts of a data centre that try the store on
+// their own before it counts as away for all: then only they go on trying.
+const maxDetached = 3
+
 // followsStore reports whether it is this host's duty to follow the store: it
-// is the first of its data centre, or nobody there reaches the store.
+// is the first of its data centre that reaches it. While the store is away, the
+// hosts that found that out try again.
 func (c *Control) followsStore() bool {
+	self, detached := c.cfg.Self.ID, 0
 	peers := c.peersHere()
-	return len(peers) == 0 || peers[0].ID == c.cfg.Self.ID || peers[0].Detached
+	for _, h := range peers {
+		if h.Detached {
+			detached++
+			if h.ID == self {
+				return detached <= maxDetached
+			}
+		}
+	}
+	return detached < maxDetached && (len(peers) == 0 || peers[0].ID == self)
 }
 
 // step reads the tables in full once, and then what has changed.
