Ask a second target when the first is silent for too long

Change: an idempotent call asks a second target when a second answer would just be in time, but not before 2.2 times the route's mean, within the retry budget and the route's attempts; the first good answer counts and the other attempt is cancelled at its target. Orders are never sent twice (test).

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -231,8 +231,7 @@
 		if t == nil {
 			break
 		}
-		resp := c.try(service, t, isNew)
-		c.learn(t, resp)
+		t, resp := c.tryWatched(service, set, t, isNew)
 		if resp.Outcome == hop.Answered && !c.repeatable(resp) {
 			return c.pass(resp)
 		}
@@ -254,10 +253,9 @@
 	}
 }
 
-// try asks one target.
-func (c *call) try(service *view.Service, t *routing.Candidate, isNew bool) *hop.Response {
-	c.places++
-	c.target = t.ID
+// try asks one target. It changes nothing of the call, since two attempts can
+// run at the same time.
+func (c *call) try(ctx context.Context, service *view.Service, t *routing.Candidate, isNew bool) *hop.Response {
 	r := hop.Request{
 		Target: t.ID, Service: t.Service, Version: t.Version, Caller: c.e.cfg.Service, ID: c.id,
 		Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: c.header(), Body: c.req.Body,
@@ -266,11 +264,14 @@
 	t.Stat.Begin()
 	c.e.cfg.Observer.Begin(service, isNew)
 	started := time.Now()
-	resp := c.send(t, &r)
+	resp := c.send(ctx, t, &r)
 	t.Stat.End()
-	failed := resp.Outcome == hop.Lost && c.caller.Err() == nil || resp.Outcome == hop.Answered && resp.Status >= http.StatusInternalServerError
+	// An attempt that was given up for another counts by the time that it took.
+	abandoned := ctx.Err() != nil && c.ctx.Err() == nil
+	failed := resp.Outcome == hop.Lost && !abandoned && c.caller.Err() == nil ||
+		resp.Outcome == hop.Answered && resp.Status >= http.StatusInternalServerError
 	route := ""
-	if resp.Offered && (resp.Outcome != hop.Lost || failed) {
+	if resp.Offered && (resp.Outcome != hop.Lost || failed || abandoned) {
 		route = c.route.Name
 	}
 	took := time.Duration(resp.ServiceUs) * time.Microsecond
@@ -287,17 +288,18 @@
 			Mean: time.Duration(resp.Load.MeanUs) * time.Microsecond,
 		}, time.Now())
 	}
+	c.learn(t, resp)
 	return resp
 }
 
 // send sends the call to the owner of a target, on this host or another.
-func (c *call) send(t *routing.Candidate, r *hop.Request) *hop.Response {
+func (c *call) send(ctx context.Context, t *routing.Candidate, r *hop.Request) *hop.Response {
 	if t.Host == c.e.cfg.Self {
 		r.DeadlineAt = c.deadline.Sub(hop.TimeAt(0)).Microseconds()
 		r.AimAt = c.aim.Sub(hop.TimeAt(0)).Microseconds()
-		return c.e.cfg.Local.Call(c.ctx, r)
+		return c.e.cfg.Local.Call(ctx, r)
 	}
-	resp, err := c.e.Pool(t.CallAddress).Call(c.ctx, *r, c.deadline, c.aim)
+	resp, err := c.e.Pool(t.CallAddress).Call(ctx, *r, c.deadline, c.aim)
 	if err == nil {
 		return resp
 	}
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -30,12 +30,17 @@
 	script func(n int, r *hop.Request) *hop.Response
 }
 
-func (f *fakeOwner) Call(_ context.Context, r *hop.Request) *hop.Response {
+func (f *fakeOwner) Call(ctx context.Context, r *hop.Request) *hop.Response {
 	f.mu.Lock()
 	n := len(f.calls)
 	f.calls = append(f.calls, *r)
 	f.mu.Unlock()
-	return f.script(n, r)
+	resp := f.script(n, r)
+	if resp == nil { // the target is silent
+		<-ctx.Done()
+		return &hop.Response{Outcome: hop.Lost, Reason: "cancelled", Offered: true}
+	}
+	return resp
 }
 
 type noObserver struct{}
@@ -199,3 +204,35 @@
 		}
 	}
 }
+
+// Guards against lookups that wait for a silent target until their deadline
+// while another could answer in time, and against orders that are sent twice.
+func TestSilentTarget(t *testing.T) {
+	for path, want := range map[string]struct {
+		status int
+		calls  int
+		within time.Duration
+	}{
+		"/menus/1":  {200, 2, 450 * time.Millisecond}, // the latency target is 500 ms
+		"/orders/1": {504, 1, 1100 * time.Millisecond},
+	} {
+		f := &fakeOwner{script: func(_ int, r *hop.Request) *hop.Response { return ok(r) }}
+		e := newEntry(f, 4)
+		for range 20 {
+			e.routes.learn("menus", 40*time.Millisecond, 10)
+		}
+		f.script = func(n int, r *hop.Request) *hop.Response {
+			if n == 0 {
+				return nil
+			}
+			return ok(r)
+		}
+		r := callTo(path)
+		r.Header.Set("Left-Ms", "900")
+		began := time.Now()
+		a := e.Handle(t.Context(), r)
+		if a.Status != want.status || len(f.calls) != want.calls || time.Since(began) > want.within {
+			t.Errorf("%s: status %d after %s with %d attempts, want %+v", path, a.Status, time.Since(began), len(f.calls), want)
+		}
+	}
+}
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -15,6 +15,7 @@
 	NotRun   Reason = "not_run"   // no target ran the call
 	Load     Reason = "load"      // the target refused for load
 	NoAnswer Reason = "no_answer" // may have run, but is idempotent
+	Slow     Reason = "slow"      // still waits for an answer, and is idempotent
 )
 
 // The reasons to give up.
@@ -49,6 +50,7 @@
 type Attempt struct {
 	NotRun     bool // neither this attempt nor one before may have run the call
 	ByLoad     bool // the target refused for load
+	Waiting    bool // the attempt has not ended: the next one is made beside it
 	Idempotent bool
 	Replayable bool // the request body can be sent from its start
 	Cancelled  bool
@@ -78,6 +80,8 @@
 	d := Decision{Retry: true, PathBudget: a.PathBudget - 1}
 	bound := refusedWait
 	switch {
+	case a.Waiting:
+		d.Reason, d.PathBudget, bound = Slow, 0, 0
 	case !a.NotRun:
 		d.Reason, d.PathBudget, bound = NoAnswer, 0, noAnswerWait
 	case a.ByLoad:
@@ -91,7 +95,7 @@
 		return Decision{Reason: Deadline}
 	}
 	reserve := int64(0)
-	if d.Reason == Load {
+	if d.Reason == Load || d.Reason == Slow {
 		reserve = b.loadReserve()
 	}
 	if !b.take(reserve) {
