--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for developers. `make test` is the README's test command.
 BIN := bin
 
-.PHONY: build test lint fuzz demo measure-distribution measure-serving measure-moves
+.PHONY: build test lint fuzz demo soak soak-fresh measure-distribution measure-serving measure-moves
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -29,6 +29,14 @@
 demo: build
 	$(BIN)/nutmeghoist-measure demo
 
+# Plays the seeds that once broke a promise, with processes on loopback addresses.
+soak: build
+	$(BIN)/nutmeghoist-soak --regressions
+
+# Plays seeds that were not played before.
+soak-fresh: build
+	$(BIN)/nutmeghoist-soak --seed $$(date +%s) --seeds 3
+
 measure-distribution: build
 	$(BIN)/nutmeghoist-measure distribution $(if $(FULL),--full)
 
--- a/cmd/nutmeghoist-soak/main.go
+++ b/cmd/nutmeghoist-soak/main.go
@@ -23,6 +23,7 @@
 	Nodes    int           `long:"nodes" default:"6" description:"processes"`
 	Duration time.Duration `long:"duration" default:"15s" description:"time of the faults"`
 	Slot     int           `long:"slot" default:"0" description:"runs at the same time need different ones, 0 to 255"`
+	Known    bool          `long:"regressions" description:"play the seeds that once broke a promise, in place of --seed"`
 	Keep     string        `long:"keep" default:"out/soak" description:"folder for the logs of seeds that broke a promise"`
 }
 
@@ -45,9 +46,23 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
+	runs := make([]soak.Options, 0, o.Seeds)
+	for seed := o.Seed; seed < o.Seed+o.Seeds; seed++ {
+		runs = append(runs, soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration})
+	}
+	if o.Known {
+		runs = nil
+		for _, r := range soak.Regressions {
+			runs = append(runs, r.Options)
+		}
+	}
 	failed := 0
-	for seed := o.Seed; seed < o.Seed+o.Seeds && ctx.Err() == nil; seed++ {
-		ok, err := play(ctx, &o, seed, filepath.Join(filepath.Dir(self), "nutmeghoist-sidecar"))
+	for _, r := range runs {
+		if ctx.Err() != nil {
+			break
+		}
+		r.Program, r.Slot = filepath.Join(filepath.Dir(self), "nutmeghoist-sidecar"), o.Slot
+		ok, err := play(ctx, r, o.Keep)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 1
@@ -56,7 +71,7 @@
 			failed++
 		}
 	}
-	fmt.Printf("seeds=%d failed=%d\n", o.Seeds, failed)
+	fmt.Printf("seeds=%d failed=%d\n", len(runs), failed)
 	if failed > 0 {
 		return 1
 	}
@@ -64,20 +79,20 @@
 }
 
 // play runs one seed and reports whether all promises held.
-func play(ctx context.Context, o *options, seed uint64, program string) (bool, error) {
-	dir := filepath.Join(o.Keep, fmt.Sprint("seed-", seed))
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+func play(ctx context.Context, r soak.Options, keep string) (bool, error) {
+	r.Dir = filepath.Join(keep, fmt.Sprint("seed-", r.Seed))
+	if err := os.MkdirAll(r.Dir, 0o755); err != nil {
 		return false, err
 	}
-	broken, err := soak.Run(ctx, soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration, Program: program, Dir: dir, Slot: o.Slot}, os.Stdout)
+	broken, err := soak.Run(ctx, r, os.Stdout)
 	if err != nil {
 		return false, err
 	}
 	for _, b := range broken {
-		fmt.Printf("seed=%d broken: %s\n", seed, b)
+		fmt.Printf("seed=%d broken: %s\n", r.Seed, b)
 	}
 	if len(broken) == 0 {
-		return true, os.RemoveAll(dir)
+		return true, os.RemoveAll(r.Dir)
 	}
 	return false, nil
 }
--- a/internal/hop/fields.go
+++ b/internal/hop/fields.go
@@ -118,9 +118,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	fields, err := c.out.encode([]hpack.HeaderField{
-		{Name: fieldTarget, Value: string(r.Target)}, {Name: fieldService, Value: string(r.Service)},
-		{Name: fieldVersion, Value: string(r.Version)}, {Name: fieldCaller, Value: string(r.Caller)},
-		{Name: fieldMethod, Value: r.Method}, {Name: fieldHost, Value: r.Host}, {Name: fieldRoute, Value: r.Route},
+		{Name: fieldTarget, Value: string(r.Target)},
+		{Name: fieldService, Value: string(r.Service)},
+		{Name: fieldVersion, Value: string(r.Version)},
+		{Name: fieldCaller, Value: string(r.Caller)},
+		{Name: fieldMethod, Value: r.Method},
+		{Name: fieldHost, Value: r.Host},
+		{Name: fieldRoute, Value: r.Route},
 	}, r.Header)
 	if err != nil {
 		return err
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,7 +30,6 @@
 	limiter *rate.Limiter
 	dropped atomic.Int64
 	flush   chan chan struct{}
-	once    sync.Once
 }
 
 // NewAsyncWriter returns a writer to out. It runs until the process ends.
