--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -95,8 +95,6 @@
 
 	mu   sync.Mutex
 	idle []*targetConn // the last used one at the end
-	// Dials counts the connections that were opened.
-	dials int64
 }
 
 // NewClient returns a client of the target at an address.
@@ -179,19 +177,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c.mu.Lock()
-	c.dials++
-	c.mu.Unlock()
 	return &targetConn{Conn: raw, r: bufio.NewReaderSize(raw, 4<<10), keepFor: maxIdle}, nil
 }
 
-// Dials returns the number of connections that were opened.
-func (c *Client) Dials() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.dials
-}
-
 func (c *Client) keep(conn *targetConn) {
 	if conn.SetDeadline(time.Time{}) != nil {
 		_ = conn.Close() // it carries no call
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -59,7 +59,7 @@
 		j.add("order %s at %s was refused as not run, and ran at %s", o.id, at, ran[0].target.id)
 	case o.status == 200 && !o.whole:
 		j.add("call %s at %s got an answer that is not its own or not whole", o.id, at)
-	case o.status == 404 && o.added && o.begin.After(o.n.w.config.ackedAt(o.version).Add(bounds.ConfigApply)) && !j.disturbed(o.n, o.begin.Add(-touch-bounds.ConfigApply), o.end, nil):
+	case o.status == 404 && o.added && o.begin.After(o.n.w.config.ackedAt(o.version).Add(configApply)) && !j.disturbed(o.n, o.begin.Add(-touch-configApply), o.end, nil):
 		j.add("call %s at %s on %s: the route of version %d is unknown %s after its acknowledgement", o.id, at, o.n.host, o.version, o.begin.Sub(o.n.w.config.ackedAt(o.version)))
 	case o.status == 404 && !o.added, o.status == 400:
 		j.add("call %s at %s on %s was denied with %d", o.id, at, o.n.host, o.status)
@@ -98,7 +98,7 @@
 			}
 		}
 	}
-	if most := int(bounds.ExposeShare*float64(all)) + bounds.ExposeSlack; bad > most && end.After(m.began) {
+	if most := int(exposeShare*float64(all)) + exposeSlack; bad > most && end.After(m.began) {
 		j.add("a bad version of %s got %d of %d calls, at most %d", m.service, bad, all, most)
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -46,10 +46,14 @@
 )
 
 // bounds are those that the nodes are given and judged by.
-var bounds = platform.Bounds{
-	Drain: 2 * time.Second, Grace: 6 * time.Second, ConfigApply: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 60,
-	RetryWindow: 10 * time.Second, ExposeShare: 0.1, ExposeSlack: 50, Rollback: 5 * time.Second, BeatInterval: 500 * time.Millisecond,
-}
+var bounds = platform.Bounds{Drain: 2 * time.Second, Grace: 6 * time.Second, BeatInterval: 500 * time.Millisecond, RetrySlack: 60}
+
+// The bounds of configurations and of bad versions.
+const (
+	configApply = 2 * time.Second
+	exposeShare = 0.1
+	exposeSlack = 50
+)
 
 // services and the versions that their targets start with.
 var services = []mesh.ServiceName{"orderdesk", "galley"}
