Make two tests hold beside load

TestAsyncWriterNeverBlocks read a counter that the writer may have taken into its report already; it now accounts for every line, written or told as dropped. TestPeerLimit dialled 20 times within 0.1 s, before the other side had seen the close that frees a place; the dials now pause 20 ms.

--- a/internal/peer/contract_test.go
+++ b/internal/peer/contract_test.go
@@ -152,6 +152,7 @@
 		if l, err = from.Dial(within(t, 300*time.Millisecond), to); err == nil {
 			return l
 		}
+		time.Sleep(20 * time.Millisecond) // a refusal comes at once
 	}
 	t.Fatal(err)
 	return nil
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -1,6 +1,8 @@
 package telemetry
 
 import (
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -38,9 +40,6 @@
 	if took > time.Second {
 		t.Errorf("%d lines took %s", lines, took)
 	}
-	if dropped := w.Dropped(); dropped < lines-asyncBurst-int64(took.Seconds()*LinesPerSecond)-1 {
-		t.Errorf("%d lines dropped of %d", dropped, lines)
-	}
 	close(out.release)
 	w.Flush(5 * time.Second)
 	out.mu.Lock()
@@ -49,7 +48,15 @@
 	if written == 0 || written > asyncBurst+int(took.Seconds()*LinesPerSecond)+1 {
 		t.Errorf("%d lines written", written)
 	}
-	if !strings.Contains(out.text.String(), "log lines dropped") {
-		t.Error("nothing says that lines were dropped")
+	told := w.Dropped()
+	for _, m := range regexp.MustCompile(`lines=(\d+)`).FindAllStringSubmatch(out.text.String(), -1) {
+		n, err := strconv.ParseInt(m[1], 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		told += n
+	}
+	if int64(written)+told != lines {
+		t.Errorf("%d lines written and %d told as dropped of %d", written, told, lines)
 	}
 }
