--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -408,6 +408,18 @@
 			m.end(p.Holder)
 		}
 	}
+	// Every host that heard of the order dies: the one that goes on learns of it
+	// late, and must not begin the time anew.
+	killFollowers := func(m *testMesh) {
+		for _, id := range m.order {
+			m.nodes[id].mu.Lock()
+			_, knows := m.nodes[id].orders["orderdesk"]
+			m.nodes[id].mu.Unlock()
+			if knows {
+				m.end(id)
+			}
+		}
+	}
 	cases := map[string]struct {
 		bad     bool
 		trouble func(m *testMesh) // a third into the rollout
@@ -416,6 +428,7 @@
 		"good":                       {false, func(*testMesh) {}, "v2 completed"},
 		"bad":                        {true, func(*testMesh) {}, "v2 rolled_back"},
 		"good, coordinator dies":     {false, killCoordinator, "v2 completed"},
+		"good, followers die":        {false, killFollowers, "v2 completed"},
 		"bad, coordinator dies":      {true, killCoordinator, "v2 rolled_back"},
 		"good, store's answers lost": {false, func(m *testMesh) { m.store.SetFaults(platformtest.Faults{LoseAfter: 3}) }, "v2 completed"},
 		"good, store's writes lost":  {false, func(m *testMesh) { m.store.SetFaults(platformtest.Faults{LoseBefore: 3}) }, "v2 completed"},
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -51,6 +51,15 @@
 	held map[mesh.ServiceName]*lead
 	// missing is when a service's rollout was first seen without a live coordinator.
 	missing map[mesh.ServiceName]time.Time
+	// heard is when the newest step of each service's rollout came here; the loop
+	// alone uses it.
+	heard map[mesh.ServiceName]heardStep
+}
+
+// heardStep is a step of a rollout with the time when it came here.
+type heardStep struct {
+	revision, epoch, step uint64
+	at                    time.Time
 }
 
 // lead is a rollout that this host coordinates.
@@ -69,6 +78,7 @@
 	return &coordinator{
 		c: c, wakeup: make(chan struct{}, 1),
 		held: make(map[mesh.ServiceName]*lead), missing: make(map[mesh.ServiceName]time.Time),
+		heard: make(map[mesh.ServiceName]heardStep),
 	}
 }
 
@@ -101,6 +111,7 @@
 	k.c.mu.Unlock()
 	hosts := k.c.members.Hosts()
 	progress := newestProgress(hosts)
+	k.hear(progress)
 	busy := false
 	for _, o := range orders {
 		p := progress[o.Service]
@@ -123,6 +134,16 @@
 	return busy
 }
 
+// hear keeps when the steps of rollouts came here, so that a host that learns of
+// an order only when it takes the rollout knows how much of its time is over.
+func (k *coordinator) hear(progress map[mesh.ServiceName]*rollout.Progress) {
+	for service, p := range progress {
+		if h := k.heard[service]; h.revision != p.Revision || h.epoch != p.Epoch || h.step != p.Step {
+			k.heard[service] = heardStep{p.Revision, p.Epoch, p.Step, time.Now()}
+		}
+	}
+}
+
 func (k *coordinator) leadOf(service mesh.ServiceName, revision uint64) *lead {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -220,7 +241,7 @@
 	if p != nil {
 		next.Epoch = max(next.Epoch, p.Epoch+1)
 		next.Permille = p.Permille
-		begun = earlier(begun, p.Elapsed)
+		begun = earlier(begun, p.Elapsed+time.Since(k.heard[o.Service].at).Milliseconds())
 	}
 	next.Elapsed = time.Since(begun).Milliseconds()
 	version, err := k.write(ctx, key, row.Version, next)
