--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -202,14 +202,20 @@
 	}
 }
 
+// startMesh starts nine hosts in three data centres with configuration 1.
+func startMesh(t *testing.T) *testMesh {
+	m := newMesh(t)
+	m.put("op/config", "1")
+	m.startAll()
+	return m
+}
+
 // Guards against hosts that start at the same moment, read an empty table and
 // never find each other.
 func TestHostsThatStartTogetherFindEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t)
+		m := startMesh(t)
 		defer m.endAll()
-		m.put("op/config", "1")
-		m.startAll()
 		time.Sleep(4 * time.Second)
 		for _, id := range m.order {
 			if n := m.nodes[id].Hosts(); n != 9 {
@@ -268,10 +274,8 @@
 	for name, trouble := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(t)
+				m := startMesh(t)
 				defer m.endAll()
-				m.put("op/config", "1")
-				m.startAll()
 				time.Sleep(5 * time.Second)
 				trouble(m)
 				for version := uint64(2); version < 6; version++ {
@@ -316,10 +320,8 @@
 // data centre follows it.
 func TestFewHostsFollowTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := newMesh(t)
+		m := startMesh(t)
 		defer m.endAll()
-		m.put("op/config", "1")
-		m.startAll()
 		time.Sleep(5 * time.Second)
 		before := m.store.Stats().Reads.Total
 		time.Sleep(20 * time.Second)
@@ -440,10 +442,8 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				m := newMesh(t)
+				m := startMesh(t)
 				defer m.endAll()
-				m.put("op/config", "1")
-				m.startAll()
 				time.Sleep(5 * time.Second)
 				started := time.Now()
 				for i, id := range m.order {
