One client for the store in the whole project

Cause: nutmeghoistd, the operators' tool and the stand-in program spoke a protocol of their own with a client of their own, beside the one of platform/. Two clients had two sets of rules on lost answers.

Change: platform.Store got object calls, pages up to a limit, the end of a prefix as the end of the range, Retry-After and a bound on answers; nutmeghoist-platform serves platform.StoreHandler, and the old client, protocol and handler are gone. The contract tests and the tests on judging answers moved with them and run against the one client.

--- a/cmd/nutmeghoist-platform/run.go
+++ b/cmd/nutmeghoist-platform/run.go
@@ -14,6 +14,7 @@
 
 	"nutmeghoist.example/nutmeghoist/internal/telemetry"
 	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
+	"nutmeghoist.example/nutmeghoist/platform"
 )
 
 const (
@@ -31,7 +32,7 @@
 		return fmt.Errorf("platform: %w", err)
 	}
 	server := &http.Server{
-		Handler:           logFaults(logger, store, platformtest.Handler(store)),
+		Handler:           logFaults(logger, store, handler(store)),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 	}
@@ -56,6 +57,15 @@
 	return server.Close()
 }
 
+// handler serves the store's calls and, below /faults and /stats, the switches of
+// its faults.
+func handler(store *platformtest.Store) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", platformtest.AdminHandler(store))
+	mux.Handle("/v1/", platform.StoreHandler(store))
+	return mux
+}
+
 // logFaults logs each switch of the faults. The formatter writes a true Bool
 // without its value, so flags are written as strings.
 func logFaults(logger *log.Logger, store *platformtest.Store, next http.Handler) http.Handler {
--- a/cmd/nutmeghoist-platform/run_test.go
+++ b/cmd/nutmeghoist-platform/run_test.go
@@ -9,8 +9,11 @@
 	"sync"
 	"testing"
 
+	"github.com/rcrowley/go-metrics"
+
 	"nutmeghoist.example/nutmeghoist/pkg/finding"
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	adapter "nutmeghoist.example/nutmeghoist/platform"
 )
 
 type buffer struct {
@@ -50,7 +53,7 @@
 	address, done := make(chan net.Addr, 1), make(chan error, 1)
 	go func() { done <- run(ctx, s, &logs, func(a net.Addr) { address <- a }) }()
 	url := "http://" + (<-address).String()
-	client := platform.NewClient(url, nil)
+	client := adapter.NewStore(url, metrics.NewRegistry())
 	resp, err := http.Post(url+"/faults", "application/json", strings.NewReader(`{"down": true}`))
 	if err != nil || resp.StatusCode != http.StatusOK {
 		t.Fatalf("got %v, %v", resp, err)
--- a/cmd/nutmeghoist-sidecar/main.go
+++ b/cmd/nutmeghoist-sidecar/main.go
@@ -108,7 +108,7 @@
 		Names:          platform.Headers, Drain: settings.Bounds.Drain, Grace: settings.Bounds.Grace,
 		BeatInterval: settings.Bounds.BeatInterval, RetrySlack: settings.Bounds.RetrySlack,
 		FirstStart: settings.FirstStart,
-		Store:      platform.NewStore(settings.StoreAddress, registry),
+		Store:      platform.NewStore("http://"+settings.StoreAddress, registry),
 		Provider: control.Provider{
 			Table: platform.OperatorTable, ConfigKey: platform.ConfigKey,
 			DecodeConfig: platform.DecodeConfig, DecodeOrder: platform.DecodeOrder,
--- a/internal/bench/cluster/accept.go
+++ b/internal/bench/cluster/accept.go
@@ -5,15 +5,17 @@
 	"errors"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/rules"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	adapter "nutmeghoist.example/nutmeghoist/platform"
 )
 
 // Source reads and accepts configurations at the platform, past the relay.
 func (c *Cluster) Source() *source.Source {
-	client := platform.NewClient(c.PlatformURL(), nil)
+	client := adapter.NewStore(c.PlatformURL(), metrics.NewRegistry())
 	return source.New(client, client.Objects())
 }
 
--- a/internal/bench/distribution/run.go
+++ b/internal/bench/distribution/run.go
@@ -14,12 +14,13 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
 
 	"nutmeghoist.example/nutmeghoist/internal/bench/cluster"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
-	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/platform"
 )
 
 const (
@@ -132,7 +133,7 @@
 		return nil, err
 	}
 	defer c.Close()
-	client := platform.NewClient(c.PlatformURL(), nil)
+	client := platform.NewStore(c.PlatformURL(), metrics.NewRegistry())
 	r := &run{c: c, source: source.New(client, client.Objects()), result: &result{}}
 	if err := r.calm(ctx); err != nil {
 		return nil, err
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -14,11 +14,12 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/rcrowley/go-metrics"
 
 	"nutmeghoist.example/nutmeghoist/internal/opapi"
 	"nutmeghoist.example/nutmeghoist/pkg/finding"
-	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/platform"
 )
 
 // Exit codes of the tool.
@@ -142,7 +143,7 @@
 		a.Author = os.Getenv("USER")
 	}
 	a.client = &http.Client{Timeout: a.Timeout}
-	c := platform.NewClient(a.Platform, a.client)
+	c := platform.NewStore(a.Platform, metrics.NewRegistry())
 	a.source = source.New(c, c.Objects())
 	return nil
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -21,6 +21,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/platform"
 )
 
 const first = "route GET /menus to orderdesk tray-1 # Oyuna: menus\nroute POST /orders to orderdesk tray-1 # Oyuna: orders\n"
@@ -38,7 +39,7 @@
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, store: platformtest.New()}
 	b.source = source.New(b.store, b.store.Objects())
-	b.platform = httptest.NewServer(platformtest.Handler(b.store))
+	b.platform = httptest.NewServer(platform.StoreHandler(b.store))
 	t.Cleanup(b.platform.Close)
 	b.status = opapi.Status{Host: "h1", DataCentre: "dc1", Ready: true, Hosts: []membership.Host{{
 		ID: "h1", Status: membership.StatusAlive,
--- a/internal/node/floor_test.go
+++ b/internal/node/floor_test.go
@@ -15,9 +15,9 @@
 	"nutmeghoist.example/nutmeghoist/internal/settings"
 	"nutmeghoist.example/nutmeghoist/internal/telemetry"
 	"nutmeghoist.example/nutmeghoist/internal/tlskeys"
-	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/platform"
 )
 
 func loneNode(t *testing.T, platformURL string, logs io.Writer) *Node {
@@ -51,9 +51,9 @@
 // time of the read of the head.
 func TestFloorWithoutNeighbours(t *testing.T) {
 	store := platformtest.New()
-	server := httptest.NewServer(platformtest.Handler(store))
+	server := httptest.NewServer(platform.StoreHandler(store))
 	defer server.Close()
-	client := platform.NewClient(server.URL, nil)
+	client := platform.NewStore(server.URL, metrics.NewRegistry())
 	head, err := source.New(client, client.Objects()).Accept(t.Context(), source.Submission{
 		Text: []byte("route GET /menus to orderdesk tray-1 # Oyuna:\n"), Author: "Oyuna", Token: "t1",
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	adapter "nutmeghoist.example/nutmeghoist/platform"
 )
 
 // Node is one node. It is made by New and operated by Run.
@@ -81,7 +82,7 @@
 	if keys.Host() != s.Host {
 		return nil, fmt.Errorf("certificate %s is for host %q, the settings name host %q", s.CertFile, keys.Host(), s.Host)
 	}
-	client := platform.NewClient(s.Platform, nil)
+	client := adapter.NewStore(s.Platform, registry)
 	n := &Node{
 		settings: s, log: logger, metrics: registry, keys: keys,
 		table: client, source: source.New(client, client.Objects()),
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -27,6 +27,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	adapter "nutmeghoist.example/nutmeghoist/platform"
 )
 
 // reach is the stated bound for a configuration to be in force everywhere.
@@ -50,10 +51,10 @@
 	check(t, err)
 	m := &meshOfNodes{t: t, store: platformtest.New(), dir: t.TempDir(), ca: ca}
 	check(t, ca.Write(filepath.Join(m.dir, "ca.pem"), filepath.Join(m.dir, "ca-key.pem")))
-	server := httptest.NewServer(platformtest.Handler(m.store))
+	server := httptest.NewServer(adapter.StoreHandler(m.store))
 	t.Cleanup(server.Close)
 	m.platform = server.URL
-	client := platform.NewClient(server.URL, nil)
+	client := adapter.NewStore(server.URL, metrics.NewRegistry())
 	m.source = source.New(client, client.Objects())
 	return m
 }
--- a/pkg/lease/example_test.go
+++ b/pkg/lease/example_test.go
@@ -15,7 +15,7 @@
 // paused holder cannot write any more.
 func Example() {
 	ctx := context.Background()
-	table := platformtest.New() // any platform.Table, such as platform.NewClient(url, nil)
+	table := platformtest.New() // any platform.Table, such as the client of a platform
 	put := func(g lease.Grant, key string) error {
 		return table.Commit(ctx, platform.Txn{
 			Conditions: []platform.Condition{g.Condition()},
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -1,5 +1,5 @@
-// Package platform is the client side of the platform's two services: a
-// transactional table and an object store.
+// Package platform says what the product needs of a platform: a transactional
+// table, a feed of its changes and an object store.
 package platform
 
 import (
@@ -9,6 +9,13 @@
 	"time"
 )
 
+const (
+	// MaxObjectSize bounds an object in bytes; a rules text is at most 1 MiB.
+	MaxObjectSize = 4 << 20
+	// MaxListLimit bounds the rows of one List.
+	MaxListLimit = 1000
+)
+
 // Errors that Table and ObjectStore return; test for them with errors.Is.
 var (
 	ErrNotFound    = errors.New("not found")
--- a/pkg/platform/platformtest/handler_test.go
+++ b/pkg/platform/platformtest/admin_test.go
@@ -15,35 +15,8 @@
 	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
 )
 
-// Guards against faults of the object store that show as the wrong error.
-func TestObjectFaults(t *testing.T) {
-	text := []byte("text")
-	hash := platform.Hash(text)
-	for _, c := range []struct {
-		name   string
-		faults platformtest.Faults
-		put    error
-		stored bool
-	}{
-		{"none", platformtest.Faults{}, nil, true},
-		{"down", platformtest.Faults{Down: true}, platform.ErrUnavailable, false},
-		{"lost after the write", platformtest.Faults{LoseAfter: 1, LosePrefix: "objects"}, platform.ErrOutcomeUnknown, true},
-		{"lost before the write", platformtest.Faults{LoseBefore: 1}, platform.ErrOutcomeUnknown, false},
-		{"only rows are lost", platformtest.Faults{LoseBefore: 1, LosePrefix: "config/"}, nil, true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			each(t, func(t *testing.T, s service) {
-				s.store.SetFaults(c.faults)
-				if err := s.objects.Put(t.Context(), hash, text); !errors.Is(err, c.put) {
-					t.Errorf("put: got %v, want %v", err, c.put)
-				}
-				s.store.SetFaults(platformtest.Faults{})
-				if _, err := s.objects.Get(t.Context(), hash); (err == nil) != c.stored {
-					t.Errorf("get: got %v, want stored %t", err, c.stored)
-				}
-			})
-		})
-	}
+func put(key, value string) platform.Txn {
+	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
 }
 
 // Guards against a fake that forgets a write whose caller has left: the worst
@@ -54,16 +27,16 @@
 		store.SetFaults(platformtest.Faults{DelayMS: 300})
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		defer cancel()
-		if err := store.Commit(ctx, put("k", "late")); !errors.Is(err, platform.ErrOutcomeUnknown) {
+		if err := store.Commit(ctx, put("t/k", "late")); !errors.Is(err, platform.ErrOutcomeUnknown) {
 			t.Fatalf("got %v, want ErrOutcomeUnknown", err)
 		}
 		store.SetFaults(platformtest.Faults{})
 		time.Sleep(249 * time.Millisecond)
-		if _, err := store.Get(t.Context(), "k"); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := store.Get(t.Context(), "t/k"); !errors.Is(err, platform.ErrNotFound) {
 			t.Errorf("got %v, want ErrNotFound before the delay has passed", err)
 		}
 		time.Sleep(2 * time.Millisecond)
-		if _, err := store.Get(t.Context(), "k"); err != nil {
+		if _, err := store.Get(t.Context(), "t/k"); err != nil {
 			t.Errorf("after the delay: %v", err)
 		}
 	})
@@ -103,7 +76,7 @@
 // name, and against rates that a switch resets.
 func TestFaultsOverHTTP(t *testing.T) {
 	store := platformtest.NewWithRates(1, -1)
-	server := httptest.NewServer(platformtest.Handler(store))
+	server := httptest.NewServer(platformtest.AdminHandler(store))
 	defer server.Close()
 	post := func(body string) int {
 		resp, err := http.Post(server.URL+"/faults", "application/json", strings.NewReader(body))
@@ -119,12 +92,17 @@
 	if code := post(`{"lose_after": 2}`); code != http.StatusOK || store.Faults().LoseAfter != 2 {
 		t.Errorf("got %d, %+v", code, store.Faults())
 	}
-	client := platform.NewClient(server.URL, nil)
-	if err := client.Commit(t.Context(), put("config/head", "x")); !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if err := store.Commit(t.Context(), put("config/head", "x")); !errors.Is(err, platform.ErrOutcomeUnknown) {
 		t.Errorf("got %v, want ErrOutcomeUnknown", err)
 	}
 	store.SetFaults(platformtest.Faults{})
-	if !limited(func() error { return client.Commit(t.Context(), put("member/a", "x")) }) {
+	var limited *platform.RateLimitedError
+	for range 50 { // at one a second, no machine is slow enough for all to pass
+		if errors.As(store.Commit(t.Context(), put("member/a", "x")), &limited) {
+			break
+		}
+	}
+	if limited == nil {
 		t.Error("the store's own rate limit is gone")
 	}
 	resp, err := http.Get(server.URL + "/stats")
--- a/pkg/platform/platformtest/feed.go
+++ b/pkg/platform/platformtest/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -11,12 +12,28 @@
 
 // Rows returns all rows of a table and the version at which a feed continues.
 func (s *Store) Rows(ctx context.Context, table string) ([]platform.Row, uint64, error) {
+	page, err := s.Range(ctx, table, "", "", math.MaxInt)
+	return page.Rows, page.Version, err
+}
+
+// Page is a part of a table.
+type Page struct {
+	Rows    []platform.Row
+	More    bool   // rows of the range were left out
+	Version uint64 // of the store
+}
+
+// Range returns at most limit rows of a table whose names, the keys without the
+// table, lie from one name to before another. An empty name is no bound.
+func (s *Store) Range(ctx context.Context, table, from, to string, limit int) (Page, error) {
 	if err := s.beforeRead(ctx, &s.table, table); err != nil {
-		return nil, 0, fmt.Errorf("rows of %s: %w", table, err)
+		return Page{}, fmt.Errorf("rows of %s: %w", table, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.visible().page(table+"/", "", len(s.rows.keys)+1), s.sequence, nil
+	p := Page{Version: s.sequence}
+	p.Rows, p.More = s.visible().within(table+"/", from, to, limit)
+	return p, nil
 }
 
 // Changes waits for changes of a table after a version.
--- a/pkg/platform/platformtest/rows.go
+++ b/pkg/platform/platformtest/rows.go
@@ -52,6 +52,19 @@
 	return page
 }
 
+// within returns the rows of a table from one name to before another, and
+// whether some were left out because of the limit.
+func (r *rows) within(table, from, to string, limit int) (page []platform.Row, more bool) {
+	i, _ := slices.BinarySearch(r.keys, table+from)
+	for ; i < len(r.keys) && strings.HasPrefix(r.keys[i], table) && (to == "" || r.keys[i] < table+to); i++ {
+		if len(page) == limit {
+			return page, true
+		}
+		page = append(page, copyRow(r.byKey[r.keys[i]]))
+	}
+	return page, false
+}
+
 func copyRow(r platform.Row) platform.Row {
 	r.Value = slices.Clone(r.Value)
 	return r
--- a/pkg/platform/platformtest/store.go
+++ b/pkg/platform/platformtest/store.go
@@ -1,5 +1,5 @@
 // Package platformtest is an in-memory fake of the platform with faults that
-// can be switched, and an HTTP handler that speaks the platform's protocol.
+// can be switched, also over HTTP.
 package platformtest
 
 import (
@@ -151,7 +151,7 @@
 
 // Get returns an object whose content has been checked.
 func (o objectStore) Get(ctx context.Context, hash string) ([]byte, error) {
-	data, err := o.s.rawObject(ctx, hash)
+	data, err := o.s.RawObject(ctx, hash)
 	if err != nil {
 		return nil, err
 	}
@@ -161,8 +161,8 @@
 	return data, nil
 }
 
-// rawObject returns an object without a check, as the HTTP handler sends it.
-func (s *Store) rawObject(ctx context.Context, hash string) ([]byte, error) {
+// RawObject returns an object without a check, as the stand-in sends it.
+func (s *Store) RawObject(ctx context.Context, hash string) ([]byte, error) {
 	if err := s.beforeRead(ctx, &s.object, objectPrefix); err != nil {
 		return nil, fmt.Errorf("object %s: %w", hash, err)
 	}
--- a/pkg/source/bench_test.go
+++ b/pkg/source/bench_test.go
@@ -6,9 +6,11 @@
 	"strings"
 	"testing"
 
-	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"github.com/rcrowley/go-metrics"
+
 	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/platform"
 )
 
 // BenchmarkAccept accepts a text of 1,000 rules over HTTP on loopback, against
@@ -19,9 +21,9 @@
 		fmt.Fprintf(&text, "route GET /prefix/%d to service-%d v1 # Oyuna: benchmark\n", i, i%140)
 	}
 	store := platformtest.NewWithRates(-1, -1)
-	server := httptest.NewServer(platformtest.Handler(store))
+	server := httptest.NewServer(platform.StoreHandler(store))
 	defer server.Close()
-	client := platform.NewClient(server.URL, nil)
+	client := platform.NewStore(server.URL, metrics.NewRegistry())
 	s := source.New(client, client.Objects())
 	b.SetBytes(int64(text.Len()))
 	b.ReportAllocs()
