--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -14,6 +14,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
 )
 
 var _ proxy.Targets = (*Registry)(nil)
@@ -132,7 +133,7 @@
 				var sick atomic.Bool
 				var changes atomic.Int64
 				r := New(Config{
-					Probe:    func(context.Context, membership.Target) Hint { return Hint{Healthy: !sick.Load()} },
+					Probe:    func(context.Context, membership.Target, string) Hint { return Hint{Healthy: !sick.Load()} },
 					OnChange: func() { changes.Add(1) },
 				})
 				ctx, cancel := context.WithCancel(t.Context())
@@ -194,18 +195,59 @@
 			_, _ = w.Write([]byte(`{"load":0.5,"running":6}`))
 			return
 		}
+		if r.URL.Path != "/ok" {
+			t.Errorf("health was asked for at %s", r.URL.Path)
+		}
 		w.WriteHeader(int(status.Load()))
 	}))
 	defer s.Close()
 	for code, want := range map[int64]bool{200: true, 503: false, 404: false} {
 		status.Store(code)
-		h := newHTTPProbe()(t.Context(), membership.Target{Address: strings.TrimPrefix(s.URL, "http://")})
+		h := newHTTPProbe()(t.Context(), membership.Target{Address: strings.TrimPrefix(s.URL, "http://")}, "/ok")
 		if h.Healthy != want || h.Load != 0.5 {
 			t.Errorf("status %d: got %+v", code, h)
 		}
 	}
 }
 
+// Guards against a target that is given more connections than the rules allow,
+// against one whose announcement lifts the limit, and against a limit that
+// stays when the rules no longer name it.
+func TestServiceLimits(t *testing.T) {
+	paths := make(chan string, 1)
+	r := New(Config{Probe: func(_ context.Context, _ membership.Target, path string) Hint {
+		paths <- path
+		return Hint{}
+	}})
+	limit := func() (int, int) {
+		target, limiter, ok := r.Lookup("t1")
+		if !ok {
+			t.Fatal("target is gone")
+		}
+		return target.Connections, limiter.Load().Limit
+	}
+	r.SetServices([]rules.Service{{Name: "orderdesk", Connections: 5, HealthPath: "/ok"}, {Name: "galley", Connections: 1}})
+	for range 2 {
+		send(r, "PUT", "/targets/t1", good)
+		if c, l := limit(); c != 5 || l != 5 {
+			t.Fatalf("got %d connections and a limit of %d, want 5", c, l)
+		}
+	}
+	target, _, _ := r.Lookup("t1")
+	r.probe(t.Context(), target)
+	if got := <-paths; got != "/ok" {
+		t.Errorf("probed %s", got)
+	}
+	r.SetServices(nil)
+	if c, l := limit(); c != 130 || l != 12 {
+		t.Errorf("got %d connections and a limit of %d, want what was announced", c, l)
+	}
+	r.probe(t.Context(), target)
+	if got := <-paths; got != "/health" {
+		t.Errorf("probed %s", got)
+	}
+}
+
 // Guards against a list of targets whose fields operators cannot rely on.
 func TestListNamesItsFields(t *testing.T) {
 	r := New(Config{})
--- a/internal/announce/registry.go
+++ b/internal/announce/registry.go
@@ -3,6 +3,7 @@
 package announce
 
 import (
+	"cmp"
 	_ "embed"
 	"slices"
 	"strings"
@@ -16,6 +17,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/chart"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
 )
 
 //go:embed target.toml
@@ -73,20 +75,22 @@
 type Registry struct {
 	cfg Config
 
-	mu      sync.RWMutex
-	targets map[mesh.TargetID]*entry
-	left    map[mesh.TargetID]departure
+	mu       sync.RWMutex
+	targets  map[mesh.TargetID]*entry
+	services map[mesh.ServiceName]rules.Service
+	left     map[mesh.TargetID]departure
 }
 
 type entry struct {
-	target  membership.Target
-	state   chart.State
-	limiter *admission.Limiter
-	first   time.Time // of the announcements
-	renewed time.Time
-	probed  time.Time
-	probing bool
-	hint    Hint
+	target    membership.Target
+	announced int // connections, which the rules can lower
+	state     chart.State
+	limiter   *admission.Limiter
+	first     time.Time // of the announcements
+	renewed   time.Time
+	probed    time.Time
+	probing   bool
+	hint      Hint
 }
 
 // departure keeps an announcement that was sent before a withdrawal from
@@ -160,20 +164,59 @@
 	if e.target.State == membership.TargetDraining {
 		return putLeaving
 	}
-	e.renewed = now
-	if e.target.Slots != t.Slots || e.target.Connections != t.Connections {
-		e.target.Slots, e.target.Connections = t.Slots, t.Connections
-		e.limiter.Resize(admission.Config{Slots: t.Slots, Connections: t.Connections})
-		r.changed()
-	}
+	e.renewed, e.announced = now, t.Connections
+	r.resize(e, t.Slots)
 	return putOK
 }
 
+// resize brings a target to its slots and to the connections that it announced,
+// or fewer when the rules say so.
+func (r *Registry) resize(e *entry, slots int) {
+	connections := r.connections(e.target.Service, e.announced)
+	if e.target.Slots == slots && e.target.Connections == connections {
+		return
+	}
+	e.target.Slots, e.target.Connections = slots, connections
+	e.limiter.Resize(admission.Config{Slots: slots, Connections: connections})
+	r.changed()
+}
+
+func (r *Registry) connections(service mesh.ServiceName, announced int) int {
+	if n := r.services[service].Connections; n > 0 {
+		return min(n, announced)
+	}
+	return announced
+}
+
+// defaultHealthPath is probed unless the rules name another path.
+const defaultHealthPath = "/health"
+
+func (r *Registry) healthPath(service mesh.ServiceName) string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return cmp.Or(r.services[service].HealthPath, defaultHealthPath)
+}
+
+// SetServices takes what the rules in force say of services.
+func (r *Registry) SetServices(list []rules.Service) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.services = make(map[mesh.ServiceName]rules.Service, len(list))
+	for _, s := range list {
+		r.services[s.Name] = s
+	}
+	for _, e := range r.targets {
+		r.resize(e, e.target.Slots)
+	}
+}
+
 func (r *Registry) add(t membership.Target, now time.Time) {
 	t.State = membership.TargetStarting
+	announced := t.Connections
+	t.Connections = r.connections(t.Service, announced)
 	delete(r.left, t.ID)
 	r.targets[t.ID] = &entry{
-		target: t, state: targetChart.Initial(), first: now, renewed: now,
+		target: t, announced: announced, state: targetChart.Initial(), first: now, renewed: now,
 		limiter: admission.New(admission.Config{Slots: t.Slots, Connections: t.Connections}),
 	}
 	r.count("announce.added")
--- a/internal/announce/run.go
+++ b/internal/announce/run.go
@@ -20,8 +20,8 @@
 	Load    float64 `json:"load"` // running calls as a share of the slots
 }
 
-// Probe asks a target for its health and load.
-type Probe func(ctx context.Context, t membership.Target) Hint
+// Probe asks a target for its health, at a path, and its load.
+type Probe func(ctx context.Context, t membership.Target, healthPath string) Hint
 
 // Run expires leases and probes targets until the context ends.
 func (r *Registry) Run(ctx context.Context) {
@@ -75,7 +75,7 @@
 func (r *Registry) probe(ctx context.Context, t membership.Target) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	h := r.cfg.Probe(ctx, t)
+	h := r.cfg.Probe(ctx, t, r.healthPath(t.Service))
 	if r.take(t, h) && r.cfg.OnHint != nil {
 		r.cfg.OnHint(t.ID, h.Healthy)
 	}
@@ -116,15 +116,15 @@
 	probeIdleExpiry = 5 * time.Second
 )
 
-// newHTTPProbe returns a probe of GET /health and GET /load. It opens at most
+// newHTTPProbe returns a probe of the health path and of GET /load. It opens at most
 // one connection to a target, which is apart from those of calls.
 func newHTTPProbe() Probe {
 	client := &http.Client{Transport: &http.Transport{
 		MaxConnsPerHost: probeIdleConns, MaxIdleConnsPerHost: probeIdleConns, IdleConnTimeout: probeIdleExpiry,
 	}}
-	return func(ctx context.Context, t membership.Target) Hint {
+	return func(ctx context.Context, t membership.Target, healthPath string) Hint {
 		var h Hint
-		_, h.Healthy = get(ctx, client, "http://"+t.Address+"/health")
+		_, h.Healthy = get(ctx, client, "http://"+t.Address+healthPath)
 		if body, ok := get(ctx, client, "http://"+t.Address+"/load"); ok {
 			_ = json.Unmarshal(body, &struct {
 				Load *float64 `json:"load"`
--- a/internal/bench/cluster/accept.go
+++ b/internal/bench/cluster/accept.go
@@ -26,14 +26,14 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return base, err
 	}
-	rs, findings := rules.Parse("rules", []byte(text))
+	file, findings := rules.Parse("rules", []byte(text))
 	if err := findings.Err(); err != nil {
 		return base, err
 	}
 	sub := source.Submission{Text: []byte(text), Base: base, Author: "bench", Token: uuid.NewString()}
-	for i := range rs {
-		if rs[i].IsMove() {
-			sub.Moves = append(sub.Moves, source.PendingMove{Move: rs[i].MoveID(), By: rs[i].By})
+	for i := range file.Rules {
+		if r := &file.Rules[i]; r.IsMove() {
+			sub.Moves = append(sub.Moves, source.PendingMove{Move: r.MoveID(), By: r.By})
 		}
 	}
 	return s.Accept(ctx, sub)
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -83,8 +83,8 @@
 		a.printSyntax(e.name, e.text)
 		return err
 	}
-	rs, findings := rules.Validate(e.name, e.text, o)
-	e.rules = rs
+	file, findings := rules.Validate(e.name, e.text, o)
+	e.rules = file.Rules
 	return findings.Err()
 }
 
@@ -102,7 +102,7 @@
 	if err := findings.Err(); err != nil {
 		return o, fmt.Errorf("revision %d cannot be read: %w", e.base.Revision, err)
 	}
-	o.Previous = previous
+	o.Previous = previous.Rules
 	vetoes, err := a.source.Vetoes(ctx)
 	if err != nil {
 		return o, err
@@ -151,11 +151,11 @@
 		return err
 	}
 	if c.Offline {
-		rs, findings := rules.Validate(c.Args.File, text, rules.CheckOptions{Now: time.Now()})
+		file, findings := rules.Validate(c.Args.File, text, rules.CheckOptions{Now: time.Now()})
 		if err := findings.Err(); err != nil {
 			return err
 		}
-		fmt.Fprintf(c.Out, "%s: %d rules, text and times are right; versions and vetoes were not checked\n", c.Args.File, len(rs))
+		fmt.Fprintf(c.Out, "%s: %d rules, text and times are right; versions and vetoes were not checked\n", c.Args.File, len(file.Rules))
 		return nil
 	}
 	ctx, cancel := c.limited()
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -293,7 +293,9 @@
 	b := newBench(t)
 	b.status.Moves = []opapi.MoveStatus{{Route: "GET /menus", Service: "orderdesk", From: "tray-1", To: "tray-2", Share: 0.25, State: "moving"}}
 	b.run(exitOK, []string{"host h1 in dc1: ready=true", "25%", "orderdesk@tray-1, orderdesk@tray-2"}, "status")
-	b.run(exitOK, []string{`"share":0.25`}, "status", "--output", "json")
+	b.status.Rules = []string{"route GET m.example/menus to orderdesk tray-1 retries 0 # Oyuna:", "service orderdesk connections 4 # Oyuna:"}
+	b.run(exitOK, b.status.Rules, "status", "--rules")
+	b.run(exitOK, []string{`"share":0.25`, b.status.Rules[1]}, "status", "--output", "json")
 	b.node.Close()
 	b.run(exitFault, []string{b.node.URL}, "status")
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -35,6 +35,7 @@
 type statusCommand struct {
 	*app `no-flag:"true"`
 	outputOption
+	Rules bool `long:"rules" description:"show the lines of the rules in force too"`
 }
 
 // Execute shows the status of the node.
@@ -51,7 +52,13 @@
 	if c.Output == "json" {
 		return printJSON(c.Out, s)
 	}
-	return printStatus(c.Out, s)
+	if err := printStatus(c.Out, s); err != nil || !c.Rules {
+		return err
+	}
+	for _, line := range s.Rules {
+		fmt.Fprintln(c.Out, line)
+	}
+	return nil
 }
 
 func printStatus(w io.Writer, s *opapi.Status) error {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,14 +27,14 @@
 type candidate struct {
 	head  source.Head
 	text  []byte
-	rules []rules.Rule
+	file  rules.File
 	fault error // why it was refused
 }
 
 // accepted is a configuration that passed this node's checks.
 type accepted struct {
-	head  source.Head
-	rules []rules.Rule
+	head source.Head
+	file rules.File
 }
 
 // adopt fetches the text of a head that is newer than the node's own and hands
@@ -103,7 +103,7 @@
 		case snapshot.ActionCheck:
 			n.check(c)
 		case snapshot.ActionActivate:
-			n.accepted = &accepted{head: c.head, rules: c.rules}
+			n.accepted = &accepted{head: c.head, file: c.file}
 			n.activate()
 		case snapshot.ActionReject:
 			n.reject(c.head, c.fault)
@@ -121,9 +121,9 @@
 // configuration is refused whole before it replaces anything.
 func (n *Node) check(c *candidate) {
 	var findings finding.List
-	c.rules, findings = rules.Parse(fmt.Sprintf("revision-%d", c.head.Revision), c.text)
+	c.file, findings = rules.Parse(fmt.Sprintf("revision-%d", c.head.Revision), c.text)
 	if c.fault = findings.Err(); c.fault == nil {
-		_, c.fault = n.build(&accepted{head: c.head, rules: c.rules})
+		_, c.fault = n.build(&accepted{head: c.head, file: c.file})
 	}
 	if c.fault != nil {
 		n.fire(c, snapshot.EventCheckFailed)
@@ -153,7 +153,7 @@
 
 func (n *Node) build(a *accepted) (*snapshot.Snapshot, error) {
 	n.generation++
-	return snapshot.Build(a.head, a.rules, n.members.Hosts(), n.gossip.Vetoes(), n.generation, time.Now())
+	return snapshot.Build(a.head, a.file, n.members.Hosts(), n.gossip.Vetoes(), n.generation, time.Now())
 }
 
 // activate compiles the accepted configuration with the target sets and vetoes
@@ -176,6 +176,7 @@
 		return
 	}
 	n.moves.Apply(s)
+	n.targets.SetServices(s.Services)
 	n.metricsGauge("config.revision").Update(int64(s.Version.Revision))
 	n.metricsGauge("config.epoch").Update(int64(s.Version.Epoch))
 	if s.Version.Compare(before) != 0 {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -13,6 +13,7 @@
 	"nutmeghoist.example/nutmeghoist/internal/opapi"
 	"nutmeghoist.example/nutmeghoist/internal/telemetry"
 	"nutmeghoist.example/nutmeghoist/pkg/move"
+	"nutmeghoist.example/nutmeghoist/pkg/rules"
 )
 
 const (
@@ -134,6 +135,14 @@
 		Hosts: n.members.Hosts(), Vetoes: n.gossip.Vetoes(),
 	}
 	s.Head, _, _ = n.gossip.Head()
+	if snap := n.holder.Load(); snap != nil {
+		for i := range snap.Rules {
+			s.Rules = append(s.Rules, rules.Format(snap.Rules[i]))
+		}
+		for i := range snap.Services {
+			s.Rules = append(s.Rules, rules.FormatService(snap.Services[i]))
+		}
+	}
 	for _, m := range n.moves.Moves() {
 		s.Moves = append(s.Moves, opapi.MoveStatus{
 			Move: m.Move, Route: m.Route, Service: m.Service, From: m.From, To: m.Version,
--- a/internal/opapi/opapi.go
+++ b/internal/opapi/opapi.go
@@ -37,6 +37,7 @@
 	Version    mesh.ConfigVersion `json:"version"` // in force on this node
 	Head       source.Head        `json:"head"`    // the newest head this node has heard of
 	Hosts      []membership.Host  `json:"hosts"`
+	Rules      []string           `json:"rules"` // in force on this node, as lines of a rules file
 	Moves      []MoveStatus       `json:"moves"`
 	Vetoes     []source.Veto      `json:"vetoes"`
 }
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -22,18 +22,6 @@
 	reasonSilent   = "target_silent"   // its heartbeats stopped
 )
 
-// classOf maps a priority, 0 being the highest, to the classes of admission.
-func classOf(priority int) mesh.Class {
-	switch {
-	case priority <= 1:
-		return mesh.ClassUrgent
-	case priority == 2:
-		return mesh.ClassNormal
-	default:
-		return mesh.ClassBackground
-	}
-}
-
 // Call runs a call at a target of this host.
 func (o *Owner) Call(ctx context.Context, r *hop.Request) *hop.Response {
 	t, reason := o.find(r)
@@ -44,7 +32,7 @@
 	deadline := hop.TimeAt(r.DeadlineAt)
 	arrived := time.Now()
 	err := t.limiter.Admit(ctx, admission.Work{
-		Class: classOf(r.Priority), Kind: r.Route, Aim: hop.TimeAt(r.AimAt), Deadline: deadline,
+		Class: mesh.ClassOfPriority(r.Priority), Kind: r.Route, Aim: hop.TimeAt(r.AimAt), Deadline: deadline,
 	})
 	if err != nil {
 		return o.refused(t, r, err, arrived)
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -30,6 +30,7 @@
 	set        *routing.Set
 	class      mesh.Class
 	deadline   time.Time
+	aim        time.Time // by when the answer has its full worth; zero when the rule names no latency
 	depth      int
 	budget     int
 	key        string
@@ -90,7 +91,7 @@
 		return ReasonDepth
 	}
 	c.depth = depth + 1
-	if c.rule = t.matcher.Match(c.r.Method, c.r.URL.Path); c.rule == nil {
+	if c.rule = t.matcher.Match(c.r.Method, c.r.Host, c.r.URL.Path); c.rule == nil {
 		return ReasonNoRoute
 	}
 	c.route = t.names[c.rule]
@@ -105,22 +106,29 @@
 	return ""
 }
 
-// fallBack takes a move's old version when the new one has no targets. The other
-// way round is not allowed: the new version may have been taken back.
+// fallBack takes a move's old version when the new one has no targets, or
+// another share of the rule. A move does not fall back to its new version, which
+// may have been taken back.
 func (c *call) fallBack(t *routeTable) Reason {
-	if !c.rule.IsMove() || c.target != c.rule.Target() {
-		return ReasonNoTarget
+	others := c.rule.Targets()
+	if c.rule.IsMove() {
+		others = nil
+		if c.target == c.rule.Target() {
+			others = []mesh.ServiceVersion{c.rule.Previous()}
+		}
 	}
-	c.target = c.rule.Previous()
-	if c.set = t.sets[c.target]; c.set == nil || c.set.Len() == 0 {
-		return ReasonNoTarget
+	for _, v := range others {
+		if set := t.sets[v]; set != nil && set.Len() > 0 {
+			c.target, c.set = v, set
+			c.p.counters.fellBack.Inc(1)
+			return ""
+		}
 	}
-	c.p.counters.fellBack.Inc(1)
-	return ""
+	return ReasonNoTarget
 }
 
-// readLimits takes the deadline, the class and the retries that the caller's
-// headers leave. A header only narrows what the rule allows.
+// readLimits takes the deadline, the class and the retries, which the call and
+// the calls below it use together, that the caller's headers leave. A header only narrows what the rule allows.
 func (c *call) readLimits(now time.Time) Reason {
 	h := c.r.Header
 	timeout := c.rule.Timeout
@@ -132,6 +140,9 @@
 		timeout = time.Duration(ms) * time.Millisecond
 	}
 	c.deadline = now.Add(timeout)
+	if c.rule.Latency > 0 && c.rule.Latency < timeout {
+		c.aim = now.Add(c.rule.Latency)
+	}
 	if timeout <= 0 {
 		return ReasonDeadline
 	}
@@ -143,13 +154,13 @@
 		}
 		c.class = max(c.class, class)
 	}
-	c.budget = pathRetries
+	c.budget = c.rule.MaxRetries()
 	n, present, ok := intHeader(h, headerRetryBudget)
 	if !ok {
 		return ReasonBadRequest
 	}
 	if present {
-		c.budget = min(n, pathRetries)
+		c.budget = min(n, c.budget)
 	}
 	return ""
 }
@@ -165,16 +176,12 @@
 		c.key = strconv.FormatUint(rand.Uint64(), 36)
 		hash = xxhash.Sum64String(c.key)
 	}
-	c.target = c.rule.Target()
+	c.target = c.rule.Pick(hash)
 	if c.rule.IsMove() && c.p.cfg.Chooser != nil {
 		c.target.Version = c.p.cfg.Chooser.Choose(c.rule, hash)
 	}
 }
 
-// pathRetries is the number of retries that a call and the calls below it may
-// use together when its caller states none.
-const pathRetries = 2
-
 // finish gives the final answer of a call that got none from a target.
 func (c *call) finish(reason Reason, after time.Duration) {
 	if c.r.Context().Err() != nil {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -39,6 +39,7 @@
 	body     io.ReadCloser
 	length   int64
 	class    mesh.Class
+	aim      time.Time // zero when only the deadline counts
 	deadline time.Time
 	depth    int
 	budget   int
@@ -57,6 +58,9 @@
 	h[headerRetryBudget] = []string{strconv.Itoa(o.budget)}
 	h[headerClass] = []string{o.class.String()}
 	h[headerCall] = []string{o.key}
+	if !o.aim.IsZero() {
+		h[headerAim] = []string{strconv.FormatInt(max(0, time.Until(o.aim).Milliseconds()), 10)}
+	}
 	if !setTimeout(h, time.Until(o.deadline)) {
 		return nil, false
 	}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -14,7 +14,8 @@
 	headerDepth       = "Nutmeghoist-Depth"        // calls above this one
 	headerRetryBudget = "Nutmeghoist-Retry-Budget" // retries left for the call and the calls below it
 	headerClass       = "Nutmeghoist-Class"
-	headerCall        = "Nutmeghoist-Call" // key for shares
+	headerCall        = "Nutmeghoist-Call"   // key for shares
+	headerAim         = "Nutmeghoist-Aim-Ms" // time left until the answer loses worth
 
 	headerOutcome      = "Nutmeghoist-Outcome"
 	headerReason       = "Nutmeghoist-Reason"
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -56,7 +56,7 @@
 	if t.State == membership.TargetDraining {
 		return result{kind: resultNotRun, reason: ReasonDraining}
 	}
-	if err := limiter.Acquire(ctx, o.class, o.deadline); err != nil {
+	if err := limiter.Admit(ctx, admission.Work{Class: o.class, Aim: o.aim, Deadline: o.deadline}); err != nil {
 		return refusedBy(err)
 	}
 	started := time.Now()
--- a/internal/proxy/peer.go
+++ b/internal/proxy/peer.go
@@ -68,18 +68,23 @@
 	ms, present, okTimeout := intHeader(hd, headerTimeout)
 	depth, _, okDepth := intHeader(hd, headerDepth)
 	budget, _, okBudget := intHeader(hd, headerRetryBudget)
+	aim, hasAim, okAim := intHeader(hd, headerAim)
 	class, err := mesh.ParseClass(hd.Get(headerClass))
 	service, version, okVersion := strings.Cut(hd.Get(headerVersion), "@")
 	h.id = mesh.TargetID(hd.Get(headerTarget))
 	sv := mesh.ServiceVersion{Service: mesh.ServiceName(service), Version: mesh.TargetVersion(version)}
-	if !present || !okTimeout || !okDepth || !okBudget || err != nil || !okVersion || h.id == "" {
+	if !present || !okTimeout || !okAim || !okDepth || !okBudget || err != nil || !okVersion || h.id == "" {
 		return nil, sv, false
 	}
-	return &order{
+	o := &order{
 		r: h.r, length: h.r.ContentLength, class: class,
 		deadline: now.Add(time.Duration(ms) * time.Millisecond),
 		depth:    depth, budget: budget, key: hd.Get(headerCall),
-	}, sv, true
+	}
+	if hasAim {
+		o.aim = now.Add(time.Duration(aim) * time.Millisecond)
+	}
+	return o, sv, true
 }
 
 func (h *hop) pass(res *result) {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -126,7 +126,7 @@
 func (c *call) try(ctx context.Context, t *routing.Candidate) result {
 	o := order{
 		r: c.r, body: c.body.open(), length: c.body.length,
-		class: c.class, deadline: c.deadline, depth: c.depth, budget: c.budget, key: c.key,
+		class: c.class, aim: c.aim, deadline: c.deadline, depth: c.depth, budget: c.budget, key: c.key,
 	}
 	if t.Host == c.p.cfg.Self {
 		return c.p.tryLocal(ctx, &o, t.ID, c.target, c.dispatch)
--- a/pkg/mesh/mesh.go
+++ b/pkg/mesh/mesh.go
@@ -79,3 +79,15 @@
 	}
 	return 0, fmt.Errorf("class %q is not one of urgent, normal, background", name)
 }
+
+// ClassOfPriority returns the class of a numeric priority, 0 being the highest.
+func ClassOfPriority(priority int) Class {
+	switch {
+	case priority <= 1:
+		return ClassUrgent
+	case priority == 2:
+		return ClassNormal
+	default:
+		return ClassBackground
+	}
+}
--- a/pkg/routing/match.go
+++ b/pkg/routing/match.go
@@ -7,33 +7,53 @@
 	"strings"
 
 	"nutmeghoist.example/nutmeghoist/pkg/rules"
+	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
 
 // Matcher finds the rule of a request. It is immutable and safe for concurrent
 // use.
 type Matcher struct {
-	byPrefix map[string][]*rules.Rule
-	segments int // the most segments of any prefix
+	byPattern map[pattern][]*rules.Rule
+	hosts     map[string]bool // that rules name
+	segments  int             // the most segments of any prefix
 }
 
+type pattern struct{ host, prefix string }
+
 // NewMatcher compiles rules. The matcher points into the slice, which must not
 // change afterwards.
 func NewMatcher(list []rules.Rule) *Matcher {
-	m := &Matcher{byPrefix: make(map[string][]*rules.Rule, len(list))}
+	m := &Matcher{byPattern: make(map[pattern][]*rules.Rule, len(list)), hosts: make(map[string]bool)}
 	for i := range list {
-		prefix := strings.TrimRight(list[i].Prefix, "/")
-		m.byPrefix[prefix] = append(m.byPrefix[prefix], &list[i])
-		m.segments = max(m.segments, strings.Count(prefix, "/"))
+		r := &list[i]
+		p := pattern{r.Host, strings.TrimRight(r.Prefix, "/")}
+		m.byPattern[p] = append(m.byPattern[p], r)
+		m.segments = max(m.segments, strings.Count(p.prefix, "/"))
+		if r.Host != "" {
+			m.hosts[r.Host] = true
+		}
 	}
 	return m
 }
 
 // Match returns the rule with the longest prefix of path, on segment
-// boundaries, that takes the method; nil when there is none.
-func (m *Matcher) Match(method, path string) *rules.Rule {
+// boundaries, that takes the method; nil when there is none. Rules of the host
+// come before rules of any host. A port in host is ignored.
+func (m *Matcher) Match(method, host, path string) *rules.Rule {
+	if len(m.hosts) > 0 {
+		if host = traffic.HostName(host); m.hosts[host] {
+			if r := m.match(method, host, path); r != nil {
+				return r
+			}
+		}
+	}
+	return m.match(method, "", path)
+}
+
+func (m *Matcher) match(method, host, path string) *rules.Rule {
 	prefix := cut(path, m.segments)
 	for {
-		for _, r := range m.byPrefix[prefix] {
+		for _, r := range m.byPattern[pattern{host, prefix}] {
 			if takes(r, method) {
 				return r
 			}
--- a/pkg/routing/match_test.go
+++ b/pkg/routing/match_test.go
@@ -36,16 +36,43 @@
 		{"GET", "", 0},
 		{"OPTIONS", "*", 0},
 	} {
-		r := m.Match(tc.method, tc.path)
+		r := m.Match(tc.method, "menus.example:80", tc.path)
 		if line := lineOf(r); line != tc.line {
 			t.Errorf("%s %s: got rule %d, want %d", tc.method, tc.path, line, tc.line)
 		}
 	}
-	if lineOf(NewMatcher([]rules.Rule{{Line: 9, Prefix: "/"}}).Match("GET", "/any/path")) != 9 {
+	if lineOf(NewMatcher([]rules.Rule{{Line: 9, Prefix: "/"}}).Match("GET", "", "/any/path")) != 9 {
 		t.Error("a rule for / does not match every path")
 	}
 }
 
+// Guards against a rule of a host that takes calls of other hosts, and against
+// one of any host that hides it.
+func TestMatchHost(t *testing.T) {
+	m := NewMatcher([]rules.Rule{
+		{Line: 1, Prefix: "/"},
+		{Line: 2, Host: "menus.example", Prefix: "/menus"},
+		{Line: 3, Prefix: "/menus/today"},
+		{Line: 4, Host: "pantry.example", Methods: []string{"GET"}, Prefix: "/"},
+	})
+	for _, tc := range []struct {
+		method, host, path string
+		line               int
+	}{
+		{"GET", "menus.example", "/menus/today", 2},
+		{"GET", "Menus.Example:8080", "/menus", 2},
+		{"GET", "menus.example", "/orders", 1},
+		{"GET", "other.example", "/menus/today", 3},
+		{"GET", "", "/menus", 1},
+		{"GET", "pantry.example", "/menus/today", 4},
+		{"POST", "pantry.example", "/menus/today", 3},
+	} {
+		if line := lineOf(m.Match(tc.method, tc.host, tc.path)); line != tc.line {
+			t.Errorf("%s %s%s: got rule %d, want %d", tc.method, tc.host, tc.path, line, tc.line)
+		}
+	}
+}
+
 func lineOf(r *rules.Rule) int {
 	if r == nil {
 		return 0
@@ -77,7 +104,7 @@
 				want = i + 1
 			}
 		}
-		if got := lineOf(NewMatcher(list).Match(m, p)); got != want {
+		if got := lineOf(NewMatcher(list).Match(m, "", p)); got != want {
 			t.Fatalf("%s %q in %+v: got rule %d, want %d", m, p, list, got, want)
 		}
 	})
@@ -92,6 +119,6 @@
 	m := NewMatcher(list)
 	b.ReportAllocs()
 	for b.Loop() {
-		m.Match("GET", "/servicexxx/yyyy/orders/7")
+		m.Match("GET", "", "/servicexxx/yyyy/orders/7")
 	}
 }
--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/finding"
@@ -46,11 +47,11 @@
 
 // Validate parses a text and checks its rules. All findings of both are
 // returned together, with line and column.
-func Validate(name string, text []byte, o CheckOptions) ([]Rule, finding.List) {
-	rs, findings := Parse(name, text)
-	checked := check(rs, o)
+func Validate(name string, text []byte, o CheckOptions) (File, finding.List) {
+	file, findings := Parse(name, text)
+	checked := check(file.Rules, o)
 	if len(checked) == 0 {
-		return rs, findings
+		return file, findings
 	}
 	columns := columnsOf(text, checked)
 	for i, f := range checked {
@@ -58,7 +59,7 @@
 		findings.Add(f.Finding)
 	}
 	sortFindings(findings)
-	return rs, findings
+	return file, findings
 }
 
 // part names the word of a rule that a finding is about.
@@ -73,7 +74,8 @@
 
 type checkFinding struct {
 	finding.Finding
-	part part
+	part  part
+	share int // index of the share that a finding about a version means
 }
 
 // checker collects the findings of one file.
@@ -92,8 +94,12 @@
 }
 
 func (c *checker) add(r *Rule, at part, message, suggestion string) {
+	c.addShare(r, at, 0, message, suggestion)
+}
+
+func (c *checker) addShare(r *Rule, at part, share int, message, suggestion string) {
 	f := finding.Finding{Line: r.Line, Message: fmt.Sprintf("route %s: %s", r.Route(), message), Suggestion: suggestion}
-	c.findings = append(c.findings, checkFinding{f, at})
+	c.findings = append(c.findings, checkFinding{f, at, share})
 }
 
 func (c *checker) rule(r *Rule) {
@@ -141,9 +147,11 @@
 	if c.Known == nil {
 		return
 	}
-	if !c.previous.names(r) && !c.Known(r.Target()) {
-		c.add(r, partVersion, fmt.Sprintf("no target of %s version %s has announced itself", r.Service, r.Version),
-			"start its targets first, or correct the version")
+	for i, v := range r.Targets() {
+		if !c.previous.names(r, v) && !c.Known(v) {
+			c.addShare(r, partVersion, i, fmt.Sprintf("no target of %s version %s has announced itself", v.Service, v.Version),
+				"start its targets first, or correct the version")
+		}
 	}
 	isOver := unchanged && c.Now.After(r.By.Add(WatchPeriod))
 	if r.IsMove() && !isOver && !c.Known(r.Previous()) {
@@ -153,15 +161,19 @@
 }
 
 func (c *checker) vetoed(r *Rule) {
-	if c.Vetoed == nil || !c.Vetoed(r.Service, r.Version, r.Attempt) {
+	if c.Vetoed == nil {
 		return
 	}
 	if !r.IsMove() {
-		if c.previous.established(r.Target(), c.Vetoed) {
-			return
+		for i, v := range r.Targets() {
+			if c.Vetoed(v.Service, v.Version, r.Attempt) && !c.previous.established(v, c.Vetoed) {
+				c.addShare(r, partVersion, i, fmt.Sprintf("version %s of %s was rolled back", v.Version, v.Service),
+					"bring it back by a move with a higher attempt")
+			}
 		}
-		c.add(r, partVersion, fmt.Sprintf("version %s of %s was rolled back", r.Version, r.Service),
-			"bring it back by a move with a higher attempt")
+		return
+	}
+	if !c.Vetoed(r.Service, r.Version, r.Attempt) {
 		return
 	}
 	c.add(r, partAttempt, fmt.Sprintf("version %s of %s was rolled back at attempt %d or a later one", r.Version, r.Service, r.Attempt),
@@ -172,12 +184,41 @@
 // version at once. One finding for a rule is enough.
 func (c *checker) switched(r *Rule) {
 	for _, old := range c.previous.covering(r) {
+		if len(r.Shares) > 0 || len(old.Shares) > 0 {
+			if c.sharedAnew(r, old) {
+				return
+			}
+			continue
+		}
 		if old.Service == r.Service && c.switchedFrom(r, old) {
 			return
 		}
 	}
 }
 
+// sharedAnew reports a version that would get a share of a route at once,
+// although other versions of its service served the route alone.
+func (c *checker) sharedAnew(r, old *Rule) bool {
+	serving := old.Targets()
+	if old.IsMove() {
+		serving = []mesh.ServiceVersion{{Service: old.Service, Version: servingVersion(old, c.Now, c.Vetoed)}, old.Previous()}
+	}
+	next, at := r.Targets(), partVersion
+	if r.IsMove() {
+		next, at = []mesh.ServiceVersion{r.Previous()}, partFrom
+	}
+	for i, v := range next {
+		sameService := func(s mesh.ServiceVersion) bool { return s.Service == v.Service }
+		if slices.Contains(serving, v) || !slices.ContainsFunc(serving, sameService) {
+			continue
+		}
+		c.addShare(r, at, i, fmt.Sprintf("sends calls to %s at once, which did not serve the route", v),
+			"move the route to the version by a rule without weights")
+		return true
+	}
+	return false
+}
+
 // switchedFrom compares a rule with one that matched its requests before.
 func (c *checker) switchedFrom(r, old *Rule) bool {
 	serving := servingVersion(old, c.Now, c.Vetoed)
--- a/pkg/rules/check_test.go
+++ b/pkg/rules/check_test.go
@@ -45,6 +45,15 @@
 		{"withdrawn after its time", "route GET /a to s v2 from v1 by 2026-12-05T05:00:00Z # N:", "route GET /a to s v1 # N:", ""},
 		{"from a version that does not serve", "route GET /a to s v1 # N:", "route GET /a to s v3 from v2 by 2026-12-05T07:00:00Z # N:", "f:1:27: route GET /a: move starts from v2, but v1 serves the route"},
 		{"next move", "route GET /a to s v2 from v1 by 2026-12-05T05:00:00Z # N:", "route GET /a to s v3 from v2 by 2026-12-05T07:00:00Z # N:", ""},
+		{"unknown share", "", "route GET /a to s v1 weight 1 and s gone weight 2 # N:", "f:1:37: route GET /a: no target of s version gone"},
+		{"rolled back share", "", "route GET /a to s v1 weight 1 and s bad weight 2 # N:", "f:1:37: route GET /a: version bad of s was rolled back"},
+		{"share of a version that did not serve", "route GET /a to s v1 # N:", "route GET /a to s v1 weight 9 and s v2 weight 1 # N:", "f:1:37: route GET /a: sends calls to s@v2 at once"},
+		{"share of another service", "route GET /a to s v1 # N:", "route GET /a to s v1 weight 9 and t v2 weight 1 # N:", ""},
+		{"other weights", "route GET /a to s v1 weight 9 and s v2 weight 1 # N:", "route GET /a to s v1 weight 1 and s v2 weight 9 # N:", ""},
+		{"one share is left", "route GET /a to s v1 weight 9 and s v2 weight 1 # N:", "route GET /a to s v2 # N:", ""},
+		{"move from a share", "route GET /a to s v1 weight 9 and s v2 weight 1 # N:", "route GET /a to s v3 from v2 by 2026-12-05T07:00:00Z # N:", ""},
+		{"move from no share", "route GET /a to s v1 weight 9 and s v2 weight 1 # N:", "route GET /a to s v3 from v4 by 2026-12-05T07:00:00Z # N:", "sends calls to s@v4 at once"},
+		{"full switch for a host", "route GET /a to s v1 # N:", "route GET m.example/a to s v2 # N:", "f:1:28: route GET m.example/a: switches all"},
 		{"next move after a rollback", "route GET /a to s bad from v1 by 2026-12-05T05:00:00Z # N:", "route GET /a to s v3 from bad by 2026-12-05T07:00:00Z # N:", "move starts from bad, but v1 serves"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -52,7 +61,7 @@
 			if len(findings) > 0 {
 				t.Fatal(findings)
 			}
-			_, findings = Validate("f", []byte(tc.text), CheckOptions{Now: now, Known: known, Vetoed: vetoed, Previous: previous})
+			_, findings = Validate("f", []byte(tc.text), CheckOptions{Now: now, Known: known, Vetoed: vetoed, Previous: previous.Rules})
 			wantFindings(t, findings.Error(), len(findings), tc.want)
 		})
 	}
--- a/pkg/rules/format.go
+++ b/pkg/rules/format.go
@@ -19,12 +19,27 @@
 			fmt.Fprintf(&b, " attempt %d", r.Attempt)
 		}
 	}
-	if r.Class != mesh.ClassNormal {
+	for i, s := range r.Shares {
+		if i > 0 {
+			fmt.Fprintf(&b, " and %s %s", s.Service, s.Version)
+		}
+		fmt.Fprintf(&b, " weight %d", s.Weight)
+	}
+	switch {
+	case r.Priority != nil:
+		fmt.Fprintf(&b, " priority %d", *r.Priority)
+	case r.Class != mesh.ClassNormal:
 		fmt.Fprintf(&b, " class %s", r.Class)
 	}
 	if r.Timeout != DefaultTimeout {
 		fmt.Fprintf(&b, " timeout %s", r.Timeout)
 	}
+	if r.Latency > 0 {
+		fmt.Fprintf(&b, " latency %s", r.Latency)
+	}
+	if r.Retries != nil {
+		fmt.Fprintf(&b, " retries %d", *r.Retries)
+	}
 	if r.Idempotent != nil {
 		word := "no"
 		if *r.Idempotent {
@@ -32,9 +47,27 @@
 		}
 		fmt.Fprintf(&b, " idempotent %s", word)
 	}
-	fmt.Fprintf(&b, " # %s:", r.Author)
-	if r.Reason != "" {
-		b.WriteString(" " + r.Reason)
+	b.WriteString(formatComment(r.Author, r.Reason))
+	return b.String()
+}
+
+// FormatService writes a service as one line of a rules file, as Format does.
+func FormatService(s Service) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "service %s", s.Name)
+	if s.Connections > 0 {
+		fmt.Fprintf(&b, " connections %d", s.Connections)
+	}
+	if s.HealthPath != "" {
+		fmt.Fprintf(&b, " health %s", s.HealthPath)
 	}
+	b.WriteString(formatComment(s.Author, s.Reason))
 	return b.String()
 }
+
+func formatComment(author, reason string) string {
+	if reason == "" {
+		return " # " + author + ":"
+	}
+	return " # " + author + ": " + reason
+}
--- a/pkg/rules/line.go
+++ b/pkg/rules/line.go
@@ -16,24 +16,36 @@
 	MaxTimeout     = 60 * time.Second
 	DefaultAttempt = 1
 	MaxAttempt     = 1_000_000
+	DefaultRetries = 2
+	MaxRetries     = DefaultRetries
+	MaxWeight      = 1000
+	MaxPriority    = 9
+	MaxConnections = 100_000
 )
 
 // keywords are the words of the grammar. They are no names of services or
 // versions, so that a forgotten name is found where it is missing.
-var keywords = []string{"route", "to", "from", "by", "attempt", "class", "timeout", "idempotent"}
+var keywords = []string{
+	"route", "to", "from", "by", "attempt", "weight", "and", "class", "priority",
+	"timeout", "latency", "retries", "idempotent",
+}
 
 // options are the optional parts of a rule in the order of the grammar.
-var options = []string{"from", "class", "timeout", "idempotent"}
+var options = []string{"from", "weight", "class", "priority", "timeout", "latency", "retries", "idempotent"}
+
+// serviceOptions are the optional parts of a service in the order of the grammar.
+var serviceOptions = []string{"connections", "health"}
 
 // lineParser reads the words of one rule. A wrong value is reported and
 // reading goes on; a wrong keyword ends the line, since the meaning of the
 // words after it is not known.
 type lineParser struct {
 	*parser
-	rule  *Rule
-	words []word
-	pos   int
-	end   int // column after the last word
+	rule    *Rule
+	service *Service // set on the line of a service
+	words   []word
+	pos     int
+	end     int // column after the last word
 }
 
 func (l *lineParser) parse() {
@@ -51,6 +63,7 @@
 	if !ok {
 		return
 	}
+	prefix = l.host(prefix)
 	l.checkPrefix(prefix)
 	r.Prefix = prefix.text
 	if !l.keyword("to") {
@@ -65,11 +78,12 @@
 		return
 	}
 	r.Service, r.Version = mesh.ServiceName(service.text), mesh.TargetVersion(version.text)
-	l.options()
+	l.options(options)
+	l.checkLatency()
 }
 
-// options reads the optional parts of the rule.
-func (l *lineParser) options() {
+// options reads the optional parts of a line.
+func (l *lineParser) options(options []string) {
 	next := 0 // index of the first option that may still come
 	for l.pos < len(l.words) {
 		w := l.words[l.pos]
@@ -103,11 +117,45 @@
 	l.add(l.rule.Line, w.column, message, want)
 }
 
+// parseService reads a line that begins with "service".
+func (l *lineParser) parseService() {
+	l.pos++
+	name, ok := l.name("SERVICE")
+	if !ok {
+		return
+	}
+	l.service.Name = mesh.ServiceName(name.text)
+	before := l.total
+	if l.options(serviceOptions); l.total == before && l.service.Connections == 0 && l.service.HealthPath == "" {
+		l.add(l.rule.Line, l.end, "service has neither connections nor a health path", "write connections N or health PATH")
+	}
+}
+
 // option reads the value of one option and reports whether reading can go on.
 func (l *lineParser) option(name string) bool {
 	switch name {
 	case "from":
 		return l.move()
+	case "weight":
+		return l.shares()
+	case "priority":
+		return l.number("priority", 0, MaxPriority, l.priority)
+	case "latency":
+		w, ok := l.value("DURATION", "a duration as 250ms")
+		if ok {
+			l.latency(w)
+		}
+		return ok
+	case "retries":
+		return l.number("retries", 0, MaxRetries, func(_ word, n int) { l.rule.Retries = &n })
+	case "connections":
+		return l.number("connections", 1, MaxConnections, func(_ word, n int) { l.service.Connections = n })
+	case "health":
+		w, ok := l.value("PATH", "a path as /health")
+		if ok {
+			l.health(w)
+		}
+		return ok
 	case "class":
 		w, ok := l.value("CLASS", "urgent, normal or background")
 		if ok {
@@ -159,6 +207,46 @@
 	return true
 }
 
+// shares reads the words after the first "weight".
+func (l *lineParser) shares() bool {
+	r := l.rule
+	if r.IsMove() {
+		l.add(r.Line, l.words[l.pos-1].column, "a move has no weights", "leave out from VERSION by TIME, or the weights")
+	}
+	if !l.weight(r.Target()) {
+		return false
+	}
+	for l.pos < len(l.words) && l.words[l.pos].text == "and" {
+		l.pos++
+		service, ok := l.name("SERVICE")
+		if !ok {
+			return false
+		}
+		version, ok := l.name("VERSION")
+		if !ok || !l.keyword("weight") {
+			return false
+		}
+		part := mesh.ServiceVersion{Service: mesh.ServiceName(service.text), Version: mesh.TargetVersion(version.text)}
+		if slices.ContainsFunc(r.Shares, func(s Share) bool { return s.ServiceVersion == part }) {
+			l.add(r.Line, service.column, fmt.Sprintf("%s is repeated", part), "give each version one weight")
+		}
+		if !l.weight(part) {
+			return false
+		}
+	}
+	if len(r.Shares) == 1 {
+		l.add(r.Line, l.words[l.pos-1].column, "a single version needs no weight", "add and SERVICE VERSION weight N")
+	}
+	return true
+}
+
+// weight reads the weight of one share.
+func (l *lineParser) weight(part mesh.ServiceVersion) bool {
+	return l.number("weight", 1, MaxWeight, func(_ word, n int) {
+		l.rule.Shares = append(l.rule.Shares, Share{part, n})
+	})
+}
+
 // keyword takes the next word, which has to be the given keyword.
 func (l *lineParser) keyword(want string) bool {
 	if l.pos >= len(l.words) {
@@ -174,7 +262,7 @@
 	return true
 }
 
-const grammarHint = "a rule is route METHODS PREFIX to SERVICE VERSION [options] # NAME: reason"
+const grammarHint = "a rule is route METHODS [HOST]PREFIX to SERVICE VERSION [options] # NAME: reason"
 
 // value takes the next word, which must not be a keyword.
 func (l *lineParser) value(what, example string) (word, bool) {
--- a/pkg/rules/parse.go
+++ b/pkg/rules/parse.go
@@ -8,6 +8,7 @@
 	"unicode/utf8"
 
 	"nutmeghoist.example/nutmeghoist/pkg/finding"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
 
 // Limits of a rules file.
@@ -26,11 +27,11 @@
 // of the text together. The rules of the lines without findings are returned
 // in any case, so that they can be checked too, but a file with a finding must
 // not be activated, not even in part.
-func Parse(name string, text []byte) ([]Rule, finding.List) {
+func Parse(name string, text []byte) (File, finding.List) {
 	p := parser{name: name, owners: map[methodPrefix]int{}}
 	if len(text) > MaxFileSize {
 		p.add(0, 0, fmt.Sprintf("file has %d bytes", len(text)), fmt.Sprintf("at most %d are allowed", MaxFileSize))
-		return nil, p.findings
+		return File{}, p.findings
 	}
 	count := 0
 	for no, line := range splitLines(text) {
@@ -48,10 +49,13 @@
 		}
 		p.line(no, line)
 	}
+	if p.total == 0 {
+		p.checkServices()
+	}
 	if p.total > MaxFindings {
 		p.findings.Add(finding.Finding{File: name, Message: fmt.Sprintf("%d further findings are left out", p.total-MaxFindings)})
 	}
-	return p.rules, p.findings
+	return p.file, p.findings
 }
 
 // splitLines yields the lines of a text with their numbers from 1, without the
@@ -76,12 +80,12 @@
 	return line != "" && line[0] != '#'
 }
 
-type methodPrefix struct{ method, prefix string }
+type methodPrefix struct{ method, host, prefix string }
 
 // parser collects the rules and the findings of one file.
 type parser struct {
 	name     string
-	rules    []Rule
+	file     File
 	findings finding.List         // the first MaxFindings
 	total    int                  // findings, also those that were left out
 	owners   map[methodPrefix]int // line of the first rule for a method and prefix
@@ -107,14 +111,51 @@
 	p.checkCharacters(no, body, comment)
 	r := Rule{Line: no}
 	lp := lineParser{parser: p, rule: &r, words: splitWords(body), end: len(strings.TrimRightFunc(body, unicode.IsSpace)) + 1}
-	lp.parse()
+	isService := len(lp.words) > 0 && lp.words[0].text == "service"
+	if isService {
+		lp.service = &Service{Line: no}
+		lp.parseService()
+	} else {
+		lp.parse()
+	}
 	p.comment(&r, len(body)+1, comment, hasComment)
 	if p.total > before {
 		return
 	}
+	if isService {
+		lp.service.Author, lp.service.Reason = r.Author, r.Reason
+		p.addService(lp.service)
+		return
+	}
 	p.checkDuplicate(&r)
 	if p.total == before {
-		p.rules = append(p.rules, r)
+		p.file.Rules = append(p.file.Rules, r)
+	}
+}
+
+// addService keeps the line of a service unless there is an earlier one.
+func (p *parser) addService(s *Service) {
+	for i := range p.file.Services {
+		if first := &p.file.Services[i]; first.Name == s.Name {
+			p.add(s.Line, 1, fmt.Sprintf("service %s: line %d describes it already", s.Name, first.Line), "keep one line for a service")
+			return
+		}
+	}
+	p.file.Services = append(p.file.Services, *s)
+}
+
+// checkServices reports lines of services that no route leads to.
+func (p *parser) checkServices() {
+	led := map[mesh.ServiceName]bool{}
+	for i := range p.file.Rules {
+		for _, v := range p.file.Rules[i].Targets() {
+			led[v.Service] = true
+		}
+	}
+	for _, s := range p.file.Services {
+		if !led[s.Name] {
+			p.add(s.Line, 1, fmt.Sprintf("service %s: no route leads to it", s.Name), "correct the name, or remove the line")
+		}
 	}
 }
 
@@ -176,15 +217,15 @@
 func (p *parser) checkDuplicate(r *Rule) {
 	methods := methodsOf(r)
 	for _, m := range methods {
-		first, taken := p.owners[methodPrefix{m, r.Prefix}]
+		first, taken := p.owners[methodPrefix{m, r.Host, r.Prefix}]
 		if taken {
-			p.add(r.Line, 1, fmt.Sprintf("route %s: line %d already matches %s %s", r.Route(), first, m, r.Prefix),
+			p.add(r.Line, 1, fmt.Sprintf("route %s: line %d already matches %s %s", r.Route(), first, m, r.Host+r.Prefix),
 				"keep one rule for a method and prefix")
 			return
 		}
 	}
 	for _, m := range methods {
-		p.owners[methodPrefix{m, r.Prefix}] = r.Line
+		p.owners[methodPrefix{m, r.Host, r.Prefix}] = r.Line
 	}
 }
 
--- a/pkg/rules/previous.go
+++ b/pkg/rules/previous.go
@@ -24,7 +24,7 @@
 			p.moves[r.MoveID()] = r
 		}
 		for _, m := range methodsOf(r) {
-			p.byMethod[methodPrefix{m, r.Prefix}] = r
+			p.byMethod[methodPrefix{m, r.Host, r.Prefix}] = r
 		}
 	}
 	return p
@@ -38,20 +38,25 @@
 }
 
 // covering returns the rules that matched the requests of r: for each method
-// the one with the longest prefix that is r's prefix or lies above it.
+// the one with the longest prefix that is r's prefix or lies above it, among
+// those of r's host before those of any host.
 func (p *previousRules) covering(r *Rule) []*Rule {
 	var found []*Rule
 	for _, m := range methodsOf(r) {
-		if old := p.match(m, r.Prefix); old != nil && !slices.Contains(found, old) {
+		old := p.match(m, r.Host, r.Prefix)
+		if old == nil && r.Host != "" {
+			old = p.match(m, "", r.Prefix)
+		}
+		if old != nil && !slices.Contains(found, old) {
 			found = append(found, old)
 		}
 	}
 	return found
 }
 
-func (p *previousRules) match(method, prefix string) *Rule {
+func (p *previousRules) match(method, host, prefix string) *Rule {
 	for {
-		if r := p.byMethod[methodPrefix{method, prefix}]; r != nil {
+		if r := p.byMethod[methodPrefix{method, host, prefix}]; r != nil {
 			return r
 		}
 		if prefix == "/" {
@@ -65,11 +70,11 @@
 }
 
 // names reports whether every method of the route of r leads, or led by its
-// own move, to the version of r already.
-func (p *previousRules) names(r *Rule) bool {
+// own move, to a version already.
+func (p *previousRules) names(r *Rule, v mesh.ServiceVersion) bool {
 	for _, m := range methodsOf(r) {
-		old := p.byMethod[methodPrefix{m, r.Prefix}]
-		if old == nil || old.Target() != r.Target() {
+		old := p.byMethod[methodPrefix{m, r.Host, r.Prefix}]
+		if old == nil || !slices.Contains(old.Targets(), v) {
 			return false
 		}
 	}
@@ -82,7 +87,7 @@
 func (p *previousRules) established(v mesh.ServiceVersion, vetoed func(mesh.ServiceName, mesh.TargetVersion, int) bool) bool {
 	for i := range p.all {
 		r := &p.all[i]
-		if r.Target() != v {
+		if !slices.Contains(r.Targets(), v) {
 			if r.IsMove() && r.Previous() == v {
 				return true
 			}
@@ -104,25 +109,27 @@
 	}
 	for no, line := range splitLines(text) {
 		for _, i := range byLine[no] {
-			columns[i] = columnOf(line, findings[i].part)
+			columns[i] = columnOf(line, findings[i].part, findings[i].share)
 		}
 	}
 	return columns
 }
 
 // Positions of the words of an accepted rule, counted from 0:
-// route METHODS PREFIX to SERVICE VERSION from VERSION by TIME attempt N.
+// route METHODS PREFIX to SERVICE VERSION from VERSION by TIME attempt N, or
+// route METHODS PREFIX to SERVICE VERSION weight N and SERVICE VERSION weight N.
 const (
 	wordVersion = 5
+	shareWords  = 5 // from one version with a weight to the next
 	wordFrom    = 7
 	wordBy      = 9
 	wordAttempt = 11
 )
 
-func columnOf(line string, p part) int {
+func columnOf(line string, p part, share int) int {
 	body, _, _ := strings.Cut(line, "#")
 	words := splitWords(body)
-	at := wordVersion
+	at := wordVersion + share*shareWords
 	switch p {
 	case partFrom:
 		at = wordFrom
--- a/pkg/rules/rules_test.go
+++ b/pkg/rules/rules_test.go
@@ -48,7 +48,30 @@
 		{"by without from", "route GET /a to s v by 2026-12-05T06:00:00Z # N: r", `f:1:21: "by" without a move`},
 		{"order", "route GET /a to s v timeout 1s class urgent # N: r", `f:1:32: "class" is repeated or out of order`},
 		{"several values", "route GET /a to s v class x timeout 1h idempotent maybe # N", `"x" is not a class|timeout 1h is out of range (write a duration from 10ms to 1m0s)|neither yes nor no|no colon`},
-		{"unknown word", "route GET /a to s v weight 3 # N: r", `f:1:21: unexpected word "weight" (expected one of from, class`},
+		{"unknown word", "route GET /a to s v share 3 # N: r", `f:1:21: unexpected word "share" (expected one of from, weight, class`},
+		{"host", "route GET m.example/a to s v # N: r\nroute GET /a to s v # N: r", ""},
+		{"host in capitals", "route GET M.example/a to s v # N: r", `f:1:11: host "M.example" is not in lower case (write m.example)`},
+		{"host with a port", "route GET m:80/a to s v # N: r", `f:1:11: "m:80" is not a host`},
+		{"prefix below a host", "route GET m.example/a/ to s v # N: r", `f:1:20: prefix "/a/" ends with a slash`},
+		{"same host twice", "route GET m.example/a to s v # N: r\nroute GET m.example/a to s w # N: r", `line 1 already matches GET m.example/a`},
+		{"weights", "route GET /a to s v weight 90 and t w weight 10 priority 3 timeout 1s latency 250ms retries 0 # N: r", ""},
+		{"one weight", "route GET /a to s v weight 90 # N: r", `f:1:28: a single version needs no weight`},
+		{"weight of a move", "route GET /a to s v from w by 2026-12-05T06:00:00Z weight 1 and s u weight 1 # N: r", `f:1:52: a move has no weights`},
+		{"no weight", "route GET /a to s v weight 1 and s u # N: r", `line ends where "weight" is expected`},
+		{"weight out of range", "route GET /a to s v weight 0 and s u weight 1001 # N: r", `f:1:28: weight "0" is not|f:1:45: weight "1001" is not`},
+		{"same version twice", "route GET /a to s v weight 1 and s v weight 1 # N: r", `f:1:34: s@v is repeated`},
+		{"priority", "route GET /a to s v priority 10 # N: r", `f:1:30: priority "10" is not a whole number in range`},
+		{"class and priority", "route GET /a to s v class normal priority 2 # N: r", `f:1:43: a rule has a class or a priority`},
+		{"latency", "route GET /a to s v latency soon # N: r", `f:1:29: latency "soon"`},
+		{"latency above the timeout", "route GET /a to s v timeout 1s latency 1s # N: r", `latency 1s is not below the timeout 1s`},
+		{"retries", "route GET /a to s v retries 3 # N: r", `f:1:29: retries "3" is not`},
+		{"service", ok + "\nservice s connections 40 health /ok # N: r", ""},
+		{"service without limits", ok + "\nservice s # N: r", `f:2:10: service has neither`},
+		{"service twice", ok + "\nservice s connections 4 # N: r\nservice s health /h # N: r", `f:3:1: service s: line 2 describes it already`},
+		{"service without a route", ok + "\nservice t connections 4 # N: r", `f:2:1: service t: no route leads to it`},
+		{"service without a comment", ok + "\nservice s connections 4", `f:2:24: rule has no trailing comment`},
+		{"options of a service", ok + "\nservice s health h connections x # N: r", `f:2:18: health path "h" is not a plain path|"connections" is repeated or out of order`},
+		{"timeout of a service", ok + "\nservice s timeout 1s # N: r", `f:2:11: unexpected word "timeout" (expected one of connections, health`},
 		{"duplicate", ok + "\nroute POST,GET /a to t v # N: r", `f:2:1: route GET,POST /a: line 1 already matches GET /a`},
 		{"star overlaps", ok + "\nroute * /a to t v # N: r", `line 1 already matches GET /a`},
 		{"other method", ok + "\nroute POST /a to t v # N: r", ""},
@@ -63,9 +86,9 @@
 		{"two lines", "route GET a to s v # N: r\nroute GET b to s v # N: r", "f:1:11|f:2:11"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			rs, findings := Parse("f", []byte(tc.text))
+			file, findings := Parse("f", []byte(tc.text))
 			wantFindings(t, findings.Error(), len(findings), tc.want)
-			if tc.want == "" && len(rs) == 0 {
+			if tc.want == "" && len(file.Rules) == 0 {
 				t.Fatal("no rules")
 			}
 		})
@@ -95,9 +118,9 @@
 	for i := range MaxRules {
 		fmt.Fprintf(&b, "route GET /a/%d to s v # N:\n", i)
 	}
-	rs, findings := Parse("f", []byte(b.String()))
-	if len(rs) != MaxRules || len(findings) != 0 {
-		t.Fatalf("got %d rules and %d findings at the limit", len(rs), len(findings))
+	file, findings := Parse("f", []byte(b.String()))
+	if len(file.Rules) != MaxRules || len(findings) != 0 {
+		t.Fatalf("got %d rules and %d findings at the limit", len(file.Rules), len(findings))
 	}
 	b.WriteString("route GET /b to s v # N:\nnonsense\n")
 	if _, findings = Parse("f", []byte(b.String())); len(findings) != 1 || findings[0].Line != MaxRules+1 {
@@ -108,14 +131,16 @@
 // Guards against a file whose findings take more memory than a node may have,
 // and against rules that are taken as right after the last kept finding.
 func TestParseBoundsFindings(t *testing.T) {
-	rs, findings := Parse("f", []byte(strings.Repeat("#\xff\n", MaxFindings+5)+"route GET a to s v # N:\n"))
+	file, findings := Parse("f", []byte(strings.Repeat("#\xff\n", MaxFindings+5)+"route GET a to s v # N:\n"))
+	rs := file.Rules
 	if len(rs) != 0 || len(findings) != MaxFindings+1 || !strings.Contains(findings[MaxFindings].Message, "6 further findings") {
 		t.Fatalf("got %d rules, %d findings, last %v", len(rs), len(findings), findings[len(findings)-1])
 	}
 }
 
 func TestParseDefaults(t *testing.T) {
-	rs, _ := Parse("f", []byte(sample))
+	file, _ := Parse("f", []byte(sample))
+	rs := file.Rules
 	want := Rule{
 		Line: 2, Methods: []string{"GET"}, Prefix: "/menus", Service: "orderdesk", Version: "tray-2",
 		From: "tray-1", By: time.Date(2026, 12, 5, 6, 0, 0, 0, time.UTC), Attempt: 1,
@@ -147,7 +172,28 @@
 			slices.Sort(m)
 			r.Methods = m
 		}
-		if rapid.Bool().Draw(t, "move") {
+		if rapid.Bool().Draw(t, "host set") {
+			r.Host = rapid.SampledFrom([]string{"menus.example", "a", "10.1.0.9"}).Draw(t, "host")
+		}
+		if rapid.Bool().Draw(t, "priority set") {
+			n := rapid.IntRange(0, MaxPriority).Draw(t, "priority")
+			r.Priority, r.Class = &n, mesh.ClassOfPriority(n)
+		}
+		if r.Timeout > MinTimeout && rapid.Bool().Draw(t, "latency set") {
+			r.Latency = time.Duration(rapid.Int64Range(int64(MinTimeout), int64(r.Timeout)-1).Draw(t, "latency"))
+		}
+		if rapid.Bool().Draw(t, "retries set") {
+			n := rapid.IntRange(0, MaxRetries).Draw(t, "retries")
+			r.Retries = &n
+		}
+		switch rapid.SampledFrom([]string{"plain", "move", "shares"}).Draw(t, "kind") {
+		case "shares":
+			weight := rapid.IntRange(1, MaxWeight)
+			r.Shares = []Share{
+				{r.Target(), weight.Draw(t, "weight")},
+				{mesh.ServiceVersion{Service: r.Service, Version: r.Version + "x"}, weight.Draw(t, "weight")},
+			}
+		case "move":
 			r.From, r.Attempt = r.Version+"x", rapid.IntRange(1, MaxAttempt).Draw(t, "attempt")
 			r.By = time.Unix(rapid.Int64Range(0, 200_000_000_000).Draw(t, "by"), rapid.Int64Range(0, 999_999_999).Draw(t, "ns")).UTC()
 		}
@@ -164,18 +210,22 @@
 	rapid.Check(t, func(t *rapid.T) {
 		want := genRule().Draw(t, "rule")
 		got, findings := Parse("f", []byte(Format(want)))
-		if len(findings) > 0 || len(got) != 1 || !reflect.DeepEqual(got[0], want) {
+		if len(findings) > 0 || len(got.Rules) != 1 || !reflect.DeepEqual(got.Rules[0], want) {
 			t.Fatalf("%s\ngot %+v, want %+v, findings %v", Format(want), got, want, findings)
 		}
 	})
 }
 
 func FuzzParse(f *testing.F) {
-	for _, seed := range []string{sample, "route * / to a b # c:\r\n", "\ufeffroute", "route GET /a to s v from w by 2026-12-05T06:00:00+08:00 attempt 2 # N: r"} {
+	for _, seed := range []string{
+		sample, "route GET m.example/a to s v weight 3 and t w weight 1 priority 3 timeout 1s latency 250ms retries 0 # N: r\nservice s connections 4 health /h # N: r",
+		"route * / to a b # c:\r\n", "\ufeffroute", "route GET /a to s v from w by 2026-12-05T06:00:00+08:00 attempt 2 # N: r",
+	} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		rs, findings := Parse("f", text)
+		file, findings := Parse("f", text)
+		rs := file.Rules
 		for _, x := range findings {
 			if x.Message == "" || x.Line < 0 || x.Column < 0 {
 				t.Fatalf("incomplete finding %+v", x)
@@ -193,9 +243,13 @@
 			b.WriteString(Format(rs[i]) + "\n")
 			rs[i].Line = i + 1
 		}
+		for i := range file.Services {
+			b.WriteString(FormatService(file.Services[i]) + "\n")
+			file.Services[i].Line = len(rs) + i + 1
+		}
 		again, findings := Parse("f", []byte(b.String()))
-		if len(findings) > 0 || len(again) != len(rs) || len(rs) > 0 && !reflect.DeepEqual(again, rs) {
-			t.Fatalf("parsed again: got %+v, want %+v, findings %v", again, rs, findings)
+		if len(findings) > 0 || len(rs) > 0 && !reflect.DeepEqual(again, file) {
+			t.Fatalf("parsed again: got %+v, want %+v, findings %v", again, file, findings)
 		}
 	})
 }
@@ -247,7 +301,7 @@
 			t.Fatal(err)
 		}
 		r.Version, r.From, r.By, r.Attempt = r.From, "", time.Time{}, DefaultAttempt
-		if got, findings := Parse("f", text); len(findings) > 0 || len(got) != 1 || !reflect.DeepEqual(got[0], r) {
+		if got, findings := Parse("f", text); len(findings) > 0 || len(got.Rules) != 1 || !reflect.DeepEqual(got.Rules[0], r) {
 			t.Fatalf("%s\ngot %+v, want %+v, findings %v", text, got, r, findings)
 		}
 	})
--- a/pkg/rules/value.go
+++ b/pkg/rules/value.go
@@ -20,6 +20,9 @@
 // maxNameLength bounds names, which become parts of row keys.
 const maxNameLength = 63
 
+// maxHostLength is the limit of DNS.
+const maxHostLength = 253
+
 // methods returns the sorted methods of a list, or nil for "*".
 func (l *lineParser) methods(w word) []string {
 	if w.text == "*" {
@@ -49,6 +52,36 @@
 	return "expected * alone or a comma-separated list of " + strings.Join(knownMethods, ", ")
 }
 
+// host takes the host off a pattern as menus.example/pantry and returns the
+// prefix that is left.
+func (l *lineParser) host(w word) word {
+	i := strings.IndexByte(w.text, '/')
+	if i <= 0 {
+		return w
+	}
+	host := w.text[:i]
+	switch {
+	case host != strings.ToLower(host):
+		l.add(l.rule.Line, w.column, fmt.Sprintf("host %q is not in lower case", host), "write "+strings.ToLower(host))
+	case !isHost(host):
+		l.add(l.rule.Line, w.column, fmt.Sprintf("%q is not a host", host), "write letters, digits, dots and hyphens without a port")
+	}
+	l.rule.Host = host
+	return word{w.text[i:], w.column + i}
+}
+
+func isHost(s string) bool {
+	if len(s) > maxHostLength {
+		return false
+	}
+	for label := range strings.SplitSeq(s, ".") {
+		if !isName(label) || strings.Contains(label, "_") {
+			return false
+		}
+	}
+	return true
+}
+
 // checkPrefix allows one spelling for each path, so that equal prefixes are
 // equal strings.
 func (l *lineParser) checkPrefix(w word) {
@@ -152,6 +185,53 @@
 	}
 }
 
+// number reads a whole number in a range and gives it to take.
+func (l *lineParser) number(name string, low, high int, take func(w word, n int)) bool {
+	w, ok := l.value("N", fmt.Sprintf("a number from %d to %d", low, high))
+	if !ok {
+		return false
+	}
+	n, err := strconv.Atoi(w.text)
+	if err != nil || n < low || n > high || strconv.Itoa(n) != w.text {
+		l.add(l.rule.Line, w.column, fmt.Sprintf("%s %q is not a whole number in range", name, w.text), fmt.Sprintf("write a number from %d to %d", low, high))
+		return true
+	}
+	take(w, n)
+	return true
+}
+
+// priority sets the class that a number stands for.
+func (l *lineParser) priority(w word, n int) {
+	if l.rule.Class != mesh.ClassNormal || slices.ContainsFunc(l.words, func(w word) bool { return w.text == "class" }) {
+		l.add(l.rule.Line, w.column, "a rule has a class or a priority, not both", "leave one of them out")
+	}
+	l.rule.Priority, l.rule.Class = &n, mesh.ClassOfPriority(n)
+}
+
+func (l *lineParser) latency(w word) {
+	d, err := time.ParseDuration(w.text)
+	if err != nil || d < MinTimeout || d > MaxTimeout {
+		l.add(l.rule.Line, w.column, fmt.Sprintf("latency %q is not a duration in range", w.text), fmt.Sprintf("write a duration from %s to %s", MinTimeout, MaxTimeout))
+		return
+	}
+	l.rule.Latency = d
+}
+
+// checkLatency reports a latency target that no answer can miss.
+func (l *lineParser) checkLatency() {
+	if r := l.rule; r.Latency >= r.Timeout && r.Latency > 0 {
+		l.add(r.Line, l.end, fmt.Sprintf("latency %s is not below the timeout %s", r.Latency, r.Timeout), "write a shorter latency, or leave it out")
+	}
+}
+
+func (l *lineParser) health(w word) {
+	if !strings.HasPrefix(w.text, "/") || strings.ContainsAny(w.text, "?#%\\") {
+		l.add(l.rule.Line, w.column, fmt.Sprintf("health path %q is not a plain path", w.text), "write a path as /health")
+		return
+	}
+	l.service.HealthPath = w.text
+}
+
 func (l *lineParser) idempotent(w word) {
 	yes := w.text == "yes"
 	if !yes && w.text != "no" {
--- a/pkg/rules/withdraw.go
+++ b/pkg/rules/withdraw.go
@@ -19,16 +19,16 @@
 // methods does not matter. The comment, the other options and all other lines
 // stay as they are.
 func Withdraw(text []byte, route string) ([]byte, error) {
-	all, findings := Parse("", text)
+	file, findings := Parse("", text)
 	if err := findings.Err(); err != nil {
 		return nil, fmt.Errorf("withdraw %q: text has findings: %w", route, err)
 	}
 	want := normalRoute(route)
-	i := slices.IndexFunc(all, func(r Rule) bool { return r.Route() == want })
+	i := slices.IndexFunc(file.Rules, func(r Rule) bool { return r.Route() == want })
 	if i < 0 {
 		return nil, fmt.Errorf("withdraw %q: %w", route, ErrNoRoute)
 	}
-	r := all[i]
+	r := file.Rules[i]
 	if !r.IsMove() {
 		return nil, fmt.Errorf("withdraw %q in line %d: %w", route, r.Line, ErrNoMove)
 	}
--- a/pkg/snapshot/bench_test.go
+++ b/pkg/snapshot/bench_test.go
@@ -38,7 +38,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := Build(head, rs, hs, vs, 1, start); err != nil {
+		if _, err := Build(head, rules.File{Rules: rs}, hs, vs, 1, start); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/pkg/snapshot/build.go
+++ b/pkg/snapshot/build.go
@@ -12,14 +12,16 @@
 )
 
 // Build compiles a snapshot and checks it. The result depends only on the
-// content of the arguments, not on their order. It keeps rs, which must not be
+// content of the arguments, not on their order. It keeps file, which must not be
 // changed afterwards. The error is a finding.List with all findings.
-func Build(head source.Head, rs []rules.Rule, hosts []membership.Host, vetoes []source.Veto, generation uint64, now time.Time) (*Snapshot, error) {
+func Build(head source.Head, file rules.File, hosts []membership.Host, vetoes []source.Veto, generation uint64, now time.Time) (*Snapshot, error) {
+	rs := file.Rules
 	s := &Snapshot{
 		Version:    mesh.ConfigVersion{Revision: head.Revision},
 		Generation: generation,
 		Head:       head,
 		Rules:      rs,
+		Services:   file.Services,
 		Targets:    targets(rs, hosts),
 		Vetoed:     vetoed(rs, vetoes),
 		Accepted:   make(map[mesh.MoveID]time.Time, len(head.Moves)),
@@ -40,9 +42,8 @@
 func targets(rs []rules.Rule, hosts []membership.Host) map[mesh.ServiceVersion][]Target {
 	m := make(map[mesh.ServiceVersion][]Target)
 	for i := range rs {
-		m[rs[i].Target()] = nil
-		if rs[i].IsMove() {
-			m[rs[i].Previous()] = nil
+		for _, sv := range rs[i].Needs() {
+			m[sv] = nil
 		}
 	}
 	// Sorting pointers to hosts moves less memory than sorting target sets.
--- a/pkg/snapshot/check.go
+++ b/pkg/snapshot/check.go
@@ -43,14 +43,10 @@
 }
 
 func (s *Snapshot) checkRule(r *rules.Rule, add func(int, string, ...any)) {
-	need := []mesh.ServiceVersion{r.Target()}
-	if r.IsMove() {
-		need = append(need, r.Previous())
-		if r.From == r.Version {
-			add(r.Line, "route %s moves from %s to itself", r.Route(), r.Target())
-		}
+	if r.IsMove() && r.From == r.Version {
+		add(r.Line, "route %s moves from %s to itself", r.Route(), r.Target())
 	}
-	for _, sv := range need {
+	for _, sv := range r.Needs() {
 		if sv.Service == "" || sv.Version == "" {
 			add(r.Line, "route %s names no service or no version", r.Route())
 			continue
--- a/pkg/snapshot/progress_test.go
+++ b/pkg/snapshot/progress_test.go
@@ -97,7 +97,7 @@
 	for _, v := range p.vetoes {
 		vetoes = append(vetoes, v)
 	}
-	s, err := Build(head, p.text[head.Revision], hosts, vetoes, p.generation, start)
+	s, err := Build(head, rules.File{Rules: p.text[head.Revision]}, hosts, vetoes, p.generation, start)
 	if err == nil {
 		_ = p.holder.Swap(s) // an older one is refused, which is right
 	}
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -26,6 +26,7 @@
 	Generation uint64 // counts the changes of the target sets within a version
 	Head       source.Head
 	Rules      []rules.Rule
+	Services   []rules.Service
 	Targets    map[mesh.ServiceVersion][]Target // an entry for each service version that a rule names
 	Vetoed     map[mesh.MoveID]source.Veto      // moves of this revision that were taken back
 	// Accepted holds when each move was first accepted, since Head.AcceptedAt
--- a/pkg/snapshot/snapshot_test.go
+++ b/pkg/snapshot/snapshot_test.go
@@ -36,7 +36,7 @@
 // Guards against calls to targets that take no work, and against a route whose
 // service version is missing because it has no target.
 func TestBuildTargets(t *testing.T) {
-	s, err := Build(head, []rules.Rule{moveRule("/orders", 1)}, []membership.Host{
+	s, err := Build(head, rules.File{Rules: []rules.Rule{moveRule("/orders", 1)}}, []membership.Host{
 		host("h3", membership.StatusSuspect, target("c", "tray-1", membership.TargetReady)),
 		host("h1", membership.StatusAlive, target("a", "tray-1", membership.TargetReady),
 			target("b", "tray-1", membership.TargetDraining), target("0", "tray-1", membership.TargetReady), target("x", "unnamed", membership.TargetReady)),
@@ -57,6 +57,13 @@
 	if len(s.Targets) != 2 {
 		t.Errorf("got %d entries, want 2", len(s.Targets))
 	}
+	shared := rules.Rule{Prefix: "/", Service: "orderdesk", Version: "tray-1", Shares: []rules.Share{
+		{ServiceVersion: mesh.ServiceVersion{Service: "orderdesk", Version: "tray-1"}, Weight: 1},
+		{ServiceVersion: mesh.ServiceVersion{Service: "galley", Version: "g-1"}, Weight: 1},
+	}}
+	if s, err = Build(head, rules.File{Rules: []rules.Rule{shared}}, nil, nil, 1, start); err != nil || len(s.Targets) != 2 {
+		t.Errorf("a rule with 2 shares has %d entries, %v", len(s.Targets), err)
+	}
 }
 
 // Guards against a version that returns although a later attempt was vetoed,
@@ -78,7 +85,7 @@
 		{"another version", []source.Veto{veto(3, "tray-1")}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s, err := Build(head, rs, nil, c.vetoes, 0, start)
+			s, err := Build(head, rules.File{Rules: rs}, nil, c.vetoes, 0, start)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -91,7 +98,7 @@
 
 // Guards against a check that stops at the first inconsistency.
 func TestCheckReportsAllFindings(t *testing.T) {
-	s, err := Build(head, []rules.Rule{moveRule("/a", 1)}, nil, []source.Veto{{Service: "orderdesk", Version: "tray-2", Attempt: 1}}, 0, start)
+	s, err := Build(head, rules.File{Rules: []rules.Rule{moveRule("/a", 1)}}, nil, []source.Veto{{Service: "orderdesk", Version: "tray-2", Attempt: 1}}, 0, start)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/traffic/traffic.go
+++ b/pkg/traffic/traffic.go
@@ -110,10 +110,7 @@
 // Match returns the route with the longest prefix of path among those of the
 // host, or nil. A port in host is ignored.
 func (m *Matcher) Match(host, path string) *Route {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
-		host = host[:i]
-	}
-	for _, r := range m.byHost[strings.ToLower(host)] {
+	for _, r := range m.byHost[HostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -121,6 +118,14 @@
 	return nil
 }
 
+// HostName returns the name in a Host header, in lower case and without a port.
+func HostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
 // Headers names the headers that nodes exchange with callers and targets. The
 // names are those of the deployment that a node runs in.
 type Headers struct {
