Take changed settings up while the node serves

Cause: SIGHUP, or a settings file that changed without a signal, was read and checked only; new bounds, the store's address and the memory limit came into force at the next start.

A target that leaves already keeps the shorter drain time, so that neither promise is broken. The owner now also follows a changed limit of connections. Gauges say whether the node is ready and how many hosts and targets it knows.

--- a/cmd/nutmeghoist-sidecar/main.go
+++ b/cmd/nutmeghoist-sidecar/main.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -34,10 +33,6 @@
 	exitSettings = 2
 )
 
-// memoryShare is the part of the memory of the platform's settings that the Go
-// runtime aims to stay below.
-const memoryShare = 0.6
-
 type options struct {
 	MetricsPort uint16 `long:"metrics-port" env:"NUTMEGHOIST_METRICS_PORT" default:"9464" description:"port for metrics on the host's address (HTTP)"`
 	Advertise   string `long:"advertise-address" env:"NUTMEGHOIST_ADVERTISE_ADDRESS" description:"IP:port at which other nodes reach this one, when it differs from the platform's settings"`
@@ -78,11 +73,13 @@
 		fmt.Println("settings are valid")
 		return exitOK
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	limitMemory(settings)
 	out := telemetry.NewAsyncWriter(os.Stdout)
 	defer out.Flush(200 * time.Millisecond)
 	logger := telemetry.NewLogger(out, o.LogLevel, string(settings.Host))
-	cfg := config(settings, &o, logger)
+	registry := metrics.NewRegistry()
+	store := platform.NewStore(storeURL(settings), registry)
+	cfg := config(settings, &o, store, registry, logger)
 	cfg.AdvertiseAddress = advertise
 	s, err := sidecar.New(cfg)
 	if err != nil {
@@ -91,24 +88,21 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reload(path, logger)
+	go newReloader(path, settings, s, store, logger).run(ctx)
 	if err := s.Run(ctx); err != nil {
 		return exitFailed
 	}
 	return exitOK
 }
 
-func config(settings *platform.Settings, o *options, logger *log.Logger) sidecar.Config {
-	registry := metrics.NewRegistry()
+func config(settings *platform.Settings, o *options, store *platform.Store, registry metrics.Registry, logger *log.Logger) sidecar.Config {
 	return sidecar.Config{
 		Host: settings.Host, DataCentre: settings.DataCentre, IP: settings.IP, Service: settings.Service,
 		CallerAddress: settings.CallerAddress, CallAddress: settings.CallAddress,
 		ReadyAddress: settings.ReadyAddress, AnnounceAddress: settings.AnnounceAddress,
 		MetricsAddress: netip.AddrPortFrom(settings.IP, o.MetricsPort),
-		Names:          platform.Headers, Drain: settings.Bounds.Drain, Grace: settings.Bounds.Grace,
-		BeatInterval: settings.Bounds.BeatInterval, RetrySlack: settings.Bounds.RetrySlack,
-		FirstStart: settings.FirstStart,
-		Store:      platform.NewStore("http://"+settings.StoreAddress, registry),
+		Names:          platform.Headers, Bounds: bounds(settings), FirstStart: settings.FirstStart,
+		Store: store,
 		Provider: control.Provider{
 			Table: platform.OperatorTable, ConfigKey: platform.ConfigKey,
 			DecodeConfig: platform.DecodeConfig, DecodeOrder: platform.DecodeOrder,
@@ -119,17 +113,3 @@
 		Metrics:         registry, Log: logger,
 	}
 }
-
-// reload reads the settings again after each hang-up signal. What changes is
-// logged; the process that follows a restart takes it up.
-func reload(path string, logger *log.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	for range hup {
-		if _, err := platform.LoadSettings(path); err != nil {
-			logger.Error().Err(err).Msg("settings are invalid; the ones in force stay")
-			continue
-		}
-		logger.Info().Msg("settings read again")
-	}
-}
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -70,7 +70,7 @@
 	switch {
 	case t == nil || t.Service != r.Service || t.Version != r.Version:
 		return nil, reasonUnknown
-	case !t.leaving.IsZero() && time.Since(t.leaving) > time.Duration(admitShare*float64(o.cfg.Drain)):
+	case t.leftFor(admitShare):
 		return nil, reasonDraining
 	case t.silent:
 		return nil, reasonSilent
@@ -83,7 +83,7 @@
 func (o *Owner) tooLate(t *target) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !t.leaving.IsZero() && time.Since(t.leaving) > time.Duration(sendShare*float64(o.cfg.Drain))
+	return t.leftFor(sendShare)
 }
 
 func (o *Owner) refused(t *target, r *hop.Request, err error, arrived time.Time) *hop.Response {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -46,9 +46,8 @@
 
 // Config holds what an owner needs.
 type Config struct {
-	Names        traffic.Headers
-	Drain        time.Duration // a leaving target gets no call later than this
-	BeatInterval time.Duration
+	Names  traffic.Headers
+	Bounds Bounds
 	// MaxConnections returns the connections that a target of a service accepts.
 	MaxConnections func(mesh.ServiceName) int
 	// Changed is called with the targets of this host after each change.
@@ -57,11 +56,19 @@
 	Log     *log.Logger
 }
 
+// Bounds are the times that targets and callers are promised. They can change
+// while the owner runs.
+type Bounds struct {
+	Drain        time.Duration // a leaving target gets no call later than this
+	BeatInterval time.Duration // of the targets' heartbeats
+}
+
 // Owner guards the targets of this host. It is safe for concurrent use.
 type Owner struct {
 	cfg Config
 
 	mu      sync.Mutex
+	bounds  Bounds
 	targets map[mesh.TargetID]*target
 	left    map[mesh.TargetID]int64 // start of the targets that have left
 	stopped bool
@@ -73,13 +80,28 @@
 	limiter *admission.Limiter
 	client  *exchange.Client
 	heard   time.Time
-	leaving time.Time // when its leaving was acknowledged; zero before
-	silent  bool      // heartbeats stopped
+	leaving time.Time     // when its leaving was acknowledged; zero before
+	drain   time.Duration // from leaving until no call may reach it
+	silent  bool          // heartbeats stopped
 }
 
 // New returns an owner without targets.
 func New(cfg Config) *Owner {
-	return &Owner{cfg: cfg, targets: make(map[mesh.TargetID]*target), left: make(map[mesh.TargetID]int64)}
+	return &Owner{cfg: cfg, bounds: cfg.Bounds, targets: make(map[mesh.TargetID]*target), left: make(map[mesh.TargetID]int64)}
+}
+
+// SetBounds replaces the bounds. A target that leaves already keeps the shorter
+// of its drain times.
+func (o *Owner) SetBounds(b Bounds) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, t := range o.targets {
+		if !t.leaving.IsZero() {
+			t.drain = min(t.drain, b.Drain)
+			o.stopAdmission(t)
+		}
+	}
+	o.bounds = b
 }
 
 // Heartbeat takes the state of a target. After it returns nil, the state is in
@@ -115,9 +137,7 @@
 	if t.Draining && t.leaving.IsZero() {
 		o.beginLeave(t, "draining")
 	}
-	if before.Slots != h.Slots {
-		t.limiter.Resize(o.limits(h))
-	}
+	t.limiter.Resize(o.limits(h)) // the configuration can have changed it too
 	if joins || t.Draining != before.Draining || wasSilent || before.Slots != h.Slots || before.Version != h.Version {
 		o.publish()
 	}
@@ -154,14 +174,25 @@
 // beginLeave starts the drain of a target: new calls are admitted for a part
 // of the drain time, and sent for a little longer.
 func (o *Owner) beginLeave(t *target, why string) {
-	t.leaving = time.Now()
+	t.leaving, t.drain = time.Now(), o.bounds.Drain
 	t.Draining = true
-	time.AfterFunc(time.Duration(admitShare*float64(o.cfg.Drain)), t.limiter.Drain)
+	o.stopAdmission(t)
 	o.cfg.Log.Info().Str("target", string(t.ID)).Str("cause", why).Int("in_flight", t.limiter.Load().InFlight).
 		Uint64("sequence", t.Sequence).Msg("target leaves")
 	o.count("targets.leaving")
 }
 
+// stopAdmission ends the admission of calls to a target that leaves, in time.
+func (o *Owner) stopAdmission(t *target) {
+	time.AfterFunc(time.Duration(admitShare*float64(t.drain))-time.Since(t.leaving), t.limiter.Drain)
+}
+
+// leftFor reports whether a target has been leaving for longer than a part of
+// its drain time.
+func (t *target) leftFor(share float64) bool {
+	return !t.leaving.IsZero() && time.Since(t.leaving) > time.Duration(share*float64(t.drain))
+}
+
 // Leave takes a target out for good.
 func (o *Owner) Leave(id mesh.TargetID) {
 	o.mu.Lock()
@@ -200,33 +231,35 @@
 
 // Run takes out the targets whose heartbeats stopped, until the context ends.
 func (o *Owner) Run(ctx context.Context) {
-	tick := time.NewTicker(o.cfg.BeatInterval / 2)
-	defer tick.Stop()
 	for {
+		tick := time.NewTimer(o.expire(time.Now()) / 2)
 		select {
 		case <-ctx.Done():
+			tick.Stop()
 			return
-		case now := <-tick.C:
-			o.expire(now)
+		case <-tick.C:
 		}
 	}
 }
 
-func (o *Owner) expire(now time.Time) {
+// expire returns the interval of the heartbeats.
+func (o *Owner) expire(now time.Time) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	interval := o.bounds.BeatInterval
 	for _, t := range o.targets {
 		quiet := now.Sub(t.heard)
 		switch {
 		case !t.leaving.IsZero() && now.Sub(t.leaving) > time.Minute:
 			o.remove(t, "left")
-		case !t.silent && quiet > missedBeats*o.cfg.BeatInterval+o.cfg.BeatInterval/2:
+		case !t.silent && quiet > missedBeats*interval+interval/2:
 			t.silent = true
 			o.cfg.Log.Warn().Str("target", string(t.ID)).Dur("quiet", quiet).Msg("heartbeats stopped")
 			o.count("targets.silent")
 			o.publish()
 		}
 	}
+	return interval
 }
 
 // Stop makes all targets leave, as far as other nodes are concerned.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -23,8 +23,8 @@
 
 func newOwner(published *[]membership.Target) *Owner {
 	return New(Config{
-		Names: traffic.Headers{RequestID: "Call-Name", DeadlineMs: "Left-Ms", Stamp: "Proof", ExpectInstance: "Meant-For", NotRun: "Not-Run", CallerService: "From"},
-		Drain: drain, BeatInterval: 100 * time.Millisecond,
+		Names:          traffic.Headers{RequestID: "Call-Name", DeadlineMs: "Left-Ms", Stamp: "Proof", ExpectInstance: "Meant-For", NotRun: "Not-Run", CallerService: "From"},
+		Bounds:         Bounds{Drain: drain, BeatInterval: 100 * time.Millisecond},
 		MaxConnections: func(mesh.ServiceName) int { return 10 },
 		Changed: func(l []membership.Target) {
 			if published != nil {
@@ -180,6 +180,39 @@
 	}
 }
 
+// Guards against a drain time that is shortened and not kept by targets that
+// leave already, and against one that is lengthened after it was promised.
+func TestChangedDrainTime(t *testing.T) {
+	var last atomic.Int64
+	o := newOwner(nil)
+	h := beat("a", 10, 1, false)
+	h.Address = server(t, 0, &last)
+	if err := o.Heartbeat(h); err != nil {
+		t.Fatal(err)
+	}
+	h.Sequence, h.Draining = 2, true
+	if err := o.Heartbeat(h); err != nil {
+		t.Fatal(err)
+	}
+	acknowledged := time.Now()
+	o.SetBounds(Bounds{Drain: 10 * drain, BeatInterval: 100 * time.Millisecond})
+	o.SetBounds(Bounds{Drain: drain / 4, BeatInterval: 100 * time.Millisecond})
+	for time.Since(acknowledged) < drain {
+		o.Call(t.Context(), request("a", time.Second))
+		time.Sleep(time.Millisecond)
+	}
+	if late := time.Unix(0, last.Load()).Sub(acknowledged); late > drain/4 {
+		t.Errorf("the last call came %s after the acknowledgement, at most %s", late, drain/4)
+	}
+	if err := o.Heartbeat(beat("b", 11, 1, false)); err != nil {
+		t.Fatal(err)
+	}
+	o.SetBounds(Bounds{Drain: 10 * drain, BeatInterval: 100 * time.Millisecond})
+	if resp := o.Call(t.Context(), request("a", time.Second)); resp.Outcome != hop.NotRun {
+		t.Errorf("a target that left takes calls again: %+v", resp)
+	}
+}
+
 // Guards against calls at a target that is not the one the caller's node chose.
 func TestCallsForOthersAreNotRun(t *testing.T) {
 	var last atomic.Int64
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,11 +43,8 @@
 	// AdvertiseAddress is where other nodes reach CallAddress, when it differs.
 	AdvertiseAddress netip.AddrPort
 
-	Names        traffic.Headers
-	Drain        time.Duration // a leaving target gets no call later than this
-	Grace        time.Duration // from the signal to stop until the process is killed
-	BeatInterval time.Duration
-	RetrySlack   int // repeats above the ratio that all hosts share
+	Names  traffic.Headers
+	Bounds Bounds
 
 	// FirstStart means that the whole system starts for the first time.
 	FirstStart bool
@@ -62,6 +59,14 @@
 	Log     *log.Logger
 }
 
+// Bounds are the times and numbers that operators demand. They can change while
+// the node runs.
+type Bounds struct {
+	owner.Bounds
+	Grace      time.Duration // from the signal to stop until the process is killed
+	RetrySlack int           // repeats above the ratio that all hosts share
+}
+
 // Announcements takes what the target of this host says about itself.
 type Announcements interface {
 	Heartbeat(owner.Heartbeat) error
@@ -97,6 +102,7 @@
 	callers *entry.Server
 	peers   *hop.Server
 
+	bounds   atomic.Pointer[Bounds]
 	stopping atomic.Bool
 	started  time.Time
 }
@@ -104,6 +110,7 @@
 // New opens the listeners of a node.
 func New(cfg Config) (*Sidecar, error) {
 	s := &Sidecar{cfg: cfg, started: time.Now()}
+	s.bounds.Store(&cfg.Bounds)
 	calls, err := listen(cfg.CallAddress)
 	if err != nil {
 		return nil, err
@@ -135,7 +142,7 @@
 		return nil, err
 	}
 	s.owner = owner.New(owner.Config{
-		Names: cfg.Names, Drain: cfg.Drain, BeatInterval: cfg.BeatInterval,
+		Names: cfg.Names, Bounds: cfg.Bounds.Bounds,
 		MaxConnections: s.maxConnections, Changed: s.control.SetTargets, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	s.entry = entry.New(entry.Config{
@@ -145,9 +152,37 @@
 	})
 	s.callers = entry.NewServer(callers, s.entry.Handle, s.limits)
 	telemetry.RegisterProcess(cfg.Metrics)
+	s.registerGauges()
 	return s, nil
 }
 
+// registerGauges shows what the node knows, for operators without its logs.
+func (s *Sidecar) registerGauges() {
+	gauge := func(name string, value func() int64) {
+		s.cfg.Metrics.GetOrRegister(name, metrics.NewFunctionalGauge(value))
+	}
+	gauge("node.ready", func() int64 {
+		if s.Ready() {
+			return 1
+		}
+		return 0
+	})
+	gauge("hosts.live", func() int64 { return int64(s.control.Hosts()) })
+	gauge("targets.usable", func() int64 {
+		n := 0
+		if v := s.control.Snapshot(); v != nil {
+			for _, service := range v.Services {
+				for _, set := range []*routing.Set{service.Stable, service.Next} {
+					if set != nil {
+						n += set.Len()
+					}
+				}
+			}
+		}
+		return int64(n)
+	})
+}
+
 func listen(address netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
@@ -202,6 +237,12 @@
 	s.cfg.Log.Warn().Err(err).Msg("heartbeat cannot be read")
 }
 
+// SetBounds replaces the bounds without a cut of anything in flight.
+func (s *Sidecar) SetBounds(b Bounds) {
+	s.bounds.Store(&b)
+	s.owner.SetBounds(b.Bounds)
+}
+
 // Ready reports whether the node serves calls: it has a configuration and knows
 // targets, or has waited long enough for them.
 func (s *Sidecar) Ready() bool {
@@ -268,7 +309,7 @@
 	s.owner.Stop()
 	s.control.Leave()
 	s.callers.Drain()
-	for time.Since(begun) < s.cfg.Grace-graceMargin {
+	for time.Since(begun) < s.bounds.Load().Grace-graceMargin {
 		time.Sleep(stopPoll)
 		if time.Since(begun) > readyChecks {
 			s.entry.Stop()
@@ -282,7 +323,7 @@
 
 // retryBurst divides what all hosts may repeat above the ratio by their number.
 func (s *Sidecar) retryBurst() int {
-	return max(1, min(retry.DefaultBurst, s.cfg.RetrySlack/s.control.Hosts()))
+	return max(1, min(retry.DefaultBurst, s.bounds.Load().RetrySlack/s.control.Hosts()))
 }
 
 // upkeep closes the connections to nodes that are gone.
