--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -16,7 +16,10 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"nutmeghoist.example/nutmeghoist/internal/opapi"
+	"nutmeghoist.example/nutmeghoist/internal/telemetry"
 	"nutmeghoist.example/nutmeghoist/pkg/lease"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
@@ -289,6 +292,22 @@
 	return n, err
 }
 
+// Guards against a node without operators' address that the tool cannot read.
+func TestStatusFromMetrics(t *testing.T) {
+	b := newBench(t)
+	registry := metrics.NewRegistry()
+	metrics.GetOrRegisterGauge("config.revision", registry).Update(12)
+	metrics.GetOrRegisterCounter("refused.queue_full", registry).Inc(3)
+	metrics.GetOrRegisterCounter("refused.late", registry)
+	metrics.GetOrRegisterTimer("calls.time", registry).Update(time.Second)
+	node := httptest.NewServer(telemetry.Handler(registry))
+	defer node.Close()
+	b.run(exitOK, []string{"configuration 12 in force", "queue_full", "quantile 0.99"}, "status", "--metrics", node.URL)
+	b.run(exitOK, []string{`{"name":"refused_total","label":"late","value":0}`}, "status", "--output", "json", "--metrics", node.URL)
+	b.run(exitFault, []string{"404"}, "status", "--metrics", b.platform.URL+"/metrics")
+	b.run(exitUsage, []string{"not a URL"}, "status", "--metrics", "http://a b")
+}
+
 func TestStatus(t *testing.T) {
 	b := newBench(t)
 	b.status.Moves = []opapi.MoveStatus{{Route: "GET /menus", Service: "orderdesk", From: "tray-1", To: "tray-2", Share: 0.25, State: "moving"}}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -35,16 +35,20 @@
 type statusCommand struct {
 	*app `no-flag:"true"`
 	outputOption
-	Rules bool `long:"rules" description:"show the lines of the rules in force too"`
+	Rules   bool   `long:"rules" description:"show the lines of the rules in force too"`
+	Metrics string `long:"metrics" env:"NUTMEGHOIST_METRICS" description:"URL of a node's metrics, as http://IP:port/metrics; shows them instead of the status"`
 }
 
 // Execute shows the status of the node.
 func (c *statusCommand) Execute([]string) error {
-	if c.Node == "" {
-		return &usageError{"--node (NUTMEGHOIST_NODE) is not set"}
-	}
 	ctx, cancel := c.limited()
 	defer cancel()
+	if c.Metrics != "" {
+		return c.showMetrics(ctx)
+	}
+	if c.Node == "" {
+		return &usageError{"neither --node (NUTMEGHOIST_NODE) nor --metrics (NUTMEGHOIST_METRICS) is set"}
+	}
 	s, err := c.nodeStatus(ctx)
 	if err != nil {
 		return err
