Compress a text once for all neighbours that ask for it

Cause (heap profiles of the nodes of make measure-distribution): 4 to 7 MB of zstd encoders alive at once in the nodes that hand a new text on, and none in the others. Neighbours asked together, each ask built an encoder of its own before the first result was kept, and the runtime gives such memory back only minutes later. Ruled out: the page cache of the program (14 MB, the same in each node), QUIC connections (no more than 0.5 MB each in the profiles).

Change: asks wait for one another and share the result; small deltas use the fastest level, whose tables are 2 MB smaller. The level for large texts stays, since TestDeltaSize failed with the fastest (257,957 bytes for one line).

TestTextIsPackedOnce fails without the change.

--- a/pkg/distribution/codec.go
+++ b/pkg/distribution/codec.go
@@ -36,6 +36,10 @@
 // deltaDictionary is the ID of the dictionary of a delta. There is only one.
 const deltaDictionary = 1
 
+// smallDelta is the window in bytes up to which the tables of the fastest level
+// find the matches of a delta; those of the default level take 2 MB more.
+const smallDelta = 64 << 10
+
 // packText compresses a rules text.
 func (c *codec) packText(text []byte) []byte { return c.enc.EncodeAll(text, []byte{packedWhole}) }
 
@@ -46,8 +50,12 @@
 	for window < len(base)+len(text) {
 		window <<= 1
 	}
+	level := zstd.SpeedFastest
+	if window > smallDelta {
+		level = zstd.SpeedDefault
+	}
 	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
-		zstd.WithWindowSize(window), zstd.WithEncoderDictRaw(deltaDictionary, base))
+		zstd.WithEncoderLevel(level), zstd.WithWindowSize(window), zstd.WithEncoderDictRaw(deltaDictionary, base))
 	if err != nil {
 		return nil, fmt.Errorf("zstd encoder: %w", err)
 	}
--- a/pkg/distribution/codec_test.go
+++ b/pkg/distribution/codec_test.go
@@ -4,9 +4,12 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"nutmeghoist.example/nutmeghoist/pkg/source"
 )
 
 // Guards against objects that do not survive compression, with or without a
@@ -70,3 +73,24 @@
 		t.Error("delta unpacks with another base")
 	}
 }
+
+// Guards against neighbours that ask for a text at once and each make the node
+// compress it: eight encoders took 17 MB, which the node kept for minutes.
+func TestTextIsPackedOnce(t *testing.T) {
+	text := bytes.Repeat([]byte("route GET /menus to orderdesk tray-1 # Oyuna:\n"), 100)
+	for _, base := range []string{"", "before"} {
+		g := &Gossip{codec: testCodec(t)}
+		g.objects = headState{has: true, head: source.Head{Hash: "now"}, text: text, prevHash: "before", prevText: text[:2000]}
+		results := make([][]byte, 8)
+		var wg sync.WaitGroup
+		for i := range results {
+			wg.Go(func() { results[i] = g.packed("now", base) })
+		}
+		wg.Wait()
+		for _, r := range results {
+			if len(r) == 0 || &r[0] != &results[0][0] {
+				t.Fatalf("base %q: the text was compressed more than once", base)
+			}
+		}
+	}
+}
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -20,7 +20,8 @@
 	self  mesh.HostID
 	codec *codec
 
-	randMu sync.Mutex
+	randMu  sync.Mutex
+	packing sync.Mutex // held while a text is compressed
 
 	mu       sync.Mutex
 	links    map[mesh.HostID]*link
--- a/pkg/distribution/heads.go
+++ b/pkg/distribution/heads.go
@@ -204,6 +204,9 @@
 // packed returns the compressed text with the hash, or nil. It is a delta when
 // the peer holds the text before.
 func (g *Gossip) packed(hash, base string) []byte {
+	// An encoder takes megabytes; neighbours that ask at once share one result.
+	g.packing.Lock()
+	defer g.packing.Unlock()
 	g.mu.Lock()
 	s := g.objects
 	g.mu.Unlock()
