Let calls wait while their node has just started

Change: for 0.6 s after its start a node lets a call wait, at most for half of the call's time, until a target for it is known. Later it refuses at once.

TestCallsWaitForTheStart fails without the change.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -33,6 +33,12 @@
 	// stopRetryAfter is told by a node that stops: the time in which another
 	// process or another node takes the calls.
 	stopRetryAfter = time.Second
+	// startHold is how long after its start a node lets calls wait for the
+	// configuration and for targets. Nodes that start together know both within
+	// 0.2 to 0.5 s (journal, days that end with a loss of power); a caller that is
+	// refused comes back later than that.
+	startHold = 600 * time.Millisecond
+	startPoll = 10 * time.Millisecond
 	// maxDeadline bounds the time of a call whose caller names none.
 	maxDeadline = time.Minute
 )
@@ -85,6 +91,7 @@
 // Entry runs the calls that begin on this host. It is safe for concurrent use.
 type Entry struct {
 	cfg      Config
+	started  time.Time
 	stopping atomic.Bool
 	splitter traffic.Splitter
 	drawer   view.Drawer
@@ -104,7 +111,7 @@
 
 // New returns an entry.
 func New(cfg Config) *Entry {
-	return &Entry{cfg: cfg, rng: rand.New(globalSource{}), pools: make(map[string]*hop.Pool), budgets: make(map[mesh.ServiceName]*retry.Budget)}
+	return &Entry{cfg: cfg, started: time.Now(), rng: rand.New(globalSource{}), pools: make(map[string]*hop.Pool), budgets: make(map[mesh.ServiceName]*retry.Budget)}
 }
 
 // budget returns the repeats that are left for a service.
@@ -175,6 +182,7 @@
 func (e *Entry) Handle(ctx context.Context, req *Request) *Answer {
 	c := &call{e: e, caller: ctx, req: req, id: req.Header.Get(e.cfg.Names.RequestID), snapshot: e.cfg.Snapshot()}
 	e.count("calls.received")
+	c.awaitStart()
 	a := c.prepare()
 	if a == nil {
 		var cancel context.CancelFunc
@@ -186,6 +194,42 @@
 	return a
 }
 
+// awaitStart lets a call wait while the node has just started and does not know
+// yet where the call can go, for at most half of the call's time.
+func (c *call) awaitStart() {
+	until := c.e.started.Add(startHold)
+	if time.Now().After(until) {
+		return
+	}
+	if ms, err := strconv.ParseInt(c.req.Header.Get(c.e.cfg.Names.DeadlineMs), 10, 64); err == nil {
+		if half := c.req.Arrived.Add(time.Duration(ms) * time.Millisecond / 2); half.Before(until) {
+			until = half
+		}
+	}
+	for !c.placeable() && time.Now().Before(until) && c.caller.Err() == nil && !c.e.stopping.Load() {
+		time.Sleep(startPoll)
+		c.snapshot = c.e.cfg.Snapshot()
+	}
+}
+
+// placeable reports whether the node knows a target for the call, or that the
+// call has no route.
+func (c *call) placeable() bool {
+	if c.snapshot == nil {
+		return false
+	}
+	route := c.snapshot.Matcher.Match(c.req.Host, c.req.Path)
+	if route == nil {
+		return true
+	}
+	for _, part := range route.Split {
+		if s := c.snapshot.Services[part.Service]; s != nil && s.Stable != nil && s.Stable.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // prepare finds the route and the deadline; it returns the answer to a call
 // that cannot be placed.
 func (c *call) prepare() *Answer {
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -238,3 +238,50 @@
 		})
 	}
 }
+
+// Guards against calls that are refused in the moment in which a node that has
+// just started does not know its configuration or targets yet, against a wait
+// beyond half of the call's time, and against one by a node that has run for long.
+func TestCallsWaitForTheStart(t *testing.T) {
+	cases := []struct {
+		name   string
+		age    time.Duration // of the node when the call comes
+		known  time.Duration // from the start of the node until its targets are known
+		status int
+		wait   time.Duration
+	}{
+		{"soon", 0, 150 * time.Millisecond, 200, 150 * time.Millisecond},
+		{"too late for the call", 0, time.Hour, 503, 200 * time.Millisecond},
+		{"too late for a start", startHold - 50*time.Millisecond, time.Hour, 503, 50 * time.Millisecond},
+		{"long after the start", 2 * startHold, time.Hour, 503, 0},
+	}
+	for _, empty := range []bool{false, true} { // no configuration, or one without targets
+		for _, tc := range cases {
+			t.Run(fmt.Sprint(tc.name, empty), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := &fakeOwner{script: func(_ int, r *hop.Request) *hop.Response { return ok(r) }}
+					e := newEntry(f, 1)
+					full, before := e.cfg.Snapshot(), newEntry(f, 0).cfg.Snapshot()
+					if !empty {
+						before = nil
+					}
+					started := time.Now()
+					e.cfg.Snapshot = func() *view.Snapshot {
+						if time.Since(started) >= tc.known {
+							return full
+						}
+						return before
+					}
+					time.Sleep(tc.age)
+					came := time.Now()
+					if a := e.Handle(t.Context(), callTo("/menus/1")); a.Status != tc.status {
+						t.Errorf("status %d, want %d", a.Status, tc.status)
+					}
+					if took := time.Since(came); took < tc.wait || took > tc.wait+2*startPoll {
+						t.Errorf("took %s, want %s", took, tc.wait)
+					}
+				})
+			})
+		}
+	}
+}
