Repair host records by their hashes

While records change all the time the digests of neighbours nearly always differ, and each repair sent every record of the buckets that differ in both directions: with 300 hosts about 130 records for one that was missing.

Change: the answer to the digests holds the hashes of the records of the buckets that differ, 8 bytes each; records go only where the other side lacks them. Hosts that failed or left are corrected as before.

Tests: TestDifference; the faults, property and scale tests of pkg/distribution pass unchanged.

--- a/pkg/distribution/handle.go
+++ b/pkg/distribution/handle.go
@@ -133,35 +133,42 @@
 	g.mu.Unlock()
 }
 
-// handleRepair responds to a step of a repair.
+// handleRepair responds to a step of a repair. Records that came with it have
+// been merged already.
 func (l *link) handleRepair(r *repair) {
 	g := l.g
-	if len(r.Digests) > 0 {
-		own := g.digest()
+	switch {
+	case len(r.Digests) > 0:
 		buckets := make(map[int]bool)
-		var want []uint16
-		for i, d := range own {
+		var differ []uint16
+		for i, d := range g.digest() {
 			if r.Digests[i] != d {
 				buckets[i] = true
-				want = append(want, uint16(i))
+				differ = append(differ, uint16(i))
 			}
 		}
-		if len(want) == 0 {
+		if len(differ) == 0 {
 			return
 		}
 		l.queueVetoes(g.vetoesIn(buckets))
-		l.queueHosts(g.cfg.Members.InBuckets(buckets))
-		l.queue(func(o *outbox) { o.repair = &repair{Want: want, Correct: true} })
-		return
-	}
-	if len(r.Want) > 0 {
+		held := g.cfg.Members.HashesIn(buckets)
+		l.queue(func(o *outbox) { o.repair = &repair{Buckets: differ, Held: held} })
+	case len(r.Buckets) > 0:
 		buckets := make(map[int]bool)
-		for _, i := range r.Want {
+		for _, i := range r.Buckets {
 			buckets[int(i)] = true
 		}
+		extra, lacking := g.cfg.Members.Difference(buckets, r.Held)
 		l.queueVetoes(g.vetoesIn(buckets))
-		l.queueHosts(g.cfg.Members.InBuckets(buckets))
-		l.queue(func(o *outbox) { o.repair = &repair{Correct: true} })
+		l.queueHosts(extra)
+		if len(lacking) == 0 {
+			g.markSynced()
+		}
+		l.queue(func(o *outbox) { o.repair = &repair{Ask: lacking, Correct: true} })
+	case len(r.Ask) > 0:
+		l.queueHosts(g.cfg.Members.WithHashes(r.Ask))
+		l.queue(func(o *outbox) { o.repair = &repair{Done: true, Correct: true} })
+	case r.Done:
 		g.markSynced()
 	}
 }
