--- a/pkg/distribution/handle.go
+++ b/pkg/distribution/handle.go
@@ -133,42 +133,35 @@
 	g.mu.Unlock()
 }
 
-// handleRepair responds to a step of a repair. Records that came with it have
-// been merged already.
+// handleRepair responds to a step of a repair.
 func (l *link) handleRepair(r *repair) {
 	g := l.g
-	switch {
-	case len(r.Digests) > 0:
+	if len(r.Digests) > 0 {
+		own := g.digest()
 		buckets := make(map[int]bool)
-		var differ []uint16
-		for i, d := range g.digest() {
+		var want []uint16
+		for i, d := range own {
 			if r.Digests[i] != d {
 				buckets[i] = true
-				differ = append(differ, uint16(i))
+				want = append(want, uint16(i))
 			}
 		}
-		if len(differ) == 0 {
+		if len(want) == 0 {
 			return
 		}
 		l.queueVetoes(g.vetoesIn(buckets))
-		held := g.cfg.Members.HashesIn(buckets)
-		l.queue(func(o *outbox) { o.repair = &repair{Buckets: differ, Held: held} })
-	case len(r.Buckets) > 0:
+		l.queueHosts(g.cfg.Members.InBuckets(buckets))
+		l.queue(func(o *outbox) { o.repair = &repair{Want: want, Correct: true} })
+		return
+	}
+	if len(r.Want) > 0 {
 		buckets := make(map[int]bool)
-		for _, i := range r.Buckets {
+		for _, i := range r.Want {
 			buckets[int(i)] = true
 		}
-		extra, lacking := g.cfg.Members.Difference(buckets, r.Held)
 		l.queueVetoes(g.vetoesIn(buckets))
-		l.queueHosts(extra)
-		if len(lacking) == 0 {
-			g.markSynced()
-		}
-		l.queue(func(o *outbox) { o.repair = &repair{Ask: lacking, Correct: true} })
-	case len(r.Ask) > 0:
-		l.queueHosts(g.cfg.Members.WithHashes(r.Ask))
-		l.queue(func(o *outbox) { o.repair = &repair{Done: true, Correct: true} })
-	case r.Done:
+		l.queueHosts(g.cfg.Members.InBuckets(buckets))
+		l.queue(func(o *outbox) { o.repair = &repair{Correct: true} })
 		g.markSynced()
 	}
 }
--- a/pkg/distribution/message.go
+++ b/pkg/distribution/message.go
@@ -29,26 +29,16 @@
 	Answer   bool               `cbor:"4,keyasint,omitempty"` // sent in response to a heartbeat
 }
 
-// repair is one step of the exchange that follows differing digests. The first
-// holds the Digests of all buckets. The answer names the Buckets that differ and
-// the hashes of the records Held there, since most records of a bucket are the
-// same on both sides. The third step comes with the records that the peer lacks
-// and asks for those that it holds alone; the answer to that is Done. Correct
-// marks records to which a peer that holds newer ones responds with them, since
-// the hashes do not cover hosts that have failed or left.
+// repair is one step of the exchange that follows differing digests: Digests
+// asks for the records of the buckets that differ; Want asks for the peer's
+// records of those buckets in return; Correct marks records to which a peer
+// that holds newer ones responds with them.
 type repair struct {
 	Digests []uint64 `cbor:"1,keyasint,omitempty"`
-	Buckets []uint16 `cbor:"2,keyasint,omitempty"`
-	Held    []uint64 `cbor:"3,keyasint,omitempty"`
-	Ask     []uint64 `cbor:"4,keyasint,omitempty"`
-	Done    bool     `cbor:"5,keyasint,omitempty"`
-	Correct bool     `cbor:"6,keyasint,omitempty"`
+	Want    []uint16 `cbor:"2,keyasint,omitempty"`
+	Correct bool     `cbor:"3,keyasint,omitempty"`
 }
 
-// maxRecords bounds the records that one step of a repair names: the planned
-// size with a wide margin.
-const maxRecords = 16 << 10
-
 // request is what a peer asks outside the gossip stream. Exactly one part is set.
 type request struct {
 	Object string `cbor:"1,keyasint,omitempty"` // hash of a rules text
@@ -148,9 +138,8 @@
 			return err
 		}
 	}
-	if r := m.Repair; r != nil && (len(r.Digests) != 0 && len(r.Digests) != membership.Buckets ||
-		len(r.Buckets) > membership.Buckets || len(r.Held) > maxRecords || len(r.Ask) > maxRecords) {
-		return fmt.Errorf("repair with %d digests, %d buckets, %d held and %d asked records", len(r.Digests), len(r.Buckets), len(r.Held), len(r.Ask))
+	if r := m.Repair; r != nil && (len(r.Digests) != 0 && len(r.Digests) != membership.Buckets || len(r.Want) > membership.Buckets) {
+		return fmt.Errorf("repair with %d digests and %d wanted buckets", len(r.Digests), len(r.Want))
 	}
 	return nil
 }
--- a/pkg/distribution/message_test.go
+++ b/pkg/distribution/message_test.go
@@ -37,8 +37,7 @@
 		{Hosts: []cbor.RawMessage{h}},
 		{Vetoes: []source.Veto{{Service: "s", Version: "v", Attempt: 1, Evidence: strings.Repeat("e", 4000), At: time.Unix(5, 0).UTC()}}},
 		{Repair: &repair{Digests: make([]uint64, membership.Buckets)}},
-		{Repair: &repair{Buckets: []uint16{1, 2}, Held: []uint64{7, 1 << 63}}},
-		{Repair: &repair{Ask: []uint64{7}, Done: true, Correct: true}},
+		{Repair: &repair{Want: []uint16{1, 2}, Correct: true}},
 	}
 }
 
--- a/pkg/membership/digest.go
+++ b/pkg/membership/digest.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/binary"
-	"maps"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -54,54 +52,9 @@
 	return xxhash.Sum64(b)
 }
 
-// HashesIn returns the hashes of the records of the given buckets that the
-// digests cover.
-func (t *Table) HashesIn(buckets map[int]bool) []uint64 {
+// InBuckets returns the records of the given buckets that the digests cover.
+func (t *Table) InBuckets(buckets map[int]bool) []Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var hashes []uint64
-	for _, e := range t.hosts {
-		if e.covered(buckets) {
-			hashes = append(hashes, recordHash(&e.host))
-		}
-	}
-	return hashes
-}
-
-// Difference compares the records of the given buckets with the hashes of those
-// that another table holds. It returns the records that the other lacks, and the
-// hashes of those that this one lacks.
-func (t *Table) Difference(buckets map[int]bool, held []uint64) (extra []Host, lacking []uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	missing := make(map[uint64]bool, len(held))
-	for _, h := range held {
-		missing[h] = true
-	}
-	extra = t.collect(func(e *entry) bool {
-		if !e.covered(buckets) {
-			return false
-		}
-		hash := recordHash(&e.host)
-		known := missing[hash]
-		delete(missing, hash)
-		return !known
-	})
-	return extra, slices.Collect(maps.Keys(missing))
-}
-
-// WithHashes returns the records that have one of the given hashes.
-func (t *Table) WithHashes(hashes []uint64) []Host {
-	wanted := make(map[uint64]bool, len(hashes))
-	for _, h := range hashes {
-		wanted[h] = true
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.collect(func(e *entry) bool { return !e.host.Status.gone() && wanted[recordHash(&e.host)] })
-}
-
-// covered reports whether the digest of one of the buckets covers the record.
-func (e *entry) covered(buckets map[int]bool) bool {
-	return !e.host.Status.gone() && buckets[BucketOf(e.host.ID)]
+	return t.collect(func(e *entry) bool { return !e.host.Status.gone() && buckets[BucketOf(e.host.ID)] })
 }
