--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -497,6 +497,9 @@
 	if c.route != nil {
 		line = line.Str("route", c.route.Name).Dur("left", time.Until(c.deadline)).Uint64("config", c.snapshot.Config.Version)
 	}
+	if after := a.Header.Get("Retry-After"); after != "" {
+		line = line.Str("retry_after", after)
+	}
 	line.Bool("caller_left", c.caller.Err() != nil).Msg("call ended")
 }
 
