--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -97,6 +97,7 @@
 	drawer   view.Drawer
 	rng      *rand.Rand
 	routes   routeStats
+	patience patience
 
 	mu      sync.Mutex
 	pools   map[string]*hop.Pool
@@ -246,12 +247,14 @@
 	if c.route == nil {
 		return c.refuse(http.StatusNotFound, reasonNoRoute, 0)
 	}
-	limit := min(c.route.Timeout, maxDeadline)
+	limit, spent := min(c.route.Timeout, maxDeadline), time.Duration(0)
 	if ms, err := strconv.ParseInt(c.req.Header.Get(c.e.cfg.Names.DeadlineMs), 10, 64); err == nil {
-		limit = min(limit, time.Duration(ms)*time.Millisecond)
+		named := time.Duration(ms) * time.Millisecond
+		limit = min(limit, named)
+		spent = c.e.patience.spent(c.route.Name, named, c.req.Arrived)
 	}
 	c.deadline = c.req.Arrived.Add(limit)
-	c.aim = c.req.Arrived.Add(c.route.LatencyTarget)
+	c.aim = c.req.Arrived.Add(c.route.LatencyTarget - spent)
 	if limit <= 0 {
 		return c.refuse(http.StatusServiceUnavailable, reasonDeadline, 0)
 	}
