--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -43,7 +43,23 @@
 		d.n.signal(syscall.SIGHUP)
 		d.n.signalled(syscall.SIGTERM)
 	}},
-	{"hup", func(_ context.Context, _ *world, d draw) { d.n.signal(syscall.SIGHUP) }},
+	// The settings change, with a signal or without one. A shorter drain time keeps
+	// the promise of the longer one.
+	{"hup", func(ctx context.Context, w *world, d draw) {
+		shorter := bounds
+		shorter.Drain /= 2
+		if err := d.n.writeSettings(shorter); err != nil {
+			w.journal.broken("settings of %s: %v", d.n.host, err)
+		}
+		if !d.odd {
+			d.n.signal(syscall.SIGHUP)
+		}
+		sleep(ctx, d.length)
+		if err := d.n.writeSettings(bounds); err != nil {
+			w.journal.broken("settings of %s: %v", d.n.host, err)
+		}
+		d.n.signal(syscall.SIGHUP)
+	}},
 	{"pause", func(ctx context.Context, _ *world, d draw) {
 		d.n.signal(syscall.SIGSTOP)
 		sleep(ctx, d.length)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -32,13 +32,13 @@
 	targets []*target
 }
 
-func (n *node) writeSettings() error {
+func (n *node) writeSettings(b platform.Bounds) error {
 	i := n.index
 	settings := &platform.Settings{
 		Host: n.host, DataCentre: n.dc, IP: n.w.address(i, 0).Addr(), Service: n.service, TargetAddress: n.w.address(i, 1),
 		CallerAddress: n.w.address(i, portCaller), CallAddress: n.w.address(i, portCall),
 		ReadyAddress: n.w.address(i, portReady), AnnounceAddress: n.w.address(i, portAnnounce),
-		StoreAddress: n.w.shadow(i, portStore).String(), MemoryBytes: 128 << 20, Bounds: bounds,
+		StoreAddress: n.w.shadow(i, portStore).String(), MemoryBytes: 128 << 20, Bounds: b,
 	}
 	return os.WriteFile(n.w.path(string(n.host)+".conf"), platform.EncodeSettings(settings), 0o600)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -162,7 +162,7 @@
 		if err := w.forwardStore(ctx, i, l.Addr().String()); err != nil {
 			return err
 		}
-		if err := n.writeSettings(); err != nil {
+		if err := n.writeSettings(bounds); err != nil {
 			return err
 		}
 		if err := n.start(); err != nil {
