Outlive a hang-up signal while the node stops

Change: the follower runs until the process ends. The soak now reports a process that ends otherwise than by SIGKILL or with success; its faults have held "SIGTERM, then SIGHUP" all the time, but nothing looked at how the process ended.

Tests: TestHangUpWhileStopping fails with the old code ("signal: hangup").

--- a/cmd/nutmeghoist-sidecar/main.go
+++ b/cmd/nutmeghoist-sidecar/main.go
@@ -88,7 +88,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go newReloader(path, settings, s, store, logger).run(ctx)
+	go newReloader(path, settings, s, store, logger).run()
 	if err := s.Run(ctx); err != nil {
 		return exitFailed
 	}
--- a/cmd/nutmeghoist-sidecar/reload.go
+++ b/cmd/nutmeghoist-sidecar/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -54,17 +53,16 @@
 	return &reloader{path: path, inUse: s, seen: seen, node: node, store: store, log: logger}
 }
 
-// run follows the file and the hang-up signal until the context ends.
-func (r *reloader) run(ctx context.Context) {
+// run follows the file and the hang-up signal until the process ends. A node
+// that stops takes the signal too: left to its default it would end the process
+// and cut the calls in flight.
+func (r *reloader) run() {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(settingsPeriod)
 	defer tick.Stop()
 	for {
 		select {
-		case <-ctx.Done():
-			return
 		case <-hup:
 			r.reload()
 		case <-tick.C:
--- a/cmd/nutmeghoist-sidecar/reload_test.go
+++ b/cmd/nutmeghoist-sidecar/reload_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
+	"io"
 	"net/netip"
 	"os"
+	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -95,7 +101,7 @@
 	write(t, path, []byte("a=1\n"))
 	var logs syncBuffer
 	r := newReloader(path, &platform.Settings{}, nil, nil, telemetry.NewLogger(&logs, "info", "h1"))
-	go r.run(t.Context())
+	go r.run()
 	write(t, path, []byte("a=2\n"))
 	for range 100 {
 		if strings.Contains(logs.String(), "settings are invalid") {
@@ -105,3 +111,38 @@
 	}
 	t.Errorf("the change was not read; logs:\n%s", logs.String())
 }
+
+// hangUpVariable makes the test binary a node that stops, see TestHangUpWhileStopping.
+const hangUpVariable = "NUTMEGHOIST_TEST_HANG_UP"
+
+// Guards against a hang-up signal that ends a node which is stopping and has
+// calls in flight.
+func TestHangUpWhileStopping(t *testing.T) {
+	if path := os.Getenv(hangUpVariable); path != "" {
+		hangUpWhileStopping(path)
+	}
+	cmd := exec.Command(os.Args[0], "-test.run", "^TestHangUpWhileStopping$")
+	cmd.Env = append(os.Environ(), hangUpVariable+"="+filepath.Join(t.TempDir(), "settings"))
+	out, err := cmd.CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "calls are answered") {
+		t.Fatalf("the process ended by %v:\n%s", err, out)
+	}
+}
+
+// hangUpWhileStopping plays the signals of a stop and ends the process.
+func hangUpWhileStopping(path string) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	go newReloader(path, &platform.Settings{}, nil, nil, telemetry.NewLogger(io.Discard, "info", "h1")).run()
+	time.Sleep(50 * time.Millisecond)
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			fmt.Println(err)
+			os.Exit(exitFailed)
+		}
+		<-ctx.Done()
+		time.Sleep(100 * time.Millisecond)
+	}
+	fmt.Println("calls are answered")
+	os.Exit(exitOK)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -150,6 +150,7 @@
 func (n *node) signalled(s syscall.Signal) {
 	n.mu.Lock()
 	n.ordered = time.Now()
+	n.killed = n.killed || s == syscall.SIGKILL
 	n.mu.Unlock()
 	n.signal(s)
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -28,6 +29,7 @@
 	done    chan struct{} // closed when the process has ended
 	starts  int
 	ordered time.Time // when this run last ordered the process to end
+	killed  bool      // this run sent SIGKILL to the process
 	stopped bool      // the run is over
 	targets []*target
 }
@@ -60,7 +62,7 @@
 		return fmt.Errorf("process of %s: %w", n.host, err)
 	}
 	done := make(chan struct{})
-	n.cmd, n.done = cmd, done
+	n.cmd, n.done, n.killed = cmd, done, false
 	n.starts++
 	go func() {
 		err := cmd.Wait()
@@ -70,18 +72,29 @@
 	return nil
 }
 
+// terminated reports whether SIGTERM ended a process that had not begun to handle
+// it, because it had just started.
+func terminated(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM
+}
+
 // restartDelay is how long a process that ended stays down.
 const restartDelay = 300 * time.Millisecond
 
 // ended starts the next process. One that ended without an order is a finding.
 func (n *node) ended(err error) {
 	n.mu.Lock()
-	stopped, ordered := n.stopped, n.ordered
+	stopped, ordered, killed := n.stopped, n.ordered, n.killed
 	n.mu.Unlock()
 	if stopped {
 		return
 	}
-	if time.Since(ordered) > bounds.Grace+time.Second {
+	if time.Since(ordered) > bounds.Grace+time.Second || err != nil && !killed && !terminated(err) {
 		n.w.journal.broken("the process of %s ended by itself: %v", n.host, err)
 	}
 	time.Sleep(restartDelay)
