--- a/cmd/nutmeghoist-sidecar/main.go
+++ b/cmd/nutmeghoist-sidecar/main.go
@@ -44,6 +44,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	hup := hangUps()
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		var fe *flags.Error
@@ -88,7 +89,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go newReloader(path, settings, s, store, logger).run()
+	go newReloader(path, settings, s, store, logger).run(hup)
 	if err := s.Run(ctx); err != nil {
 		return exitFailed
 	}
--- a/cmd/nutmeghoist-sidecar/reload.go
+++ b/cmd/nutmeghoist-sidecar/reload.go
@@ -53,12 +53,17 @@
 	return &reloader{path: path, inUse: s, seen: seen, node: node, store: store, log: logger}
 }
 
-// run follows the file and the hang-up signal until the process ends. A node
-// that stops takes the signal too: left to its default it would end the process
-// and cut the calls in flight.
-func (r *reloader) run() {
+// hangUps returns the hang-up signals of the process from now until its end. Left
+// to its default, the signal would end a node that starts, or one that stops and
+// has calls in flight.
+func hangUps() <-chan os.Signal {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
+// run follows the file and the hang-up signals until the process ends.
+func (r *reloader) run(hup <-chan os.Signal) {
 	tick := time.NewTicker(settingsPeriod)
 	defer tick.Stop()
 	for {
--- a/cmd/nutmeghoist-sidecar/reload_test.go
+++ b/cmd/nutmeghoist-sidecar/reload_test.go
@@ -101,7 +101,7 @@
 	write(t, path, []byte("a=1\n"))
 	var logs syncBuffer
 	r := newReloader(path, &platform.Settings{}, nil, nil, telemetry.NewLogger(&logs, "info", "h1"))
-	go r.run()
+	go r.run(nil)
 	write(t, path, []byte("a=2\n"))
 	for range 100 {
 		if strings.Contains(logs.String(), "settings are invalid") {
@@ -133,7 +133,7 @@
 func hangUpWhileStopping(path string) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	go newReloader(path, &platform.Settings{}, nil, nil, telemetry.NewLogger(io.Discard, "info", "h1")).run()
+	go newReloader(path, &platform.Settings{}, nil, nil, telemetry.NewLogger(io.Discard, "info", "h1")).run(hangUps())
 	time.Sleep(50 * time.Millisecond)
 	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
 		if err := syscall.Kill(os.Getpid(), s); err != nil {
