Keep backup reads of the store out of the retries while it is down

Cause: a host whose rare backup read fell due during an outage did not move its next one, so that it kept retrying beside the three hosts that should. Change: the next backup read moves after a failure too.

--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -76,6 +76,9 @@
 		}
 		if err := f.poll(ctx, wait); err != nil {
 			f.handleFailure(ctx, err)
+			if !following {
+				nextBackup = time.Now().Add(a.backupReadDelay()) // the followers keep retrying
+			}
 			continue
 		}
 		f.handleSuccess()
--- /dev/null
+++ b/internal/racetest/norace.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package racetest
+
+// Detector reports whether the tests run under the race detector.
+const Detector = false
