--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -13,14 +13,21 @@
 	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
 )
 
-// buildDebounce delays a rebuild, so that changes of host records in quick
-// succession share one snapshot.
-const buildDebounce = 5 * time.Millisecond
+const (
+	// buildDebounce delays a rebuild, so that changes of host records in quick
+	// succession share one snapshot.
+	buildDebounce = 5 * time.Millisecond
+	// minBuildInterval is the shortest time between two rebuilds for changes of host
+	// records. In a large mesh records change without pause while hosts start, and
+	// each build reads all of them.
+	minBuildInterval = 50 * time.Millisecond
+)
 
 // buildLoop builds a snapshot after each change of the host records.
 func (a *Agent) buildLoop(ctx context.Context) {
 	for {
 		changed := a.members.NextChange()
+		built := time.Now()
 		a.buildSnapshot()
 		wake(a.coordinator.wakeup)
 		select {
@@ -28,7 +35,7 @@
 			return
 		case <-changed:
 		}
-		if !pause.For(ctx, buildDebounce) {
+		if !pause.For(ctx, max(buildDebounce, minBuildInterval-time.Since(built))) {
 			return
 		}
 	}
@@ -55,17 +62,12 @@
 	for name := range a.config.Services {
 		s.Services[name] = a.buildService(name, targets[name], progress[name])
 	}
-	a.tracker.Prune(func(k routing.Key) bool { return containsHost(hosts, k) })
-	a.current.Store(s)
-}
-
-func containsHost(hosts []membership.Host, k routing.Key) bool {
+	known := make(map[mesh.HostID]bool, len(hosts))
 	for i := range hosts {
-		if hosts[i].ID == k.Host {
-			return true
-		}
+		known[hosts[i].ID] = true
 	}
-	return false
+	a.tracker.Prune(func(k routing.Key) bool { return known[k.Host] })
+	a.current.Store(s)
 }
 
 // targetsByService returns the targets of all hosts that are alive or suspected.
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -173,6 +173,7 @@
 	self := c.agent.cfg.Self.ID
 	rank, holderAlive := 0, false
 	ownHash := xxhash.Sum64String(string(self) + "\x00" + string(o.Service))
+	followers := storeFollowers(hosts)
 	for i := range hosts {
 		h := &hosts[i]
 		alive := h.Status == membership.StatusAlive && !h.Detached
@@ -182,7 +183,7 @@
 		if h.ID == self && (!alive || h.Status != membership.StatusAlive) {
 			return false
 		}
-		if alive && h.ID != self && xxhash.Sum64String(string(h.ID)+"\x00"+string(o.Service)) < ownHash && c.hostFollowsStore(h, hosts) {
+		if followers[h.ID] && h.ID != self && xxhash.Sum64String(string(h.ID)+"\x00"+string(o.Service)) < ownHash {
 			rank++
 		}
 	}
@@ -200,18 +201,30 @@
 	return time.Since(since) >= time.Duration(rank)*claimDelay
 }
 
-// hostFollowsStore reports whether a host follows the store for its data centre.
-// Such hosts receive the orders first.
-func (c *coordinator) hostFollowsStore(h *membership.Host, hosts []membership.Host) bool {
-	hostHash := xxhash.Sum64String(string(h.ID))
+// storeFollowers returns the hosts that follow the store for their data centre:
+// of the live hosts there that reach it, the one with the lowest hash. They
+// receive the orders first.
+func storeFollowers(hosts []membership.Host) map[mesh.HostID]bool {
+	type follower struct {
+		id   mesh.HostID
+		hash uint64
+	}
+	lowest := make(map[mesh.DataCentre]follower)
 	for i := range hosts {
-		o := &hosts[i]
-		if o.DataCentre == h.DataCentre && o.ID != h.ID && o.Status == membership.StatusAlive && !o.Detached &&
-			xxhash.Sum64String(string(o.ID)) < hostHash {
-			return false
+		h := &hosts[i]
+		if h.Status != membership.StatusAlive || h.Detached {
+			continue
+		}
+		hash := xxhash.Sum64String(string(h.ID))
+		if f, ok := lowest[h.DataCentre]; !ok || hash < f.hash {
+			lowest[h.DataCentre] = follower{h.ID, hash}
 		}
 	}
-	return true
+	out := make(map[mesh.HostID]bool, len(lowest))
+	for _, f := range lowest {
+		out[f.id] = true
+	}
+	return out
 }
 
 // claim makes this host the coordinator of a rollout. The version of the row that
--- a/internal/node/confirm.go
+++ b/internal/node/confirm.go
@@ -136,7 +136,7 @@
 // expectedHosts returns the hosts of a data centre that must confirm: all except
 // those that have failed or left.
 func (n *Node) expectedHosts(dc mesh.DataCentre) []membership.Host {
-	return slices.DeleteFunc(n.members.Hosts(), func(h membership.Host) bool {
+	return slices.DeleteFunc(slices.Clone(n.members.Hosts()), func(h membership.Host) bool {
 		return h.DataCentre != dc || h.Status >= membership.StatusFailed
 	})
 }
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -48,7 +48,7 @@
 // partition may choose different candidates; the lease still admits only one
 // writer.
 func (n *Node) isReportCandidate() bool {
-	hosts := slices.DeleteFunc(n.members.Hosts(), func(h membership.Host) bool { return h.Status > membership.StatusSuspect })
+	hosts := slices.DeleteFunc(slices.Clone(n.members.Hosts()), func(h membership.Host) bool { return h.Status > membership.StatusSuspect })
 	slices.SortFunc(hosts, func(a, b membership.Host) int {
 		if xxhash.Sum64String(string(a.ID)) < xxhash.Sum64String(string(b.ID)) {
 			return -1
--- a/pkg/distribution/link.go
+++ b/pkg/distribution/link.go
@@ -115,6 +115,7 @@
 	defer heartbeatTimer.Stop()
 	defer flushTimer.Stop()
 	flushPending := false
+	var lastFlush time.Time // when the last records were sent
 	for {
 		select {
 		case <-l.done:
@@ -130,13 +131,13 @@
 			if l.hasOnlyRecords() {
 				if !flushPending {
 					flushPending = true
-					flushTimer.Reset(l.g.jitter(maxRecordDelay))
+					flushTimer.Reset(max(0, minRecordInterval-time.Since(lastFlush)) + l.g.jitter(maxRecordDelay))
 				}
 				continue
 			}
 		case <-flushTimer.C:
 		}
-		flushPending = false
+		flushPending, lastFlush = false, time.Now()
 		for {
 			frame, err := l.nextFrame()
 			if err != nil {
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -175,7 +175,7 @@
 			t.put(canonical(h), now)
 			dirty = true
 		case e.host.Status.isTerminal() && now.Sub(e.statusSince) >= t.opts.Retention:
-			delete(t.hosts, id) // failed and left records are in no digest
+			t.remove(id) // failed and left records are in no digest
 			dirty = true
 		}
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -39,6 +39,9 @@
 
 	mu        sync.Mutex
 	hosts     map[mesh.HostID]*entry
+	sorted    []*entry // of hosts, by ID
+	shown     []Host   // the result of Hosts; nil after a change
+	shownTill time.Time
 	digests   [BucketCount]uint64
 	version   uint64
 	changed   chan struct{}
@@ -94,15 +97,34 @@
 }
 
 // Hosts returns the known hosts ordered by ID, without those that failed or
-// left longer ago than Options.HideAfter.
+// left longer ago than Options.HideAfter. All callers get the same slice until a
+// record changes and must not modify it or its records.
 func (t *Table) Hosts() []Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.collect(func(e *entry) bool { return !e.isHidden(t.opts.HideAfter) })
+	now := time.Now()
+	if t.shown == nil || !now.Before(t.shownTill) {
+		t.shown = t.collect(func(e *entry) bool { return !e.isHidden(t.opts.HideAfter) })
+		t.shownTill = t.nextHiding(now)
+	}
+	return t.shown
+}
+
+// nextHiding returns when the next host disappears from Hosts without a change
+// of its record.
+func (t *Table) nextHiding(now time.Time) time.Time {
+	next := now.Add(t.opts.HideAfter)
+	for _, e := range t.sorted {
+		if hidden := e.statusSince.Add(t.opts.HideAfter); e.host.Status.isTerminal() && hidden.After(now) && hidden.Before(next) {
+			next = hidden
+		}
+	}
+	return next
 }
 
 // FailedHosts returns the failed hosts whose records are still kept. A
-// successful dial to one of them shows that a partition has healed.
+// successful dial to one of them shows that a partition has healed. Callers must
+// not modify the records.
 func (t *Table) FailedHosts() []Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -142,7 +164,8 @@
 }
 
 // ChangedSince returns the records that changed after the given table version,
-// and the current version. Version 0 returns all records.
+// and the current version. Version 0 returns all records. Callers must not modify
+// them.
 func (t *Table) ChangedSince(version uint64) ([]Host, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,22 +181,40 @@
 }
 
 func (t *Table) collect(keep func(*entry) bool) []Host {
-	hosts := make([]Host, 0, len(t.hosts))
-	for _, e := range t.hosts {
+	hosts := make([]Host, 0, len(t.sorted))
+	for _, e := range t.sorted {
 		if keep(e) {
-			hosts = append(hosts, clone(e.host))
+			hosts = append(hosts, e.host)
 		}
 	}
-	slices.SortFunc(hosts, func(a, b Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return hosts
 }
 
-// put stores a record and updates the digests, versions and timers.
+// remove deletes a record that is in no digest.
+func (t *Table) remove(id mesh.HostID) {
+	delete(t.hosts, id)
+	if i, ok := t.position(id); ok {
+		t.sorted = slices.Delete(t.sorted, i, i+1)
+	}
+	t.shown = nil
+}
+
+// position returns the index of a host in sorted, or where to insert it.
+func (t *Table) position(id mesh.HostID) (int, bool) {
+	return slices.BinarySearchFunc(t.sorted, id, func(e *entry, id mesh.HostID) int {
+		return strings.Compare(string(e.host.ID), string(id))
+	})
+}
+
+// put stores a record and updates the digests, versions and timers. The record
+// is never modified afterwards, since Hosts shares it.
 func (t *Table) put(h Host, now time.Time) {
 	e := t.hosts[h.ID]
 	if e == nil {
-		e = &entry{statusSince: now}
+		e = &entry{host: h, statusSince: now}
 		t.hosts[h.ID] = e
+		i, _ := t.position(h.ID)
+		t.sorted = slices.Insert(t.sorted, i, e)
 	} else {
 		t.digests[BucketOf(h.ID)] -= recordHash(&e.host)
 		if e.host.Status != h.Status {
@@ -181,6 +222,7 @@
 		}
 	}
 	t.version++
+	t.shown = nil
 	e.host, e.version = h, t.version
 	switch h.Status {
 	case StatusSuspect:
