Take the lock for a host's own state when confirmations are gathered

Cause: gatherHosts appended the own state without the lock that the answers of other hosts take, so that a confirmation could be lost for a round.

--- a/internal/node/confirm.go
+++ b/internal/node/confirm.go
@@ -38,22 +38,32 @@
 // gatherHosts requests the states of the given hosts and omits hosts that do not
 // answer.
 func (n *Node) gatherHosts(ctx context.Context, hosts []membership.Host) []hostState {
+	return gatherStates(hosts, func(h *membership.Host) (hostState, bool) {
+		if h.ID == n.settings.Host {
+			return n.ownState(), true
+		}
+		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+		defer cancel()
+		var s hostState
+		err := n.sendControl(ctx, h, http.MethodGet, pathState, nil, &s)
+		if err != nil {
+			n.log.Debug().Err(err).Str("peer", string(h.ID)).Msg("host did not confirm")
+		}
+		return s, err == nil
+	})
+}
+
+// gatherStates calls request for each host, for several at once, and returns the
+// states that it got.
+func gatherStates(hosts []membership.Host, request func(*membership.Host) (hostState, bool)) []hostState {
 	var mu sync.Mutex
 	states := make([]hostState, 0, len(hosts))
 	var g errgroup.Group
 	g.SetLimit(gatherConcurrency)
 	for i := range hosts {
-		h := &hosts[i]
-		if h.ID == n.settings.Host {
-			states = append(states, n.ownState())
-			continue
-		}
 		g.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-			defer cancel()
-			var s hostState
-			if err := n.sendControl(ctx, h, http.MethodGet, pathState, nil, &s); err != nil {
-				n.log.Debug().Err(err).Str("peer", string(h.ID)).Msg("host did not confirm")
+			s, ok := request(&hosts[i])
+			if !ok {
 				return nil
 			}
 			mu.Lock()
