Keep the history of a rollout when another service is rolled out too

Cause: the monitor dropped the histories of all services whenever one was missing, so that with two rollouts at once hosts judged without the windows of earlier rounds. Change: only histories of the same service's earlier orders are dropped; test.

--- a/internal/control/monitor.go
+++ b/internal/control/monitor.go
@@ -106,13 +106,9 @@
 // evaluate judges this host's counts and sends them to the coordinator.
 func (m *RolloutMonitor) evaluate(ctx context.Context, s *view.Service, p *rollout.Progress) {
 	t := m.currentTally(s, p)
-	id := rolloutID{s.Name, p.Revision}
-	if m.histories[id] == nil {
-		clear(m.histories) // of earlier rollouts, and of other services' running ones
-		m.histories[id] = &rollout.History{}
-	}
-	m.histories[id].Add(time.Now(), t.Routes)
-	if reason := m.histories[id].Judge(); reason != "" {
+	history := m.history(rolloutID{s.Name, p.Revision})
+	history.Add(time.Now(), t.Routes)
+	if reason := history.Judge(); reason != "" {
 		m.agent.addVeto(s.Name, p.To, p.Revision, reason)
 	}
 	if p.Holder == m.agent.cfg.Self.ID {
@@ -135,6 +131,16 @@
 	}
 }
 
+// history returns the history of a rollout. A new one replaces those of the same
+// service's earlier rollouts.
+func (m *RolloutMonitor) history(id rolloutID) *rollout.History {
+	if m.histories[id] == nil {
+		maps.DeleteFunc(m.histories, func(old rolloutID, _ *rollout.History) bool { return old.service == id.service })
+		m.histories[id] = &rollout.History{}
+	}
+	return m.histories[id]
+}
+
 // currentTally returns a copy of this host's counts, with the progress in force
 // here.
 func (m *RolloutMonitor) currentTally(s *view.Service, p *rollout.Progress) rollout.Tally {
--- a/internal/control/monitor_test.go
+++ b/internal/control/monitor_test.go
@@ -33,3 +33,18 @@
 		}
 	}
 }
+
+// Guards against a host that judges a version without the windows of earlier rounds
+// because another service is being rolled out too, and against histories that pile
+// up.
+func TestHistoriesOfTwoRolloutsAreKept(t *testing.T) {
+	m := newRolloutMonitor(nil)
+	orders, stock := rolloutID{"orderdesk", 3}, rolloutID{"galley", 4}
+	first, second := m.history(orders), m.history(stock)
+	if m.history(orders) != first || m.history(stock) != second {
+		t.Error("a history was lost to another service's rollout")
+	}
+	if m.history(rolloutID{"orderdesk", 9}) == first || m.history(stock) != second || len(m.histories) != 2 {
+		t.Errorf("%d histories after the next rollout of a service", len(m.histories))
+	}
+}
