--- a/cmd/nutmeghoist-sidecar/main.go
+++ b/cmd/nutmeghoist-sidecar/main.go
@@ -111,6 +111,7 @@
 		},
 		AnnounceHandler: func(a sidecar.Announcements) http.Handler { return platform.AnnounceHandler(a) },
 		ReadyHandler:    platform.ReadyHandler,
+		BufferBytes:     bufferBytes(settings),
 		Metrics:         registry, Log: logger,
 	}
 }
--- a/cmd/nutmeghoist-sidecar/reload.go
+++ b/cmd/nutmeghoist-sidecar/reload.go
@@ -20,6 +20,9 @@
 	// memoryShare is the Go runtime's soft memory limit as a share of the memory
 	// that the platform's settings grant.
 	memoryShare = 0.6
+	// bufferShare is the share of that memory for the bodies of calls and responses
+	// in progress.
+	bufferShare = 0.25
 	// settingsCheckInterval is the time between reads of the settings file, since
 	// it can change without a signal.
 	settingsCheckInterval = time.Second
@@ -38,14 +41,19 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 }
 
+func bufferBytes(s *platform.Settings) int64 { return int64(bufferShare * float64(s.MemoryBytes)) }
+
 // reloader applies changed settings while the node serves.
 type reloader struct {
 	path    string
 	inForce *platform.Settings
 	content []byte // of the file when it was last read
-	node    interface{ SetBounds(sidecar.Bounds) }
-	store   interface{ SetAddress(baseURL string) }
-	log     *log.Logger
+	node    interface {
+		SetBounds(b sidecar.Bounds)
+		SetBufferBytes(n int64)
+	}
+	store interface{ SetAddress(baseURL string) }
+	log   *log.Logger
 }
 
 func newReloader(path string, s *platform.Settings, node *sidecar.Sidecar, store *platform.Store, logger *log.Logger) *reloader {
@@ -96,6 +104,7 @@
 		r.store.SetAddress(storeURL(s))
 	}
 	setMemoryLimit(s)
+	r.node.SetBufferBytes(bufferBytes(s))
 	r.inForce = s
 	r.log.Info().Dur("drain", s.Bounds.Drain).Dur("grace", s.Bounds.Grace).Dur("beat_interval", s.Bounds.HeartbeatInterval).
 		Int("retry_slack", s.Bounds.RetrySlack).Str("store", s.StoreAddress).Int64("memory_bytes", s.MemoryBytes).Msg("settings read again")
--- a/cmd/nutmeghoist-sidecar/reload_test.go
+++ b/cmd/nutmeghoist-sidecar/reload_test.go
@@ -41,10 +41,12 @@
 // recorder records the settings that a reload applies.
 type recorder struct {
 	bounds  sidecar.Bounds
+	buffers int64
 	address string
 }
 
 func (r *recorder) SetBounds(b sidecar.Bounds) { r.bounds = b }
+func (r *recorder) SetBufferBytes(n int64)     { r.buffers = n }
 func (r *recorder) SetAddress(baseURL string)  { r.address = baseURL }
 func address(text string) netip.AddrPort       { return netip.MustParseAddrPort(text) }
 func writeFile(t *testing.T, path string, b []byte) {
@@ -88,7 +90,7 @@
 	writeFile(t, path, platform.EncodeSettings(&s))
 	logs.Reset()
 	r.reload()
-	if applied.address != "http://127.0.0.1:7" || applied.bounds.Drain != time.Second || applied.bounds.RetrySlack != 10 || applied.bounds.Grace != 6*time.Second {
+	if applied.address != "http://127.0.0.1:7" || applied.bounds.Drain != time.Second || applied.bounds.RetrySlack != 10 || applied.bounds.Grace != 6*time.Second || applied.buffers != 1<<28 {
 		t.Errorf("got %+v", applied)
 	}
 	for _, want := range []string{`settings="call address"`, "wait for the next start", "drain=1000", "settings read again"} {
--- /dev/null
+++ b/internal/bounded/bounded.go
@@ -0,0 +1,147 @@
+// Package bounded limits how many bytes a process reads and buffers, so that a
+// peer that sends without end cannot use up its memory.
+package bounded
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+)
+
+var (
+	// ErrHeadTooLong means that a head exceeds its bound.
+	ErrHeadTooLong = errors.New("head exceeds its size limit")
+	// ErrBodyTooLong means that a body exceeds its bound.
+	ErrBodyTooLong = errors.New("body exceeds its size limit")
+	// ErrNoMemory means that a body does not fit in the budget of the process.
+	ErrNoMemory = errors.New("no memory left for the body")
+)
+
+// HeadReader limits the bytes that are read for the head of a message. It passes
+// on all others without a limit.
+type HeadReader struct {
+	r         io.Reader
+	remaining int64 // -1 outside a head
+	// Err is the last error of the reader. A parser on top of it may hide it.
+	Err error
+}
+
+// NewHeadReader returns a reader without a limit.
+func NewHeadReader(r io.Reader) *HeadReader { return &HeadReader{r: r, remaining: -1} }
+
+// BeginHead limits the bytes that are read until EndHead.
+func (h *HeadReader) BeginHead(limit int64) { h.remaining, h.Err = limit, nil }
+
+// EndHead ends the limit.
+func (h *HeadReader) EndHead() { h.remaining = -1 }
+
+func (h *HeadReader) Read(b []byte) (int, error) {
+	if h.remaining == 0 {
+		h.Err = ErrHeadTooLong
+		return 0, ErrHeadTooLong
+	}
+	if h.remaining > 0 && int64(len(b)) > h.remaining {
+		b = b[:h.remaining]
+	}
+	n, err := h.r.Read(b)
+	h.Err = err
+	if h.remaining > 0 {
+		h.remaining -= int64(n)
+	}
+	return n, err
+}
+
+// Budget is the memory that a process may use for buffered bodies. A nil Budget
+// has no limit. It is safe for concurrent use.
+type Budget struct {
+	limit, used atomic.Int64 // bytes
+}
+
+// NewBudget returns a budget of a number of bytes.
+func NewBudget(limit int64) *Budget {
+	b := &Budget{}
+	b.limit.Store(limit)
+	return b
+}
+
+// SetLimit changes the budget. Bytes in use stay in use.
+func (b *Budget) SetLimit(limit int64) { b.limit.Store(limit) }
+
+// Used returns the bytes in use.
+func (b *Budget) Used() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.used.Load()
+}
+
+// Acquire takes n bytes, unless fewer are left.
+func (b *Budget) Acquire(n int64) bool {
+	if b == nil {
+		return true
+	}
+	if b.used.Add(n) > b.limit.Load() {
+		b.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Hold takes n bytes even if fewer are left. It is for a body that is already in
+// memory: further ones are then refused sooner.
+func (b *Budget) Hold(n int64) {
+	if b != nil {
+		b.used.Add(n)
+	}
+}
+
+// Release returns n bytes.
+func (b *Budget) Release(n int64) {
+	if b != nil {
+		b.used.Add(-n)
+	}
+}
+
+const (
+	// firstChunkBytes bounds what is allocated before the first bytes of a body have
+	// arrived, whatever length its head announces.
+	firstChunkBytes = 16 << 10
+	minChunkBytes   = 512
+)
+
+// ReadBody reads a body to its end. size is the announced length, or -1. It
+// returns ErrBodyTooLong for a body of more than limit bytes. The memory grows
+// with the bytes that arrive and is taken from the budget, of which the caller
+// releases the capacity of the result; after an error nothing is held.
+func ReadBody(r io.Reader, size, limit int64, budget *Budget) ([]byte, error) {
+	if size > limit {
+		return nil, ErrBodyTooLong
+	}
+	chunk := int64(minChunkBytes)
+	if size >= 0 {
+		chunk = min(size+1, firstChunkBytes) // the read of the end of the body needs room too
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			grown := min(max(chunk, 2*int64(cap(body))), limit+1)
+			if !budget.Acquire(grown - int64(cap(body))) {
+				budget.Release(int64(cap(body)))
+				return nil, ErrNoMemory
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			err = ErrBodyTooLong
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF):
+			return body, nil
+		}
+		budget.Release(int64(cap(body)))
+		return nil, err
+	}
+}
--- /dev/null
+++ b/internal/bounded/bounded_test.go
@@ -0,0 +1,67 @@
+package bounded
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a body that is cut, changed or over its bound, and against memory
+// that stays counted after a body was released or refused.
+func TestReadBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := rapid.SliceOfN(rapid.Byte(), 0, 40<<10).Draw(t, "body")
+		limit := rapid.Int64Range(0, 40<<10).Draw(t, "limit")
+		budget := NewBudget(rapid.Int64Range(0, 80<<10).Draw(t, "budget"))
+		size := int64(-1)
+		if rapid.Bool().Draw(t, "announced") {
+			size = int64(len(want))
+		}
+		broken := rapid.Bool().Draw(t, "broken")
+		var r io.Reader = bytes.NewReader(want)
+		if broken {
+			r = io.MultiReader(r, iotest.ErrReader(io.ErrUnexpectedEOF))
+		}
+		got, err := ReadBody(r, size, limit, budget)
+		if budget.Used() != int64(cap(got)) {
+			t.Fatalf("%d bytes counted for a capacity of %d", budget.Used(), cap(got))
+		}
+		switch {
+		case err == nil && (broken || int64(len(want)) > limit || !bytes.Equal(got, want)):
+			t.Fatalf("%d of %d bytes passed, limit %d, broken %v", len(got), len(want), limit, broken)
+		case errors.Is(err, ErrBodyTooLong) && int64(len(want)) <= limit, errors.Is(err, io.ErrUnexpectedEOF) && !broken:
+			t.Fatal(err)
+		case errors.Is(err, ErrNoMemory) && 2*int64(len(want))+firstChunkBytes < budget.limit.Load():
+			t.Fatalf("%d bytes refused with a budget of %d", len(want), budget.limit.Load())
+		}
+	})
+}
+
+// Guards against a length in a head that allocates memory before any byte of the
+// body has arrived.
+func TestAnnouncedLengthAllocatesNothing(t *testing.T) {
+	budget := NewBudget(1 << 30)
+	r := iotest.DataErrReader(strings.NewReader("menu"))
+	got, err := ReadBody(r, 8<<20, 8<<20, budget)
+	if err != nil || cap(got) > firstChunkBytes {
+		t.Errorf("capacity %d, error %v", cap(got), err)
+	}
+}
+
+// Guards against a head without end, and against a limit that also counts bodies.
+func TestHeadReader(t *testing.T) {
+	h := NewHeadReader(strings.NewReader(strings.Repeat("x", 100)))
+	h.BeginHead(10)
+	if b, err := io.ReadAll(h); len(b) != 10 || !errors.Is(err, ErrHeadTooLong) || !errors.Is(h.Err, ErrHeadTooLong) {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+	h.EndHead()
+	if b, err := io.ReadAll(h); len(b) != 90 || err != nil {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/internal/view"
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
@@ -57,6 +58,7 @@
 	Load func(mesh.TargetID) (routing.Load, bool)
 	// Send sends a one-way message to the node at a call address.
 	Send    func(ctx context.Context, address string, message []byte) error
+	Guard   *guard.Guard
 	Metrics metrics.Registry
 	Log     *log.Logger
 }
@@ -103,7 +105,7 @@
 	var err error
 	a.gossip, err = distribution.New(distribution.Config{
 		Members: a.members, Transport: cfg.Transport, ActiveVersion: a.activeVersion, OnHead: a.handleHead, OnVeto: a.handleVeto,
-		OnFault: a.logLinkFault, Counters: counters{cfg.Metrics}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		OnFault: a.logLinkFault, Guard: a.cfg.Guard.Run, Counters: counters{cfg.Metrics}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	if err != nil {
 		return nil, err
@@ -122,8 +124,10 @@
 // Run operates the agent until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){a.buildLoop, a.storeLoop, a.monitor.run, a.coordinator.run} {
-		wg.Go(func() { loop(ctx) })
+	for name, loop := range map[string]func(context.Context){
+		"build_loop": a.buildLoop, "store_loop": a.storeLoop, "monitor_loop": a.monitor.run, "coordinator_loop": a.coordinator.run,
+	} {
+		wg.Go(func() { a.cfg.Guard.Loop(ctx, name, loop) })
 	}
 	err := a.gossip.Run(ctx)
 	wg.Wait()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -100,6 +100,9 @@
 var testCodec = RowCodec{
 	Table: "op", ConfigKey: "op/config",
 	DecodeConfig: func(value []byte) (*traffic.Config, error) {
+		if string(value) == "panic" {
+			panic("unexpected")
+		}
 		c := &traffic.Config{Services: map[mesh.ServiceName]traffic.Service{"orderdesk": {}}}
 		_, err := fmt.Sscan(string(value), &c.Version)
 		return c, err
@@ -369,6 +372,22 @@
 	})
 }
 
+// Guards against a row that nobody can read and that ends the process, or keeps
+// later rows from being read.
+func TestRowThatPanicsIsPassedOver(t *testing.T) {
+	meshTest(t, func(t *testing.T) {
+		m := startMesh(t)
+		defer m.stopAll()
+		time.Sleep(5 * time.Second)
+		m.put("op/config", "panic")
+		time.Sleep(2 * time.Second)
+		m.wantVersion(1)
+		m.put("op/config", "7")
+		time.Sleep(2 * time.Second)
+		m.wantVersion(7)
+	})
+}
+
 // Guards against hosts whose rare backup read falls due while the store is down,
 // and that then keep retrying it beside the followers.
 func TestBackupReadsDoNotJoinTheRetries(t *testing.T) {
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -163,7 +163,7 @@
 	f.version = changes.Version
 	for _, row := range changes.Rows {
 		if !row.Removed {
-			f.agent.handleRow(row.Row)
+			f.agent.cfg.Guard.Run("row", func() { f.agent.handleRow(row.Row) })
 		}
 	}
 	return nil
@@ -175,7 +175,7 @@
 		return err
 	}
 	for _, row := range rows {
-		f.agent.handleRow(row)
+		f.agent.cfg.Guard.Run("row", func() { f.agent.handleRow(row) })
 	}
 	f.version = version
 	return nil
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/internal/header"
 	"nutmeghoist.example/nutmeghoist/internal/hop"
 	"nutmeghoist.example/nutmeghoist/internal/view"
@@ -55,6 +56,7 @@
 	reasonCancelled       = "cancelled" // the caller disconnected
 	reasonNodeUnreachable = "node_unreachable"
 	reasonNodeLost        = "node_lost"
+	reasonInternal        = "internal_error"
 )
 
 // Local runs calls at the target of this host.
@@ -88,6 +90,7 @@
 	RemoteCost     time.Duration
 	RemoteByteCost time.Duration
 	WarmUp         time.Duration // how long a target is slow after it became ready; see routing.CostParams
+	Guard          *guard.Guard
 	Metrics        metrics.Registry
 	Log            *log.Logger
 }
@@ -140,6 +143,7 @@
 	p := e.pools[address]
 	if p == nil {
 		p = hop.NewPool(e.cfg.IP, address)
+		p.Guard = e.cfg.Guard
 		e.pools[address] = p
 	}
 	return p
@@ -348,8 +352,16 @@
 	return resp
 }
 
-// send sends the call to the node on the target's host, which may be this one.
-func (c *call) send(ctx context.Context, t *routing.Candidate, r *hop.Request) *hop.Response {
+// send sends the call to the node on the target's host, which may be this one. After
+// an unexpected error the call may have run.
+func (c *call) send(ctx context.Context, t *routing.Candidate, r *hop.Request) (resp *hop.Response) {
+	if c.entry.cfg.Guard.Run("call_attempt", func() { resp = c.sendToOwner(ctx, t, r) }) {
+		return &hop.Response{Outcome: hop.Unknown, Reason: reasonInternal, SentToTarget: true}
+	}
+	return resp
+}
+
+func (c *call) sendToOwner(ctx context.Context, t *routing.Candidate, r *hop.Request) *hop.Response {
 	if t.Host == c.entry.cfg.Self {
 		r.DeadlineAt = c.deadline.Sub(hop.TimeAt(0)).Microseconds()
 		r.SoftDeadlineAt = c.softDeadline.Sub(hop.TimeAt(0)).Microseconds()
@@ -493,11 +505,14 @@
 		h.Set(c.entry.cfg.HeaderNames.RequestID, c.id)
 	}
 	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", formatSeconds(retryAfter))
 	}
 	return &Response{Status: status, Header: h}
 }
 
+// formatSeconds returns a duration as a Retry-After header gives it.
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // recordEnd records the duration of the call and logs its outcome.
 func (c *call) recordEnd(response *Response) {
 	took := time.Since(c.req.Arrived)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,11 +10,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/bounded"
+	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
 
@@ -24,6 +27,8 @@
 	// maxBodyBytes bounds the body of one call, since bodies are buffered until
 	// the call has ended.
 	maxBodyBytes = 8 << 20
+	// memoryRetryAfter is sent when the process has no memory left for a body.
+	memoryRetryAfter = 500 * time.Millisecond
 	// idleSlack is how much longer than the idle timeout a connection stays open,
 	// so that a caller that respects the timeout never sends on a closed
 	// connection.
@@ -40,6 +45,10 @@
 	// headerSlack is the number of bytes by which a header may exceed its limit,
 	// since its size depends on how the line ends are counted.
 	headerSlack = 512
+	// lastArrivalTime is how long a server that shuts down waits for connections and
+	// calls that have arrived already.
+	lastArrivalTime      = 50 * time.Millisecond
+	shutdownPollInterval = 5 * time.Millisecond
 	// The defaults apply until the node has a configuration.
 	defaultIdleTimeout   = 30 * time.Second
 	defaultHeaderTimeout = 5 * time.Second
@@ -48,11 +57,17 @@
 
 // Server accepts the connections of callers. Use NewServer to create one.
 type Server struct {
+	// Buffers is the memory for the bodies of calls and responses, and Guard
+	// recovers panics. Both are set before Run.
+	Buffers *bounded.Budget
+	Guard   *guard.Guard
+
 	listener net.Listener
 	handle   func(ctx context.Context, r *Request) *Response
 	limits   func() (traffic.Limits, bool)
 
 	draining       atomic.Bool
+	shuttingDown   atomic.Bool
 	pendingCalls   atomic.Int64 // calls read and not answered yet
 	mu             sync.Mutex
 	conns          map[*callerConn]bool
@@ -91,6 +106,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) && s.shuttingDown.Load() {
+			_ = s.listener.Close() // no connection waits
+			return nil
+		}
 		if err != nil {
 			time.Sleep(10 * time.Millisecond) // wait for free file descriptors
 			continue
@@ -106,6 +125,32 @@
 // Drain closes each connection after the response to its last call in progress.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Shutdown ends the server without cutting a call: it accepts the connections that
+// wait, handles the calls that have arrived, and closes idle connections. It
+// returns when no connection is open, or after the given time.
+func (s *Server) Shutdown(limit time.Duration) {
+	until := time.Now().Add(limit)
+	s.draining.Store(true)
+	s.shuttingDown.Store(true)
+	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); !ok || l.SetDeadline(time.Now().Add(lastArrivalTime)) != nil {
+		_ = s.listener.Close() // without a deadline, waiting connections cannot be told from none
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.endIdleTime()
+	}
+	s.mu.Unlock()
+	for time.Now().Before(until) && s.openConns() > 0 {
+		time.Sleep(shutdownPollInterval)
+	}
+}
+
+func (s *Server) openConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // PendingCalls returns the number of calls read and not answered yet.
 func (s *Server) PendingCalls() int { return int(s.pendingCalls.Load()) }
 
@@ -138,7 +183,7 @@
 type callerConn struct {
 	server   *Server
 	conn     net.Conn
-	input    *headerLimiter
+	input    *bounded.HeadReader
 	r        *bufio.Reader
 	ctx      context.Context // ends when the caller disconnects
 	cancel   context.CancelFunc
@@ -147,18 +192,20 @@
 	mu      sync.Mutex
 	pending int  // calls read and not answered yet
 	closing bool // the connection closes after the response being written
+	idle    bool // the next call has not begun to arrive
 }
 
 // pipelinedCall is one call with its response.
 type pipelinedCall struct {
 	req      *Request
-	last     bool // the connection closes after this call
+	buffered int64 // bytes of the budget that the body of the call holds
+	last     bool  // the connection closes after this call
 	response chan *Response
 }
 
 func newCallerConn(s *Server, raw net.Conn) *callerConn {
 	ctx, cancel := context.WithCancel(context.Background())
-	input := &headerLimiter{r: raw, remaining: -1}
+	input := bounded.NewHeadReader(raw)
 	return &callerConn{
 		server: s, conn: raw, input: input, r: bufio.NewReaderSize(input, 4<<10),
 		ctx: ctx, cancel: cancel, pipeline: make(chan *pipelinedCall, maxPipelined),
@@ -193,10 +240,14 @@
 			return
 		}
 		pc := &pipelinedCall{response: make(chan *Response, 1)}
-		refusal := c.readCall(pc, limits)
+		var refusal *Response
+		if c.server.Guard.Run("caller_read", func() { refusal = c.readCall(pc, limits) }) {
+			refusal = &Response{Abort: true}
+		}
 		c.pipeline <- pc
 		if refusal != nil {
 			pc.last = true
+			c.server.Buffers.Hold(int64(len(refusal.Body)))
 			pc.response <- refusal
 			return
 		}
@@ -212,14 +263,15 @@
 // caller has disconnected or the connection was idle for too long.
 func (c *callerConn) awaitCall(idle time.Duration) bool {
 	for {
-		_ = c.conn.SetReadDeadline(time.Now().Add(idle)) // a failure shows at the read
+		c.setIdle(idle)
 		_, err := c.r.Peek(1)
-		if err == nil {
-			return true
-		}
 		c.mu.Lock()
+		c.idle = false
 		waiting := c.pending > 0
 		c.mu.Unlock()
+		if err == nil {
+			return true
+		}
 		var timeout net.Error
 		if waiting && errors.As(err, &timeout) && timeout.Timeout() {
 			continue
@@ -229,6 +281,26 @@
 	}
 }
 
+// setIdle bounds the wait for the next call.
+func (c *callerConn) setIdle(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.server.shuttingDown.Load() {
+		timeout = lastArrivalTime
+	}
+	c.idle = true
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout)) // a failure shows at the read
+}
+
+// endIdleTime shortens the wait for the next call because the server shuts down.
+func (c *callerConn) endIdleTime() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		_ = c.conn.SetReadDeadline(time.Now().Add(lastArrivalTime)) // a failure shows at the read
+	}
+}
+
 // watchForClose cancels the last call when the caller disconnects.
 func (c *callerConn) watchForClose() {
 	_ = c.conn.SetReadDeadline(time.Time{}) // a failure shows at the read
@@ -256,9 +328,9 @@
 	if limits.HeaderTimeout > 0 {
 		_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // a failure shows at the read
 	}
-	c.input.remaining, c.input.lastErr = int64(limits.HeaderBytes)+headerSlack, nil
+	c.input.BeginHead(int64(limits.HeaderBytes) + headerSlack)
 	req, err := http.ReadRequest(c.r)
-	c.input.remaining = -1
+	c.input.EndHead()
 	if err != nil {
 		return c.readErrorResponse(err)
 	}
@@ -275,15 +347,16 @@
 	var body []byte
 	if req.ContentLength != 0 {
 		_ = c.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout)) // a failure shows at the read
-		body, err = io.ReadAll(io.LimitReader(req.Body, bound+1))
+		body, err = bounded.ReadBody(req.Body, req.ContentLength, bound, c.server.Buffers)
 		switch {
+		case errors.Is(err, bounded.ErrBodyTooLong) && bound == limits.BodyBytes:
+			return statusResponse(http.StatusRequestEntityTooLarge)
+		case errors.Is(err, bounded.ErrBodyTooLong), errors.Is(err, bounded.ErrNoMemory):
+			return memoryResponse()
 		case err != nil:
 			return c.readErrorResponse(err)
-		case int64(len(body)) > limits.BodyBytes:
-			return statusResponse(http.StatusRequestEntityTooLarge)
-		case len(body) > maxBodyBytes:
-			return statusResponse(http.StatusServiceUnavailable)
 		}
+		pc.buffered = int64(cap(body))
 	}
 	path, _, _ := strings.Cut(req.RequestURI, "?")
 	pc.req = &Request{
@@ -296,12 +369,12 @@
 // readErrorResponse returns the response to a call that could not be read. The
 // connection's own error takes precedence, since the parser's error hides it.
 func (c *callerConn) readErrorResponse(err error) *Response {
-	if c.input.lastErr != nil {
-		err = c.input.lastErr
+	if c.input.Err != nil {
+		err = c.input.Err
 	}
 	var timeout net.Error
 	switch {
-	case errors.Is(err, errHeaderTooLong):
+	case errors.Is(err, bounded.ErrHeadTooLong):
 		return statusResponse(http.StatusRequestHeaderFieldsTooLarge)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return statusResponse(http.StatusRequestTimeout)
@@ -315,7 +388,28 @@
 
 func statusResponse(status int) *Response { return &Response{Status: status, Header: http.Header{}} }
 
-func (c *callerConn) run(pc *pipelinedCall) { pc.response <- c.server.handle(c.ctx, pc.req) }
+// memoryResponse refuses a call, which has not run, because the process has no
+// memory left for its body.
+func memoryResponse() *Response {
+	return &Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {formatSeconds(memoryRetryAfter)}}}
+}
+
+// run handles a call. After a panic the call may have run, so that its response
+// promises nothing.
+func (c *callerConn) run(pc *pipelinedCall) {
+	var resp *Response
+	if c.server.Guard.Run("caller_call", func() { resp = c.server.handle(c.ctx, pc.req) }) {
+		resp = statusResponse(http.StatusBadGateway)
+	}
+	c.server.Buffers.Hold(int64(len(resp.Body)))
+	pc.response <- resp
+}
+
+// end releases what a call holds once its response is written or dropped.
+func (s *Server) end(pc *pipelinedCall, resp *Response) {
+	s.pendingCalls.Add(-1)
+	s.Buffers.Release(pc.buffered + int64(len(resp.Body)))
+}
 
 // writeLoop writes the responses in the order of their calls.
 func (c *callerConn) writeLoop() {
@@ -323,7 +417,7 @@
 		resp := <-pc.response
 		last := c.endCall(pc.last || resp.Abort)
 		ok := !resp.Abort && c.ctx.Err() == nil && c.send(pc, resp, last)
-		c.server.pendingCalls.Add(-1)
+		c.server.end(pc, resp)
 		if ok && !last {
 			continue
 		}
@@ -332,8 +426,8 @@
 		}
 		c.cancel()
 		_ = c.conn.Close() // ends readLoop as well
-		for range c.pipeline {
-			c.server.pendingCalls.Add(-1)
+		for pc := range c.pipeline {
+			c.server.end(pc, <-pc.response)
 		}
 		return
 	}
@@ -357,8 +451,12 @@
 		method = pc.req.Method
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // a failure shows at the write
-	_, err := c.conn.Write(encodeResponse(resp, method, last))
-	return err == nil
+	sent := false
+	c.server.Guard.Run("caller_write", func() {
+		_, err := c.conn.Write(encodeResponse(resp, method, last))
+		sent = err == nil
+	})
+	return sent
 }
 
 // linger half-closes the connection and waits until the caller closes its side,
@@ -371,28 +469,3 @@
 		}
 	}
 }
-
-var errHeaderTooLong = errors.New("request header exceeds its size limit")
-
-// headerLimiter limits the bytes that are read for a request header.
-type headerLimiter struct {
-	r         io.Reader
-	remaining int64 // -1 means no limit
-	lastErr   error // the last error of r
-}
-
-func (l *headerLimiter) Read(b []byte) (int, error) {
-	if l.remaining == 0 {
-		l.lastErr = errHeaderTooLong
-		return 0, errHeaderTooLong
-	}
-	if l.remaining > 0 && int64(len(b)) > l.remaining {
-		b = b[:l.remaining]
-	}
-	n, err := l.r.Read(b)
-	l.lastErr = err
-	if l.remaining > 0 {
-		l.remaining -= int64(n)
-	}
-	return n, err
-}
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -14,7 +14,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
 
-func startServer(t *testing.T, handle func(context.Context, *Request) *Response) (*Server, string) {
+func startServer(t *testing.T, handle func(context.Context, *Request) *Response, options ...func(*Server)) (*Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -22,6 +22,9 @@
 	}
 	limits := traffic.Limits{HeaderBytes: 1024, BodyBytes: 4096, HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 200 * time.Millisecond}
 	s := NewServer(l, handle, func() (traffic.Limits, bool) { return limits, true })
+	for _, set := range options {
+		set(s)
+	}
 	go func() { _ = s.Run() }()
 	t.Cleanup(s.Close)
 	return s, l.Addr().String()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/bounded"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
@@ -25,7 +26,8 @@
 	// responseGrace is how long after the deadline a late response of the target
 	// is still accepted.
 	responseGrace = 50 * time.Millisecond
-	// maxBodyBytes bounds the body of a response.
+	// maxHeadBytes bounds the head of a response, and maxBodyBytes its body.
+	maxHeadBytes = 64 << 10
 	maxBodyBytes = 8 << 20
 	// maxIdleTime bounds how long an idle connection is kept. Targets close idle
 	// connections after some seconds. A Keep-Alive header of the target can
@@ -56,8 +58,13 @@
 	Expect     mesh.TargetID
 	Idempotent bool
 	Deadline   time.Time
+	// MaySend, if set, is asked right before each send. A call is not sent when it
+	// returns false.
+	MaySend func() bool
 }
 
+func (c *Call) maySend() bool { return c.MaySend == nil || c.MaySend() }
+
 // Kind is what is known about a call after the exchange.
 type Kind uint8
 
@@ -89,12 +96,19 @@
 	Misdirected      Reason = "target_replaced"    // another target now has the address
 	ConnectionBroken Reason = "connection_broken"  // reset or closed before a complete response
 	Malformed        Reason = "answer_garbled"     // not a complete, valid response of the target
+	Oversized        Reason = "answer_oversized"   // head or body exceeds its bound
+	NoMemory         Reason = "memory"             // the body does not fit in the buffers of the process
 	DeadlineExceeded Reason = "deadline"           // no response in time
 	Cancelled        Reason = "cancelled"          // the caller cancelled the call
+	Withdrawn        Reason = "withdrawn"          // MaySend forbade the send
 )
 
 // Client sends calls to one target. It is safe for concurrent use.
 type Client struct {
+	// Buffers is the memory for bodies that are being read. It is set before the
+	// first call.
+	Buffers *bounded.Budget
+
 	address string
 	names   traffic.Headers
 
@@ -110,6 +124,7 @@
 // targetConn is a connection to the target. One call uses it at a time.
 type targetConn struct {
 	net.Conn
+	input       *bounded.HeadReader
 	r           *bufio.Reader
 	reused      bool
 	idleSince   time.Time
@@ -135,7 +150,10 @@
 	if wasReused && call.Idempotent && res.Reason == ConnectionBroken && ctx.Err() == nil {
 		// The target closed the idle connection while the call was being sent.
 		if conn, err = c.dial(ctx); err == nil {
-			return c.exchange(ctx, conn, call)
+			if again := c.exchange(ctx, conn, call); again.Kind != NotRun {
+				return again
+			}
+			// The first send may have run all the same.
 		}
 	}
 	return res
@@ -183,7 +201,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &targetConn{Conn: raw, r: bufio.NewReaderSize(raw, 4<<10), idleTimeout: maxIdleTime}, nil
+	input := bounded.NewHeadReader(raw)
+	return &targetConn{Conn: raw, input: input, r: bufio.NewReaderSize(input, 4<<10), idleTimeout: maxIdleTime}, nil
 }
 
 func (c *Client) putIdle(conn *targetConn) {
@@ -204,6 +223,10 @@
 		c.putIdle(conn)
 		return Result{Kind: NotRun, Reason: DeadlineExceeded, Err: ctx.Err()}
 	}
+	if !call.maySend() {
+		c.putIdle(conn)
+		return Result{Kind: NotRun, Reason: Withdrawn}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() }) // unblocks the exchange
 	res, keep := c.roundTrip(conn, call)
 	if !stop() {
@@ -227,20 +250,13 @@
 		return unknownResult(ConnectionBroken, err), false
 	}
 	for range maxStaleResponses {
-		resp, err := http.ReadResponse(conn.r, &http.Request{Method: call.Method})
+		resp, body, err := c.readResponse(conn, call)
 		if err != nil {
 			return unknownResult(readReason(err), err), false
 		}
-		if resp.StatusCode < 200 {
+		if resp.StatusCode < 200 || c.belongsToOther(resp.Header, call) {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
-		if id := resp.Header.Get(c.names.RequestID); err == nil && id != "" && id != call.ID {
-			continue // a late response to an earlier call
-		}
-		if err != nil || len(body) > maxBodyBytes {
-			return unknownResult(readReason(err), err), false
-		}
 		res := c.classify(resp, body, call, conn.reused)
 		conn.idleTimeout = idleTimeoutOf(resp.Header)
 		hasLength := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
@@ -250,6 +266,32 @@
 	return unknownResult(Malformed, errors.New("too many responses to earlier calls")), false
 }
 
+// readResponse reads one response with its body, which is in memory once.
+func (c *Client) readResponse(conn *targetConn, call *Call) (*http.Response, []byte, error) {
+	conn.input.BeginHead(maxHeadBytes)
+	resp, err := http.ReadResponse(conn.r, &http.Request{Method: call.Method})
+	conn.input.EndHead()
+	if err != nil {
+		if conn.input.Err != nil {
+			err = conn.input.Err // the parser hides it
+		}
+		return nil, nil, err
+	}
+	if resp.StatusCode < 200 {
+		return resp, nil, nil
+	}
+	body, err := bounded.ReadBody(resp.Body, resp.ContentLength, maxBodyBytes, c.Buffers)
+	c.Buffers.Release(int64(cap(body))) // whoever passes it on accounts for it
+	return resp, body, err
+}
+
+// belongsToOther reports whether a response names another call: it is a late
+// response to an earlier one.
+func (c *Client) belongsToOther(h http.Header, call *Call) bool {
+	id := h.Get(c.names.RequestID)
+	return id != "" && id != call.ID
+}
+
 // earlyResponseBytes is the size of a request body from which a target may
 // respond before it has read all of it. The connection is not reused then.
 const earlyResponseBytes = 16 << 10
@@ -263,6 +305,10 @@
 func readReason(err error) Reason {
 	var timeout net.Error
 	switch {
+	case errors.Is(err, bounded.ErrHeadTooLong), errors.Is(err, bounded.ErrBodyTooLong):
+		return Oversized
+	case errors.Is(err, bounded.ErrNoMemory):
+		return NoMemory
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return DeadlineExceeded
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
@@ -274,14 +320,18 @@
 	}
 }
 
-// classify returns the result of a complete response.
+// classify returns the result of a complete response. On a connection that was
+// used before, a response without the call's ID proves nothing: it can be a late
+// second copy of the response to an earlier call.
 func (c *Client) classify(resp *http.Response, body []byte, call *Call, reusedConn bool) Result {
 	res := Result{Kind: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body, Sent: true}
-	idMatches := resp.Header.Get(c.names.RequestID) == call.ID
+	ids := resp.Header.Values(c.names.RequestID)
+	idMatches := len(ids) == 1 && ids[0] == call.ID
+	isOwn := idMatches || len(ids) == 0 && !reusedConn
 	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
+	case isOwn && resp.StatusCode == http.StatusMisdirectedRequest:
 		return Result{Kind: NotRun, Reason: Misdirected, Sent: true}
-	case resp.Header.Get(c.names.NotRun) != "" && (idMatches || !reusedConn || call.Idempotent):
+	case isOwn && resp.Header.Get(c.names.NotRun) != "":
 		return Result{Kind: NotRun, Reason: Shed, Sent: true}
 	case !idMatches, resp.Header.Get(c.names.Stamp) == "", resp.Header.Get("Content-Encoding") != "":
 		return unknownResult(Malformed, errors.New("response lacks the request ID or stamp, or its body is encoded"))
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -243,3 +243,47 @@
 		t.Error("the target's connection was not closed")
 	}
 }
+
+// Guards against a call that is sent although its permission ran out while the
+// process waited for a connection or was paused.
+func TestForbiddenCallIsNotSent(t *testing.T) {
+	var requests atomic.Int64
+	c, _ := startTarget(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		requests.Add(1)
+		_, _ = conn.Write([]byte(rawResponse(200, r.Header.Get("Call-Name"), "", "menu")))
+		return true
+	})
+	call := getCall("a")
+	call.MaySend = func() bool { return false } // withdrawn while the connection opened
+	for range 2 {
+		time.Sleep(20 * time.Millisecond)
+		if res := c.Do(t.Context(), call); res.Kind != NotRun || res.Reason != Withdrawn || res.Sent {
+			t.Errorf("got %+v", res)
+		}
+	}
+	time.Sleep(20 * time.Millisecond)
+	if n := requests.Load(); n != 0 {
+		t.Errorf("the target got %d requests", n)
+	}
+}
+
+// Guards against a call that is reported as not run because its second send was
+// refused, although the first one, whose response was lost, may have run.
+func TestRefusedResendIsUnknown(t *testing.T) {
+	c, _ := startTarget(t, func(n int, r *http.Request, conn net.Conn) bool {
+		id := r.Header.Get("Call-Name")
+		switch n {
+		case 0:
+			_, _ = conn.Write([]byte(rawResponse(200, id, "", "menu")))
+			return true
+		case 1:
+			return false // it ran, and its response is lost
+		}
+		_, _ = conn.Write([]byte(rawResponse(503, id, "Not-Run: 1\r\n", "")))
+		return true
+	})
+	c.Do(t.Context(), getCall("a"))
+	if res := c.Do(t.Context(), getCall("b")); res.Kind != Unknown || !res.Sent {
+		t.Errorf("got %+v", res)
+	}
+}
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"nutmeghoist.example/nutmeghoist/internal/guard"
 )
 
 const (
@@ -31,7 +33,8 @@
 
 // Errors of a call without a response.
 var (
-	// ErrNotSent means that no byte of the call left this node.
+	// ErrNotSent means that no byte of the call left this node, or that the other
+	// node has said that it does not handle the call.
 	ErrNotSent = errors.New("node is unreachable")
 	// ErrBroken means that the connection failed or the call was cancelled when
 	// bytes of the call may have been sent.
@@ -40,6 +43,9 @@
 
 // Pool holds the connections to one node. It is safe for concurrent use.
 type Pool struct {
+	// Guard recovers panics. It is set before the first call.
+	Guard *guard.Guard
+
 	address string
 	dialer  net.Dialer
 
@@ -111,7 +117,7 @@
 	var best *clientConn
 	alive := p.conns[:0]
 	for _, c := range p.conns {
-		if c.hasFailed() {
+		if !c.isUsable() {
 			continue
 		}
 		alive = append(alive, c)
@@ -148,13 +154,16 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{conn: newConn(raw), pending: make(map[uint64]chan *Response), lastReceived: time.Now(), failedCh: make(chan struct{})}
+	c := &clientConn{conn: newConn(raw), pending: make(map[uint64]chan reply), lastReceived: time.Now(), failedCh: make(chan struct{})}
 	if err := c.handshake(); err != nil {
 		_ = raw.Close() // the handshake error is returned
 		return nil, err
 	}
 	c.livenessTimer = time.AfterFunc(time.Hour, c.checkLiveness) // reset to maxSilence by a pending call
-	go c.readLoop()
+	go func() {
+		defer c.fail()
+		p.Guard.Run("hop_connection", c.readLoop)
+	}()
 	return c, nil
 }
 
@@ -167,11 +176,18 @@
 
 	mu           sync.Mutex
 	lastStream   uint64
-	pending      map[uint64]chan *Response
+	pending      map[uint64]chan reply
 	lastReceived time.Time // when the last frame was received
 	pingSent     time.Time // when the unanswered ping was sent; zero without one
 	pongReceived chan struct{}
 	failed       bool
+	leaving      bool // the node takes no further calls on this connection
+}
+
+// reply is the end of a pending call: its response, or an error.
+type reply struct {
+	resp *Response
+	err  error
 }
 
 // handshake opens the connection and determines the offset of the node's clock.
@@ -200,15 +216,15 @@
 }
 
 func (c *clientConn) call(ctx context.Context, r Request, deadline, softDeadline time.Time) (*Response, error) {
-	reply := make(chan *Response, 1)
+	ended := make(chan reply, 1)
 	c.mu.Lock()
-	if c.failed {
+	if c.failed || c.leaving {
 		c.mu.Unlock()
 		return nil, ErrNotSent
 	}
 	c.lastStream++
 	r.Stream = c.lastStream
-	c.pending[r.Stream] = reply
+	c.pending[r.Stream] = ended
 	if len(c.pending) == 1 {
 		c.livenessTimer.Reset(maxSilence)
 	}
@@ -217,14 +233,16 @@
 	r.SoftDeadlineAt = c.toPeerClock(softDeadline)
 	if err := c.writeRequest(&r); err != nil {
 		c.dropPending(r.Stream)
-		return nil, errors.Join(ErrBroken, err)
+		select {
+		case end := <-ended: // the node has said that it does not handle the call
+			return end.resp, end.err
+		default:
+			return nil, errors.Join(ErrBroken, err)
+		}
 	}
 	select {
-	case resp := <-reply:
-		if resp == nil {
-			return nil, ErrBroken
-		}
-		return resp, nil
+	case end := <-ended:
+		return end.resp, end.err
 	case <-ctx.Done():
 		c.dropPending(r.Stream)
 		// After an error the connection is closed, which cancels the call too.
@@ -249,10 +267,26 @@
 	return len(c.pending)
 }
 
-func (c *clientConn) hasFailed() bool {
+// isUsable reports whether a call can be sent on the connection.
+func (c *clientConn) isUsable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.failed
+	return !c.failed && !c.leaving
+}
+
+// leave ends the calls after the last one that the node handles: they have not run.
+// The others wait for their responses; leave returns their number.
+func (c *clientConn) leave(last uint64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	for stream, ended := range c.pending {
+		if stream > last {
+			ended <- reply{err: ErrNotSent}
+			delete(c.pending, stream)
+		}
+	}
+	return len(c.pending)
 }
 
 func (c *clientConn) sinceReceived() time.Duration {
@@ -307,7 +341,6 @@
 }
 
 func (c *clientConn) readLoop() {
-	defer c.fail()
 	for {
 		kind, payload, err := c.readFrame()
 		if err != nil {
@@ -320,6 +353,15 @@
 			c.pongReceived, c.pingSent = nil, time.Time{}
 		}
 		c.mu.Unlock()
+		if kind == frameGoAway {
+			last, err := decodeUint(payload)
+			if err != nil {
+				return
+			}
+			if c.leave(last) == 0 {
+				return
+			}
+		}
 		if kind != frameResponse {
 			continue
 		}
@@ -328,11 +370,15 @@
 			return
 		}
 		c.mu.Lock()
-		reply := c.pending[resp.Stream]
+		ended := c.pending[resp.Stream]
 		delete(c.pending, resp.Stream)
+		done := c.leaving && len(c.pending) == 0
 		c.mu.Unlock()
-		if reply != nil {
-			reply <- resp
+		if ended != nil {
+			ended <- reply{resp: resp}
+		}
+		if done {
+			return
 		}
 	}
 }
@@ -346,12 +392,12 @@
 	}
 	c.failed = true
 	pending := c.pending
-	c.pending = make(map[uint64]chan *Response)
+	c.pending = make(map[uint64]chan reply)
 	c.mu.Unlock()
 	close(c.failedCh)
 	c.livenessTimer.Stop()
 	_ = c.Close() // nothing more is sent or read
-	for _, reply := range pending {
-		reply <- nil
+	for _, ended := range pending {
+		ended <- reply{err: ErrBroken}
 	}
 }
--- /dev/null
+++ b/internal/hop/drain_test.go
@@ -0,0 +1,167 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/internal/bounded"
+)
+
+func startHopServer(t *testing.T, h Handler, options ...func(*Server)) (*Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(l, h)
+	for _, set := range options {
+		set(s)
+	}
+	go func() { _ = s.Run() }()
+	t.Cleanup(s.Close)
+	return s, l.Addr().String()
+}
+
+// Guards against calls of other nodes that are cut off when a node stops under
+// load: each call either gets its response or is known not to have run.
+func TestDrainCutsNoCall(t *testing.T) {
+	var mu sync.Mutex
+	ran := make(map[string]bool)
+	s, address := startHopServer(t, handlerFunc(func(_ context.Context, r *Request) *Response {
+		mu.Lock()
+		ran[r.ID] = true
+		mu.Unlock()
+		time.Sleep(3 * time.Millisecond)
+		return &Response{Outcome: Answered, Body: make([]byte, 32<<10)}
+	}))
+	p := NewPool(loopback, address)
+	defer p.Close()
+	var calls, lost, refused, untrue atomic.Int64
+	stopCalls := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 40 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stopCalls:
+					return
+				default:
+				}
+				id := strconv.FormatInt(calls.Add(1), 10)
+				resp, err := p.Call(t.Context(), Request{ID: id, Body: make([]byte, 8<<10)}, inTwoSeconds(), inTwoSeconds())
+				switch {
+				case errors.Is(err, ErrNotSent), err == nil && resp.Outcome == NotRun:
+					refused.Add(1)
+					mu.Lock()
+					if ran[id] {
+						untrue.Add(1)
+					}
+					mu.Unlock()
+				case err != nil:
+					lost.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	s.Drain(time.Second)
+	for s.PendingCalls() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Close()
+	time.Sleep(20 * time.Millisecond)
+	close(stopCalls)
+	wg.Wait()
+	if lost.Load() > 0 || untrue.Load() > 0 || refused.Load() == 0 {
+		t.Errorf("%d calls: %d lost, %d refused, %d of them had run", calls.Load(), lost.Load(), refused.Load(), untrue.Load())
+	}
+}
+
+// Guards against an unexpected error in one call that ends the process, the calls
+// of others, or is reported as not run.
+func TestPanicFailsOneHopCall(t *testing.T) {
+	_, address := startHopServer(t, handlerFunc(func(_ context.Context, r *Request) *Response {
+		if r.ID == "bad" {
+			panic("unexpected")
+		}
+		time.Sleep(30 * time.Millisecond)
+		return &Response{Outcome: Answered, Status: 200}
+	}))
+	p := NewPool(loopback, address)
+	defer p.Close()
+	good := make(chan error, 1)
+	go func() {
+		_, err := p.Call(t.Context(), Request{ID: "good"}, inTwoSeconds(), inTwoSeconds())
+		good <- err
+	}()
+	resp, err := p.Call(t.Context(), Request{ID: "bad"}, inTwoSeconds(), inTwoSeconds())
+	if err != nil || resp.Outcome != Unknown || !resp.SentToTarget {
+		t.Errorf("got %+v, %v", resp, err)
+	}
+	if err := <-good; err != nil {
+		t.Errorf("another call failed: %v", err)
+	}
+}
+
+// Guards against bodies of many calls that together exceed the memory of the
+// process.
+func TestHopBodiesShareOneBudget(t *testing.T) {
+	s, address := startHopServer(t, handlerFunc(func(context.Context, *Request) *Response {
+		return &Response{Outcome: Answered, Body: []byte("menu")}
+	}), func(s *Server) { s.Buffers = bounded.NewBudget(1000) })
+	p := NewPool(loopback, address)
+	defer p.Close()
+	for size, want := range map[int]Outcome{900: Answered, 2000: NotRun} {
+		resp, err := p.Call(t.Context(), Request{Body: make([]byte, size)}, inTwoSeconds(), inTwoSeconds())
+		if err != nil || resp.Outcome != want {
+			t.Errorf("%d bytes: %+v, %v", size, resp, err)
+		}
+	}
+	time.Sleep(20 * time.Millisecond)
+	if n := s.Buffers.Used(); n != 0 {
+		t.Errorf("%d bytes are still counted", n)
+	}
+}
+
+// Guards against a malformed message of a peer that ends the process or blocks the
+// other connections.
+func TestMalformedFramesEndOneConnection(t *testing.T) {
+	_, address := startHopServer(t, handlerFunc(func(context.Context, *Request) *Response { return &Response{Outcome: Answered} }))
+	frame := func(kind byte, payload string) string {
+		return string([]byte{0, 0, 0, byte(len(payload)), kind}) + payload
+	}
+	for name, bytes := range map[string]string{
+		"unknown preamble":                "x",
+		"unknown kind":                    "c" + frame(200, ""),
+		"length over the limit":           "c\xff\xff\xff\xff\x01",
+		"request without CBOR":            "c" + frame(frameRequest, "\xff\x00"),
+		"request of a wrong type":         "c" + frame(frameRequest, "\xa1\x01\x61x"),
+		"request with a bad header block": "c" + frame(frameRequest, "\xa1\x02\x43\xff\xff\xff"),
+		"cancel without stream":           "c" + frame(frameCancel, "abc"),
+		"gossip before it runs":           "g" + frame(frameGossip, "\xff"),
+		"gossip frame of 8 MB":            "g\x00\x80\x00\x00\x01",
+		"response to a server":            "c" + frame(frameResponse, ""),
+	} {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		_, _ = c.Write([]byte(bytes))
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		if _, err := c.Read(make([]byte, 64)); err == nil || errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("%s: the connection stays open (%v)", name, err)
+		}
+		_ = c.Close()
+		p := NewPool(loopback, address)
+		if _, err := p.Call(t.Context(), Request{}, inTwoSeconds(), inTwoSeconds()); err != nil {
+			t.Errorf("after %s: %v", name, err)
+		}
+		p.Close()
+	}
+}
--- a/internal/hop/gossip.go
+++ b/internal/hop/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/time/rate"
 
+	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
@@ -62,12 +63,13 @@
 }
 
 func (t *Transport) accept(c *conn, h distribution.Handler) {
+	c.maxFrame = maxGossipFrame
 	peer, err := t.serverHandshake(c)
 	if err != nil {
 		_ = c.Close() // the peer sees the close in any case
 		return
 	}
-	h.HandleLink(newLink(c, peer, false, h))
+	h.HandleLink(newLink(c, peer, false, h, t.server.Guard))
 }
 
 // serverHandshake responds to the hello of a peer and returns the peer's host.
@@ -112,12 +114,13 @@
 		return nil, fmt.Errorf("dial %s at %s: %w", to.Host, to.Address, err)
 	}
 	c := newConn(raw)
+	c.maxFrame = maxGossipFrame
 	ack, err := t.clientHandshake(c, to.Host)
 	if err != nil {
 		_ = raw.Close() // the handshake error is returned
 		return nil, fmt.Errorf("dial %s at %s: %w", to.Host, to.Address, err)
 	}
-	return newLink(c, ack.Host, true, t.server.loadGossipHandler()), nil
+	return newLink(c, ack.Host, true, t.server.loadGossipHandler(), t.server.Guard), nil
 }
 
 func (t *Transport) clientHandshake(c *conn, want mesh.HostID) (helloMessage, error) {
@@ -148,6 +151,7 @@
 	peer         mesh.HostID
 	dialed       bool
 	handler      distribution.Handler
+	guard        *guard.Guard
 	ctx          context.Context // ends when the link closes
 	cancel       context.CancelFunc
 	requestSlots chan struct{} // holds an element per request of the peer in progress
@@ -174,10 +178,10 @@
 
 var errRequestFailed = errors.New("peer failed to serve the request")
 
-func newLink(c *conn, peer mesh.HostID, dialed bool, h distribution.Handler) *link {
+func newLink(c *conn, peer mesh.HostID, dialed bool, h distribution.Handler, g *guard.Guard) *link {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &link{
-		c: c, peer: peer, dialed: dialed, handler: h, ctx: ctx, cancel: cancel,
+		c: c, peer: peer, dialed: dialed, handler: h, guard: g, ctx: ctx, cancel: cancel,
 		requestSlots: make(chan struct{}, maxPeerRequests), pending: make(map[uint64]chan rpcResult), frames: make(chan []byte, maxQueuedFrames),
 	}
 	go l.readLoop()
@@ -212,7 +216,10 @@
 func (l *link) readLoop() {
 	defer close(l.frames)
 	for {
-		err := l.readNext()
+		var err error
+		if l.guard.Run("gossip_link", func() { err = l.readNext() }) {
+			err = errMalformedFrame
+		}
 		if err != nil {
 			l.mu.Lock()
 			l.readErr = err
@@ -280,9 +287,11 @@
 	defer func() { <-l.requestSlots }()
 	ctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
 	defer cancel()
-	body, err := l.handler.HandleRequest(ctx, l.peer, frame.Body)
+	var body []byte
+	var err error
+	panicked := l.guard.Run("gossip_request", func() { body, err = l.handler.HandleRequest(ctx, l.peer, frame.Body) })
 	kind := frameGossipResponse
-	if err != nil || len(body) > distribution.MaxResponse {
+	if panicked || err != nil || len(body) > distribution.MaxResponse {
 		kind, body = frameGossipError, nil
 	}
 	// An error closes the link, which Receive reports.
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -16,6 +16,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"nutmeghoist.example/nutmeghoist/internal/bounded"
+	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
 
@@ -90,6 +92,7 @@
 	frameGossipResponse // the response to frameGossipRequest
 	frameGossipError    // frameGossipRequest failed
 	frameGossipClose    // the reason for closing a gossip link
+	frameGoAway         // the server handles no request after the stream it names
 )
 
 // The first byte of a connection.
@@ -101,6 +104,8 @@
 const (
 	// MaxFrame bounds a frame in bytes: a body of 8 MB and its headers.
 	MaxFrame = 9 << 20
+	// maxGossipFrame bounds a frame of a gossip link.
+	maxGossipFrame = distribution.MaxResponse + 1<<10
 	// writeTimeout bounds the write of one frame to a peer that does not read.
 	writeTimeout     = 2 * time.Second
 	frameHeaderBytes = 5 // bytes: length and kind
@@ -129,14 +134,17 @@
 // conn writes and reads frames. Writes are serialized; one goroutine reads.
 type conn struct {
 	net.Conn
-	r       *bufio.Reader
-	decoder fieldReader
+	r        *bufio.Reader
+	maxFrame int // bytes of a received frame
+	decoder  fieldReader
 
 	mu      sync.Mutex // guards encoder and writes
 	encoder fieldWriter
 }
 
-func newConn(c net.Conn) *conn { return &conn{Conn: c, r: bufio.NewReaderSize(c, 4<<10)} }
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, 4<<10), maxFrame: MaxFrame}
+}
 
 // writeFrame sends one frame. A truncated frame leaves the connection unusable,
 // so every write error closes it.
@@ -186,14 +194,14 @@
 		return 0, nil, err
 	}
 	size := binary.BigEndian.Uint32(head[:4])
-	if size > MaxFrame {
+	if int64(size) > int64(c.maxFrame) {
 		return 0, nil, fmt.Errorf("%w: %d bytes", errMalformedFrame, size)
 	}
-	payload := make([]byte, size)
-	if _, err := io.ReadFull(c.r, payload); err != nil {
-		return 0, nil, err
+	payload, err := bounded.ReadBody(io.LimitReader(c.r, int64(size)), int64(size), int64(c.maxFrame), nil)
+	if err == nil && len(payload) < int(size) {
+		err = io.ErrUnexpectedEOF
 	}
-	return head[4], payload, nil
+	return head[4], payload, err
 }
 
 func encodeUint(v uint64) []byte { return binary.BigEndian.AppendUint64(nil, v) }
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -6,8 +6,11 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/bounded"
+	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 )
 
@@ -22,21 +25,42 @@
 	HandleNotification(message []byte)
 }
 
+// The reasons for the server's own refusals. The call has not run.
+const (
+	reasonNoMemory = "memory"
+	reasonStopping = "stopping"
+)
+
+// reasonInternal is the reason of a call that failed by an unexpected error and
+// may have run.
+const reasonInternal = "internal_error"
+
+// memoryRetryAfterMs is sent with a refusal for memory.
+const memoryRetryAfterMs = 500
+
 // Server accepts the connections of other nodes.
 type Server struct {
+	// Buffers is the memory for the bodies of calls and responses, and Guard
+	// recovers panics. Both are set before Run.
+	Buffers *bounded.Budget
+	Guard   *guard.Guard
+
 	listener net.Listener
 	handler  Handler
+	pending  atomic.Int64 // calls received and not answered yet
 
 	mu            sync.Mutex
 	gossipHandler distribution.Handler // nil while no gossip links are accepted
 	acceptGossip  func(*conn, distribution.Handler)
 	conns         map[net.Conn]bool
+	callConns     map[*serverConn]bool
+	draining      bool // no connection takes further calls
 	closed        bool
 }
 
 // NewServer returns a server on an open listener.
 func NewServer(listener net.Listener, handler Handler) *Server {
-	return &Server{listener: listener, handler: handler, conns: make(map[net.Conn]bool)}
+	return &Server{listener: listener, handler: handler, conns: make(map[net.Conn]bool), callConns: make(map[*serverConn]bool)}
 }
 
 // Run accepts connections until Close.
@@ -62,6 +86,43 @@
 	}
 }
 
+// PendingCalls returns the number of calls that were received and whose responses
+// are not written yet.
+func (s *Server) PendingCalls() int { return int(s.pending.Load()) }
+
+// Drain makes each connection tell its peer which call is the last that the node
+// handles. The peer knows that later ones have not run, and closes the connection
+// when it has the responses to the others. Drain waits for that, for at most the
+// given time.
+func (s *Server) Drain(limit time.Duration) {
+	until := time.Now().Add(limit)
+	s.goAway()
+	for time.Now().Before(until) && s.openCallConns() > 0 {
+		time.Sleep(drainPollInterval)
+	}
+}
+
+const drainPollInterval = 5 * time.Millisecond
+
+func (s *Server) openCallConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.callConns)
+}
+
+func (s *Server) goAway() {
+	s.mu.Lock()
+	s.draining = true
+	conns := make([]*serverConn, 0, len(s.callConns))
+	for c := range s.callConns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.goAway()
+	}
+}
+
 // Close closes the listener and all call connections.
 func (s *Server) Close() {
 	_ = s.listener.Close() // nothing can be done about an error here
@@ -87,21 +148,24 @@
 }
 
 func (s *Server) serve(raw net.Conn) {
-	if err := raw.SetReadDeadline(time.Now().Add(preambleTimeout)); err != nil {
-		return
-	}
 	c := newConn(raw)
-	preamble, err := c.r.ReadByte()
+	var preamble byte
+	err := raw.SetReadDeadline(time.Now().Add(preambleTimeout))
+	if err == nil {
+		preamble, err = c.r.ReadByte()
+	}
 	if err == nil {
 		err = raw.SetReadDeadline(time.Time{})
 	}
 	if err == nil && preamble == preambleGossip {
 		s.track(raw, false)
-		s.serveGossip(c)
+		if s.Guard.Run("gossip_link", func() { s.serveGossip(c) }) {
+			_ = raw.Close() // the peer sees the close in any case
+		}
 		return
 	}
 	if err == nil && preamble == preambleCalls {
-		s.serveCalls(c)
+		s.Guard.Run("hop_connection", func() { s.serveCalls(c) })
 	}
 	s.track(raw, false)
 	_ = raw.Close() // the peer sees the close in any case
@@ -128,12 +192,62 @@
 	s.gossipHandler = h
 }
 
+// serverConn is a connection whose calls the server runs.
+type serverConn struct {
+	*conn
+	calls runningCalls
+
+	mu         sync.Mutex
+	lastStream uint64 // of the calls that were accepted
+	leaving    bool   // no further call is accepted
+}
+
+// goAway stops the acceptance of calls and tells the peer which one is the last.
+func (c *serverConn) goAway() {
+	c.mu.Lock()
+	leaving, last := c.leaving, c.lastStream
+	c.leaving = true
+	c.mu.Unlock()
+	if !leaving {
+		// An error closes the connection, which the peer detects.
+		_ = c.writeFrame(frameGoAway, encodeUint(last))
+	}
+}
+
+// accept counts a call that is to be run. It reports false when the connection takes
+// no further call.
+func (s *Server) accept(c *serverConn, stream uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return false
+	}
+	c.lastStream = max(c.lastStream, stream)
+	s.pending.Add(1)
+	return true
+}
+
+// trackCalls adds or removes a connection with calls. It reports whether the server
+// takes further calls.
+func (s *Server) trackCalls(c *serverConn, open bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.callConns[c] = true
+	} else {
+		delete(s.callConns, c)
+	}
+	return !s.draining
+}
+
 // serveCalls runs the calls of one connection until it closes, and then cancels
 // those still in progress.
-func (s *Server) serveCalls(c *conn) {
+func (s *Server) serveCalls(raw *conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	calls := &runningCalls{cancels: make(map[uint64]context.CancelFunc)}
+	c := &serverConn{conn: raw, calls: runningCalls{cancels: make(map[uint64]context.CancelFunc)}}
+	accepting := s.trackCalls(c, true)
+	defer s.trackCalls(c, false)
 	for {
 		kind, payload, err := c.readFrame()
 		if err != nil {
@@ -141,22 +255,20 @@
 		}
 		switch kind {
 		case frameHello:
+			if !accepting {
+				return // the peer sends nothing before its hello is answered
+			}
 			err = c.writeFrame(frameHelloAck, encodeUint(uint64(MonotonicMicros())))
 		case framePing:
 			err = c.writeFrame(framePong, nil)
 		case frameNotification:
-			s.handler.HandleNotification(payload)
+			s.Guard.Run("hop_notification", func() { s.handler.HandleNotification(payload) })
 		case frameCancel:
 			stream, decodeErr := decodeUint(payload)
 			err = decodeErr
-			calls.remove(stream)
+			c.calls.remove(stream)
 		case frameRequest:
-			var r *Request
-			if r, err = c.readRequest(payload); err == nil {
-				callCtx, cancelCall := context.WithCancel(ctx)
-				calls.add(r.Stream, cancelCall)
-				go s.run(callCtx, c, r, calls)
-			}
+			err = s.startCall(ctx, c, payload)
 		default:
 			err = io.ErrUnexpectedEOF
 		}
@@ -166,12 +278,40 @@
 	}
 }
 
-func (s *Server) run(ctx context.Context, c *conn, r *Request, calls *runningCalls) {
-	defer calls.remove(r.Stream)
-	resp := s.handler.Call(ctx, r)
+// startCall runs a call in the background. It refuses a call that arrives after the
+// server has told the peer which one is the last.
+func (s *Server) startCall(ctx context.Context, c *serverConn, payload []byte) error {
+	r, err := c.readRequest(payload)
+	if err != nil {
+		return err
+	}
+	if !s.accept(c, r.Stream) {
+		return c.writeResponse(&Response{Stream: r.Stream, Outcome: NotRun, Reason: reasonStopping})
+	}
+	callCtx, cancelCall := context.WithCancel(ctx)
+	c.calls.add(r.Stream, cancelCall)
+	go func() {
+		defer s.pending.Add(-1)
+		s.run(callCtx, c, r)
+	}()
+	return nil
+}
+
+func (s *Server) run(ctx context.Context, c *serverConn, r *Request) {
+	defer c.calls.remove(r.Stream)
+	held := int64(len(r.Body))
+	resp := &Response{Outcome: NotRun, Reason: reasonNoMemory, RetryAfterMs: memoryRetryAfterMs}
+	if s.Buffers.Acquire(held) {
+		defer s.Buffers.Release(held)
+		if s.Guard.Run("hop_call", func() { resp = s.handler.Call(ctx, r) }) {
+			resp = &Response{Outcome: Unknown, Reason: reasonInternal, SentToTarget: true}
+		}
+	}
 	resp.Stream = r.Stream
+	s.Buffers.Hold(int64(len(resp.Body)))
+	defer s.Buffers.Release(int64(len(resp.Body)))
 	// An error closes the connection, which the caller's node detects.
-	_ = c.writeResponse(resp)
+	s.Guard.Run("hop_response", func() { _ = c.writeResponse(resp) })
 }
 
 // runningCalls holds the cancel functions of a connection's calls in progress.
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -22,8 +22,19 @@
 	reasonSilent        = "target_silent"   // its heartbeats stopped
 )
 
+// reasonInternal is the reason of a call that failed by an unexpected error and
+// may have run.
+const reasonInternal = "internal_error"
+
 // Call runs a call at a target of this host.
-func (o *Owner) Call(ctx context.Context, r *hop.Request) *hop.Response {
+func (o *Owner) Call(ctx context.Context, r *hop.Request) (resp *hop.Response) {
+	if o.cfg.Guard.Run("target_call", func() { resp = o.call(ctx, r) }) {
+		return &hop.Response{Outcome: hop.Unknown, Reason: reasonInternal, SentToTarget: true}
+	}
+	return resp
+}
+
+func (o *Owner) call(ctx context.Context, r *hop.Request) *hop.Response {
 	t, reason := o.find(r)
 	if t == nil {
 		o.count("refused." + reason)
@@ -37,20 +48,11 @@
 	if err != nil {
 		return o.refusalResponse(t, r, err, arrived)
 	}
-	if o.pastSendLimit(t) {
-		t.limiter.Release(admission.Result{})
+	res, took := o.runAdmitted(ctx, t, r, deadline)
+	if res.Reason == exchange.Withdrawn {
 		o.count("refused." + reasonDraining)
 		return o.withLoad(t, &hop.Response{Outcome: hop.NotRun, Reason: reasonDraining})
 	}
-	sent := time.Now()
-	res := t.client.Do(ctx, &exchange.Call{
-		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
-		Caller: r.Caller, Expect: r.Target, Idempotent: r.Idempotent, Deadline: deadline,
-	})
-	took := time.Since(sent)
-	t.limiter.Release(admission.Result{
-		Kind: r.Route, Shed: res.Reason == exchange.Shed, Answered: res.Kind == exchange.Answered, ServiceTime: took,
-	})
 	metrics.GetOrRegisterTimer("target.time", o.cfg.Metrics).Update(took)
 	resp := o.response(&res)
 	resp.ServiceUs = took.Microseconds()
@@ -62,6 +64,23 @@
 	return o.withLoad(t, resp)
 }
 
+// runAdmitted sends an admitted call to its target and releases its slot. It returns
+// the outcome and the time at the target.
+func (o *Owner) runAdmitted(ctx context.Context, t *target, r *hop.Request, deadline time.Time) (res exchange.Result, took time.Duration) {
+	sent := time.Now()
+	defer func() {
+		took = time.Since(sent)
+		t.limiter.Release(admission.Result{
+			Kind: r.Route, Shed: res.Reason == exchange.Shed, Answered: res.Kind == exchange.Answered, ServiceTime: took,
+		})
+	}()
+	return t.client.Do(ctx, &exchange.Call{
+		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
+		Caller: r.Caller, Expect: r.Target, Idempotent: r.Idempotent, Deadline: deadline,
+		MaySend: func() bool { return !o.pastSendLimit(t) },
+	}), 0
+}
+
 // find returns the target of a call, or the reason for a refusal.
 func (o *Owner) find(r *hop.Request) (*target, string) {
 	o.mu.Lock()
@@ -79,8 +98,8 @@
 }
 
 // pastSendLimit reports whether the target has been draining for too long for a
-// call to be sent. It is checked right before the send, also after a wait for a
-// slot.
+// call to be sent. It is checked right before the send, after every wait for a slot
+// or a connection, since the process may also have been paused meanwhile.
 func (o *Owner) pastSendLimit(t *target) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -141,16 +160,3 @@
 	}
 	return t.limiter.Load(), true
 }
-
-// PendingCalls returns the number of calls in flight at the targets of this
-// host and in their queues.
-func (o *Owner) PendingCalls() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	n := 0
-	for _, t := range o.targets {
-		l := t.limiter.Load()
-		n += l.InFlight + l.Queued
-	}
-	return n
-}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,7 +12,9 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"nutmeghoist.example/nutmeghoist/internal/bounded"
 	"nutmeghoist.example/nutmeghoist/internal/exchange"
+	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -56,8 +58,11 @@
 	MaxConnections func(mesh.ServiceName) int
 	// OnChange is called with the targets of this host after each change.
 	OnChange func([]membership.Target)
-	Metrics  metrics.Registry
-	Log      *log.Logger
+	// Buffers is the memory for responses that are being read.
+	Buffers *bounded.Budget
+	Guard   *guard.Guard
+	Metrics metrics.Registry
+	Log     *log.Logger
 }
 
 // Bounds are the times that the owner guarantees to targets and callers. They
@@ -170,6 +175,7 @@
 
 func (o *Owner) addTarget(h Heartbeat) *target {
 	t := &target{Heartbeat: h, limiter: admission.New(o.limiterConfig(h)), client: exchange.NewClient(h.Address, o.cfg.HeaderNames)}
+	t.client.Buffers = o.cfg.Buffers
 	o.targets[h.ID] = t
 	o.cfg.Log.Info().Str("target", string(h.ID)).Str("service", string(h.Service)).Str("version", string(h.Version)).
 		Int("slots", h.Slots).Bool("draining", h.Draining).Uint64("sequence", h.Sequence).Msg("target joined")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,8 +16,10 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"nutmeghoist.example/nutmeghoist/internal/bounded"
 	"nutmeghoist.example/nutmeghoist/internal/control"
 	"nutmeghoist.example/nutmeghoist/internal/entry"
+	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/internal/hop"
 	"nutmeghoist.example/nutmeghoist/internal/owner"
 	"nutmeghoist.example/nutmeghoist/internal/telemetry"
@@ -56,6 +58,10 @@
 	AnnounceHandler func(Announcements) http.Handler
 	ReadyHandler    func(ready func() bool) http.Handler
 
+	// BufferBytes is the memory for the bodies of calls and responses in progress.
+	// It is defaultBufferBytes when not set.
+	BufferBytes int64
+
 	Metrics metrics.Registry
 	Log     *log.Logger
 }
@@ -86,6 +92,11 @@
 	// closeTimeout bounds the wait for the node's goroutines, within graceMargin.
 	// A request to the store or a dial can wait for a peer that does not respond.
 	closeTimeout = 300 * time.Millisecond
+	// hopDrainTimeout bounds the wait for other nodes to close their connections
+	// after the last response, within graceMargin.
+	hopDrainTimeout = 200 * time.Millisecond
+	// defaultBufferBytes is used when the memory of the host is not known.
+	defaultBufferBytes = 32 << 20
 	// discoveryTime is how long a new node waits for targets before it is ready
 	// without any.
 	discoveryTime = time.Second
@@ -108,6 +119,8 @@
 	callers *entry.Server
 	peers   *hop.Server
 
+	guard    *guard.Guard
+	buffers  *bounded.Budget
 	bounds   atomic.Pointer[Bounds] // in force
 	stopping atomic.Bool
 	started  time.Time
@@ -115,7 +128,12 @@
 
 // New returns a node and opens its listeners for calls.
 func New(cfg Config) (*Sidecar, error) {
-	s := &Sidecar{cfg: cfg, started: time.Now()}
+	if cfg.BufferBytes == 0 {
+		cfg.BufferBytes = defaultBufferBytes
+	}
+	s := &Sidecar{
+		cfg: cfg, started: time.Now(), guard: guard.New(cfg.Metrics, cfg.Log), buffers: bounded.NewBudget(cfg.BufferBytes),
+	}
 	s.bounds.Store(&cfg.Bounds)
 	calls, err := listen(cfg.CallAddress)
 	if err != nil {
@@ -131,6 +149,7 @@
 		advertised = cfg.AdvertiseAddress
 	}
 	s.peers = hop.NewServer(calls, s)
+	s.peers.Guard, s.peers.Buffers = s.guard, s.buffers
 	s.control, err = control.New(control.Config{
 		Self: membership.Host{
 			ID: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: uint64(time.Now().UnixMilli()),
@@ -142,6 +161,7 @@
 		Send: func(ctx context.Context, address string, message []byte) error {
 			return s.entry.Pool(address).Notify(ctx, message)
 		},
+		Guard:   s.guard,
 		Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	if err != nil {
@@ -149,14 +169,17 @@
 	}
 	s.owner = owner.New(owner.Config{
 		HeaderNames: cfg.HeaderNames, Bounds: cfg.Bounds.Bounds,
-		MaxConnections: s.maxConnections, OnChange: s.control.SetTargets, Metrics: cfg.Metrics, Log: cfg.Log,
+		MaxConnections: s.maxConnections, OnChange: s.control.SetTargets,
+		Buffers: s.buffers, Guard: s.guard, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	s.entry = entry.New(entry.Config{
 		Self: cfg.Host, IP: ip, Service: cfg.Service, HeaderNames: cfg.HeaderNames, Snapshot: s.control.Snapshot,
 		Local: s.owner, Observer: s.control.Observer(), RetryBurst: s.retryBurst,
-		RemoteCost: remoteCost, RemoteByteCost: remoteByteCost, WarmUp: warmUp, Metrics: cfg.Metrics, Log: cfg.Log,
+		RemoteCost: remoteCost, RemoteByteCost: remoteByteCost, WarmUp: warmUp,
+		Guard: s.guard, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	s.callers = entry.NewServer(callers, s.entry.Handle, s.limits)
+	s.callers.Guard, s.callers.Buffers = s.guard, s.buffers
 	telemetry.RegisterProcess(cfg.Metrics)
 	s.registerGauges()
 	return s, nil
@@ -174,6 +197,7 @@
 		}
 		return 0
 	})
+	gauge("buffers.bytes", s.buffers.Used)
 	gauge("hosts.live", func() int64 { return int64(s.control.LiveHosts()) })
 	gauge("targets.usable", func() int64 {
 		n := 0
@@ -250,6 +274,9 @@
 	s.owner.SetBounds(b.Bounds)
 }
 
+// SetBufferBytes changes the memory for bodies in progress.
+func (s *Sidecar) SetBufferBytes(n int64) { s.buffers.SetLimit(n) }
+
 // Ready reports whether the node serves calls: it is not stopping, has a
 // configuration, and either has targets or has waited discoveryTime for them.
 func (s *Sidecar) Ready() bool {
@@ -330,24 +357,27 @@
 
 // stop drains the node: callers and other nodes stop sending calls, and the
 // calls in flight finish. It returns graceMargin before the end of the grace
-// time at the latest.
+// time at the latest, unless the last connections take hopDrainTimeout more.
 func (s *Sidecar) stop() {
 	begun := time.Now()
+	timeLeft := func() time.Duration { return s.bounds.Load().Grace - graceMargin - time.Since(begun) }
 	s.stopping.Store(true)
 	s.cfg.Log.Info().Int("in_flight", s.callers.PendingCalls()).Msg("node stops")
 	s.owner.Stop()
 	s.control.Leave()
 	s.callers.Drain()
-	for time.Since(begun) < s.bounds.Load().Grace-graceMargin {
+	for timeLeft() > 0 && time.Since(begun) < minStopTime {
 		time.Sleep(stopPollInterval)
-		if time.Since(begun) > minStopTime {
-			s.entry.Stop()
-		}
-		if time.Since(begun) > minStopTime && s.callers.PendingCalls() == 0 && s.owner.PendingCalls() == 0 {
-			return
-		}
 	}
-	s.cfg.Log.Warn().Int("in_flight", s.callers.PendingCalls()).Msg("calls were cut at the end of the grace time")
+	s.entry.Stop()
+	s.callers.Shutdown(timeLeft())
+	for timeLeft() > 0 && s.peers.PendingCalls() > 0 {
+		time.Sleep(stopPollInterval)
+	}
+	s.peers.Drain(hopDrainTimeout)
+	if cut := s.callers.PendingCalls() + s.peers.PendingCalls(); cut > 0 {
+		s.cfg.Log.Warn().Int("in_flight", cut).Msg("calls were cut at the end of the grace time")
+	}
 }
 
 // retryBurst returns this host's equal share of RetrySlack, from 1 to
--- a/pkg/distribution/config.go
+++ b/pkg/distribution/config.go
@@ -74,7 +74,10 @@
 	Fetch func(ctx context.Context, hash string) ([]byte, error)
 	// OnFault is called for each fault, with the peer if there is one. It must
 	// not block.
-	OnFault  func(f Fault, peer mesh.HostID, err error)
+	OnFault func(f Fault, peer mesh.HostID, err error)
+	// Guard runs a unit of work, such as the handling of one message, and reports
+	// whether it panicked. Without it, a panic ends the process.
+	Guard    func(unit string, work func()) (panicked bool)
 	Counters Counters
 	Rand     *rand.Rand
 }
@@ -93,6 +96,9 @@
 	if c.OnFault == nil {
 		c.OnFault = func(Fault, mesh.HostID, error) {}
 	}
+	if c.Guard == nil {
+		c.Guard = func(_ string, work func()) bool { work(); return false }
+	}
 	if c.Counters == nil {
 		c.Counters = noCounters{}
 	}
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -11,6 +11,7 @@
 
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/pause"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
 )
 
@@ -80,7 +81,7 @@
 	for _, loop := range []func(context.Context){
 		g.propagateRecords, g.maintainLinks, g.tick, g.rejoin, g.deliverHeads, g.deliverVetoes, g.fetchHeads,
 	} {
-		group.Go(func() error { loop(ctx); return nil })
+		group.Go(func() error { g.runLoop(ctx, loop); return nil })
 	}
 	group.Go(func() error {
 		<-ctx.Done()
@@ -100,6 +101,15 @@
 	return err
 }
 
+// loopRestartDelay is the time until a loop that panicked is started again.
+const loopRestartDelay = time.Second
+
+// runLoop runs a loop until the context ends.
+func (g *Gossip) runLoop(ctx context.Context, loop func(context.Context)) {
+	for g.cfg.Guard("gossip_loop", func() { loop(ctx) }) && pause.For(ctx, loopRestartDelay) {
+	}
+}
+
 func (g *Gossip) closeLinks() {
 	g.mu.Lock()
 	links := g.openLinks()
@@ -133,7 +143,7 @@
 		return
 	}
 	ctx := g.runCtx
-	g.tasks.Go(func() { task(ctx) })
+	g.tasks.Go(func() { g.cfg.Guard("gossip_task", func() { task(ctx) }) })
 }
 
 // jitter returns a random duration in [0, d).
--- a/pkg/distribution/link.go
+++ b/pkg/distribution/link.go
@@ -97,17 +97,26 @@
 		l.mu.Lock()
 		l.lastReceived = time.Now()
 		l.mu.Unlock()
-		m, decodeErr := l.g.codec.decodeFrame(frame)
-		if decodeErr != nil {
-			l.g.fault(FaultBadMessage, l.peer, decodeErr)
-			continue
+		if l.g.cfg.Guard("gossip_message", func() { l.handleFrame(frame) }) {
+			err = errMessageFailed
+			break
 		}
-		l.handleMessage(m)
 	}
 	close(l.done)
 	l.g.removeLink(l, err)
 }
 
+var errMessageFailed = errors.New("a message of the peer caused an unexpected error")
+
+func (l *link) handleFrame(frame []byte) {
+	m, err := l.g.codec.decodeFrame(frame)
+	if err != nil {
+		l.g.fault(FaultBadMessage, l.peer, err)
+		return
+	}
+	l.handleMessage(m)
+}
+
 // writeLoop sends heartbeats and queued items. It closes a link that makes no
 // progress, which ends readLoop.
 func (l *link) writeLoop(ctx context.Context) {
