Remember across restarts what has left, and withhold new versions after a pause

Faults that operators of similar systems met, looked for here: - After a restart of a node, a delayed heartbeat of a target that the earlier process had acknowledged as leaving made it usable again: the node kept that in memory only. Neighbours now return the node's own earlier record when it holds a leaving target, and its heartbeats of that start are ignored. A node that stops no longer publishes its targets as leaving; its own status says so. - A process that was paused for seconds sent calls to a version that had been vetoed meanwhile, until its neighbours' frames were read. It now withholds the new version from its first call after a pause of over a second until a neighbour was heard and a second has passed. Tests for both, for the order of record and heartbeat, and for a new start.

--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -27,6 +27,9 @@
 func (a *Agent) buildLoop(ctx context.Context) {
 	for {
 		changed := a.members.NextChange()
+		if former, ok := a.members.Former(); ok && a.cfg.OnFormer != nil {
+			a.cfg.OnFormer(former)
+		}
 		built := time.Now()
 		a.buildSnapshot()
 		wake(a.coordinator.wakeup)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -56,6 +56,9 @@
 	FirstStart bool
 	// Load returns the load of a target of this host.
 	Load func(mesh.TargetID) (routing.Load, bool)
+	// OnFormer is called with the newest record that an earlier process of this host
+	// has made, when other hosts send it.
+	OnFormer func(membership.Host)
 	// Send sends a one-way message to the node at a call address.
 	Send    func(ctx context.Context, address string, message []byte) error
 	Guard   *guard.Guard
@@ -81,6 +84,7 @@
 
 	monitor     *RolloutMonitor
 	coordinator *coordinator
+	stall       stallGuard
 }
 
 // rolloutID identifies a rollout.
@@ -140,6 +144,10 @@
 // Observer returns the monitor that counts calls for rollouts.
 func (a *Agent) Observer() *RolloutMonitor { return a.monitor }
 
+// MayExpose reports whether calls may be sent to versions that are being rolled out,
+// as the snapshot in force says.
+func (a *Agent) MayExpose() bool { return a.stall.mayExpose(time.Now(), a.gossip.LastReceived()) }
+
 // LiveHosts returns the number of hosts that are alive, at least 1.
 func (a *Agent) LiveHosts() int { return max(1, int(a.liveHosts.Load())) }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -90,9 +91,10 @@
 
 type testNode struct {
 	*Agent
-	store *gatedStore
-	stop  context.CancelFunc
-	done  chan struct{}
+	store  *gatedStore
+	former atomic.Pointer[membership.Host] // see Config.OnFormer
+	stop   context.CancelFunc
+	done   chan struct{}
 }
 
 // testCodec decodes a configuration written as its version number, and an order
@@ -142,7 +144,8 @@
 			Incarnation: uint64(time.Now().UnixMilli()), Status: membership.StatusAlive,
 		},
 		Transport: m.net.Transport(id, address), Store: n.store, Codec: testCodec,
-		Load: func(mesh.TargetID) (routing.Load, bool) { return routing.Load{}, false },
+		Load:     func(mesh.TargetID) (routing.Load, bool) { return routing.Load{}, false },
+		OnFormer: func(h membership.Host) { n.former.Store(&h) },
 		Send: func(_ context.Context, to string, message []byte) error {
 			m.send(to, message)
 			return nil
@@ -372,6 +375,31 @@
 	})
 }
 
+// Guards against a host that is started again and no longer knows which targets it
+// has said to be leaving.
+func TestRestartedHostLearnsWhatLeft(t *testing.T) {
+	meshTest(t, func(t *testing.T) {
+		m := startMesh(t)
+		defer m.stopAll()
+		time.Sleep(5 * time.Second)
+		m.nodes["h4"].SetTargets([]membership.Target{
+			{ID: "gone", Service: "orderdesk", State: membership.TargetDraining}, {ID: "here", Service: "orderdesk", State: membership.TargetReady},
+		})
+		time.Sleep(time.Second)
+		m.stopNode("h4")
+		time.Sleep(300 * time.Millisecond)
+		n := m.start("h4", "south")
+		time.Sleep(1500 * time.Millisecond)
+		former := n.former.Load()
+		if former == nil || len(former.Targets) != 2 || !former.HasLeavingTarget() {
+			t.Fatalf("the host got %+v", former)
+		}
+		if self := n.members.Self(); len(self.Targets) != 0 {
+			t.Errorf("the record of the earlier process came back: %+v", self)
+		}
+	})
+}
+
 // Guards against a row that nobody can read and that ends the process, or keeps
 // later rows from being read.
 func TestRowThatPanicsIsPassedOver(t *testing.T) {
--- a/internal/control/monitor.go
+++ b/internal/control/monitor.go
@@ -79,6 +79,7 @@
 
 func (m *RolloutMonitor) run(ctx context.Context) {
 	for round := 0; pause.For(ctx, tallyPeriod); round++ {
+		m.agent.stall.round(time.Now())
 		s := m.agent.current.Load()
 		if s == nil {
 			continue
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -83,6 +83,9 @@
 	Snapshot func() *view.Snapshot
 	Local    Local
 	Observer Observer
+	// MayExpose reports whether calls may be sent to a version that is being rolled
+	// out. Without it, they may.
+	MayExpose func() bool
 	// RetryBurst returns the retries that this node may save up for a service.
 	RetryBurst func() int
 	// RemoteCost and RemoteByteCost are the cost of a call to another data centre,
@@ -283,6 +286,10 @@
 	c.budget = c.entry.retryBudget(service.Name)
 	c.budget.Deposit()
 	set, isNew := c.entry.versionSplitter.Pick(service)
+	if isNew && service.Stable != nil && service.Stable.Len() > 0 && c.entry.cfg.MayExpose != nil && !c.entry.cfg.MayExpose() {
+		c.entry.count("rollouts.withheld")
+		set, isNew = service.Stable, false
+	}
 	for {
 		var t *routing.Candidate
 		if set != nil {
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -286,3 +286,27 @@
 		}
 	}
 }
+
+// Guards against a node that was paused and sends calls to a version that is being
+// rolled out, and against a call that gets no target because of that.
+func TestNewVersionIsWithheldWhileNotAllowed(t *testing.T) {
+	for _, stableTargets := range []int{0, 2} {
+		owner := &scriptedOwner{script: func(int, *hop.Request) *hop.Response { return successResponse(nil) }}
+		e := newEntry(owner, stableTargets)
+		s := e.cfg.Snapshot().Services["orderdesk"]
+		s.Next = routing.NewTracker().NewSet("north", []snapshot.Target{{
+			Target: membership.Target{ID: "new", Service: "orderdesk", Version: "v2", Slots: 4, State: membership.TargetReady}, Host: "h", DataCentre: "north",
+		}}, time.Now())
+		s.Rollout = &rollout.Progress{State: rollout.Running, Permille: 1000}
+		for _, allowed := range []bool{true, false} {
+			e.cfg.MayExpose = func() bool { return allowed }
+			if resp := e.Handle(t.Context(), requestFor("/menus/1")); resp.Status != 200 {
+				t.Errorf("status %d", resp.Status)
+			}
+			wantNew := allowed || stableTargets == 0
+			if last := owner.calls[len(owner.calls)-1]; (last.Target == "new") != wantNew {
+				t.Errorf("allowed %v, %d other targets: target %s", allowed, stableTargets, last.Target)
+			}
+		}
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -81,7 +81,6 @@
 	bounds   Bounds // in force
 	targets  map[mesh.TargetID]*target
 	departed map[mesh.TargetID]int64 // start times of the targets that have left
-	stopped  bool
 }
 
 // target is the state of a target since its last start. A restart replaces it.
@@ -222,6 +221,23 @@
 	o.publish()
 }
 
+// RestoreDeparture records that a target was leaving when an earlier process of this
+// node acknowledged it. Heartbeats of that start, which may be delayed, do not make
+// it usable again.
+func (o *Owner) RestoreDeparture(id mesh.TargetID, started int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if old, ok := o.departed[id]; ok && old >= started {
+		return
+	}
+	o.recordDeparture(id, started)
+	o.cfg.Log.Info().Str("target", string(id)).Int64("started", started).Msg("target had left before the node started")
+	if t := o.targets[id]; t != nil && t.Started <= started && t.drainStart.IsZero() {
+		o.startDrain(t, "left before")
+		o.publish()
+	}
+}
+
 // recordDeparture remembers that a target has left, so that a delayed heartbeat
 // does not add it again.
 func (o *Owner) recordDeparture(id mesh.TargetID, started int64) {
@@ -277,21 +293,13 @@
 	return interval
 }
 
-// Stop publishes all targets as draining.
-func (o *Owner) Stop() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.stopped = true
-	o.publish()
-}
-
 // publish passes the state of the targets to OnChange; o.mu must be held.
 func (o *Owner) publish() {
 	var list []membership.Target
 	for _, t := range o.targets {
 		state := membership.TargetReady
 		switch {
-		case t.Draining || o.stopped:
+		case t.Draining:
 			state = membership.TargetDraining
 		case t.silent:
 			state = membership.TargetStarting
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -266,3 +266,35 @@
 		t.Errorf("published %+v after the next heartbeat", published)
 	}
 }
+
+// Guards against a target that was leaving when an earlier process of the node
+// acknowledged it, and that a delayed heartbeat brings back into use after a restart
+// of the node; and against a new start of that target that is refused.
+func TestDeparturesOutliveARestart(t *testing.T) {
+	for name, heartbeatFirst := range map[string]bool{"record first": false, "delayed heartbeat first": true} {
+		t.Run(name, func(t *testing.T) {
+			var published []membership.Target
+			o := newOwner(&published)
+			delayed := heartbeat("a", 10, 5, false)
+			if heartbeatFirst {
+				_ = o.Heartbeat(delayed)
+			}
+			o.RestoreDeparture("a", 10)
+			_ = o.Heartbeat(delayed)
+			for _, target := range published {
+				if target.State == membership.TargetReady {
+					t.Errorf("the target that left is ready")
+				}
+			}
+			time.Sleep(drainTime)
+			call := &hop.Request{Target: "a", Service: "galley", Version: "v1", ID: "x", DeadlineAt: hop.MonotonicMicros() + 1e6}
+			if resp := o.Call(t.Context(), call); resp.Outcome != hop.NotRun || resp.SentToTarget {
+				t.Errorf("a call got %+v", resp)
+			}
+			_ = o.Heartbeat(heartbeat("a", 20, 1, false))
+			if len(published) != 1 || published[0].State != membership.TargetReady {
+				t.Errorf("the new start is not ready: %+v", published)
+			}
+		})
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -157,7 +157,7 @@
 		},
 		Transport: hop.NewTransport(cfg.Host, ip, s.peers),
 		Store:     cfg.Store, Codec: cfg.Codec, FirstStart: cfg.FirstStart,
-		Load: s.load,
+		Load: s.load, OnFormer: s.restoreDepartures,
 		Send: func(ctx context.Context, address string, message []byte) error {
 			return s.entry.Pool(address).Notify(ctx, message)
 		},
@@ -174,7 +174,7 @@
 	})
 	s.entry = entry.New(entry.Config{
 		Self: cfg.Host, IP: ip, Service: cfg.Service, HeaderNames: cfg.HeaderNames, Snapshot: s.control.Snapshot,
-		Local: s.owner, Observer: s.control.Observer(), RetryBurst: s.retryBurst,
+		Local: s.owner, Observer: s.control.Observer(), RetryBurst: s.retryBurst, MayExpose: s.control.MayExpose,
 		RemoteCost: remoteCost, RemoteByteCost: remoteByteCost, WarmUp: warmUp,
 		Guard: s.guard, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
@@ -262,6 +262,16 @@
 // Leave implements Announcements.
 func (s *Sidecar) Leave(id mesh.TargetID) { s.owner.Leave(id) }
 
+// restoreDepartures reads from the record of an earlier process of this node which
+// targets were leaving.
+func (s *Sidecar) restoreDepartures(former membership.Host) {
+	for _, t := range former.Targets {
+		if t.State == membership.TargetDraining {
+			s.owner.RestoreDeparture(t.ID, t.ReadySince.UnixMilli())
+		}
+	}
+}
+
 // RecordInvalid implements Announcements.
 func (s *Sidecar) RecordInvalid(err error) {
 	metrics.GetOrRegisterCounter("heartbeats.invalid", s.cfg.Metrics).Inc(1)
@@ -363,7 +373,6 @@
 	timeLeft := func() time.Duration { return s.bounds.Load().Grace - graceMargin - time.Since(begun) }
 	s.stopping.Store(true)
 	s.cfg.Log.Info().Int("in_flight", s.callers.PendingCalls()).Msg("node stops")
-	s.owner.Stop()
 	s.control.Leave()
 	s.callers.Drain()
 	for timeLeft() > 0 && time.Since(begun) < minStopTime {
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -135,6 +135,21 @@
 	return len(g.links)
 }
 
+// LastReceived returns when the last frame of a neighbour was received.
+func (g *Gossip) LastReceived() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var last time.Time
+	for _, l := range g.links {
+		l.mu.Lock()
+		if l.lastReceived.After(last) {
+			last = l.lastReceived
+		}
+		l.mu.Unlock()
+	}
+	return last
+}
+
 // spawn starts a task for which Run waits, unless the engine is stopping.
 func (g *Gossip) spawn(task func(ctx context.Context)) {
 	g.mu.Lock()
--- a/pkg/distribution/link.go
+++ b/pkg/distribution/link.go
@@ -75,11 +75,12 @@
 func (g *Gossip) isPreferred(c Link) bool { return c.Dialed() == (g.self < c.Peer()) }
 
 // queueInitialState queues what a peer needs first: this host's record, the
-// peer's own record if the peer must refute it, a heartbeat and the head.
+// peer's own record if the peer must refute it or may have lost what it says of
+// leaving targets, a heartbeat and the head.
 func (l *link) queueInitialState() {
 	g := l.g
 	hosts := []membership.Host{g.cfg.Members.Self()}
-	if h, ok := g.cfg.Members.GetRetained(l.peer); ok && h.Status != membership.StatusAlive {
+	if h, ok := g.cfg.Members.GetRetained(l.peer); ok && (h.Status != membership.StatusAlive || h.HasLeavingTarget()) {
 		hosts = append(hosts, h)
 	}
 	l.enqueueHosts(hosts)
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -80,6 +80,7 @@
 			continue
 		}
 		if r.ID == t.self {
+			t.recordFormer(&r)
 			if t.refute(&r, now) {
 				changed = append(changed, clone(t.hosts[t.self].host))
 			}
@@ -116,10 +117,20 @@
 	}
 	own.Incarnation = r.Incarnation + 1
 	own.Sequence++
-	t.put(own, now)
+	t.putSelf(own, now)
 	return true
 }
 
+// recordFormer keeps a record of this host that an earlier process has made.
+func (t *Table) recordFormer(r *Host) {
+	if t.incarnations[r.Incarnation] || t.former != nil && compare(t.former, r) >= 0 {
+		return
+	}
+	former := clone(*r)
+	t.former = &former
+	t.notify()
+}
+
 // NewerThan returns the table's records that are newer than the given ones.
 func (t *Table) NewerThan(records []Host) []Host {
 	t.mu.Lock()
--- a/pkg/membership/record.go
+++ b/pkg/membership/record.go
@@ -4,6 +4,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -61,3 +62,8 @@
 	// Detached means that the host cannot reach the platform's store.
 	Detached bool `cbor:"10,keyasint,omitempty" json:"detached,omitempty"`
 }
+
+// HasLeavingTarget reports whether a target of the host is draining.
+func (h *Host) HasLeavingTarget() bool {
+	return slices.ContainsFunc(h.Targets, func(t Target) bool { return t.State == TargetDraining })
+}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -46,6 +46,10 @@
 	version   uint64
 	changed   chan struct{}
 	takeovers int
+	// incarnations are those that this process has used for its own record, and
+	// former is the newest record of an earlier process of this host.
+	incarnations map[uint64]bool
+	former       *Host
 }
 
 type entry struct {
@@ -68,14 +72,31 @@
 	if opts.Retention == 0 {
 		opts.Retention = DefaultRetention
 	}
-	t := &Table{opts: opts, self: self.ID, hosts: make(map[mesh.HostID]*entry), changed: make(chan struct{})}
+	t := &Table{opts: opts, self: self.ID, hosts: make(map[mesh.HostID]*entry), changed: make(chan struct{}), incarnations: make(map[uint64]bool)}
 	if self.Status == 0 {
 		self.Status = StatusAlive
 	}
-	t.put(clone(self), time.Now())
+	t.putSelf(clone(self), time.Now())
 	return t
 }
 
+// putSelf stores the host's own record.
+func (t *Table) putSelf(h Host, now time.Time) {
+	t.incarnations[h.Incarnation] = true
+	t.put(h, now)
+}
+
+// Former returns the newest record of an earlier process of this host that other
+// hosts have sent. It says what the host knew before it was started again.
+func (t *Table) Former() (Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.former == nil {
+		return Host{}, false
+	}
+	return clone(*t.former), true
+}
+
 // Self returns the host's own record.
 func (t *Table) Self() Host {
 	t.mu.Lock()
@@ -92,7 +113,7 @@
 	h := clone(old)
 	change(&h)
 	h.ID, h.Incarnation, h.Sequence = old.ID, old.Incarnation, old.Sequence+1
-	t.put(h, time.Now())
+	t.putSelf(h, time.Now())
 	t.notify()
 }
 
