Give nested calls a class of their own in the queue, by time instead of turns

Change: a call whose parent runs at the target of its host is nested. It has its own class and room in the queue, and runs in its turn also when late, since a refusal wastes what its parent has used. Classes share the time of the slots, not the turns. An estimate that nobody updates no longer refuses a kind for good.

--- a/cmd/nutmeghoist-sidecar/main.go
+++ b/cmd/nutmeghoist-sidecar/main.go
@@ -102,7 +102,7 @@
 		CallerAddress: settings.CallerAddress, CallAddress: settings.CallAddress,
 		ReadyAddress: settings.ReadyAddress, AnnounceAddress: settings.AnnounceAddress,
 		MetricsAddress: netip.AddrPortFrom(settings.IP, o.MetricsPort),
-		HeaderNames:    platform.Headers, Bounds: bounds(settings), FirstStart: settings.FirstStart,
+		HeaderNames:    platform.Headers, ParentID: platform.ParentID, Bounds: bounds(settings), FirstStart: settings.FirstStart,
 		Store: store,
 		Codec: control.RowCodec{
 			Table: platform.OperatorTable, ConfigKey: platform.ConfigKey,
--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -73,18 +73,20 @@
 	a.current.Store(s)
 }
 
-// targetsByService returns the targets of all hosts that are alive or suspected.
+// targetsByService returns the targets of all hosts that have neither failed nor
+// left. Those of a suspected or stopping host are used only when there is no other:
+// a node that stops still serves the calls that reach it for a while.
 func targetsByService(hosts []membership.Host) map[mesh.ServiceName][]snapshot.Target {
 	out := make(map[mesh.ServiceName][]snapshot.Target)
 	for i := range hosts {
 		h := &hosts[i]
-		if h.Status >= membership.StatusLeaving {
+		if h.Status > membership.StatusLeaving {
 			continue
 		}
 		for _, t := range h.Targets {
 			out[t.Service] = append(out[t.Service], snapshot.Target{
 				Target: t, Host: h.ID, DataCentre: h.DataCentre, CallAddress: h.CallAddress,
-				Suspect: h.Status == membership.StatusSuspect,
+				Suspect: h.Status != membership.StatusAlive,
 			})
 		}
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -62,6 +62,8 @@
 // Local runs calls at the target of this host.
 type Local interface {
 	Call(ctx context.Context, r *hop.Request) *hop.Response
+	// IsRunning reports whether a call with the request ID runs there.
+	IsRunning(id string) bool
 }
 
 // Observer is notified of each attempt at a target. Rollouts use it. isNew means
@@ -79,6 +81,9 @@
 	IP          net.IP
 	Service     mesh.ServiceName // of this host; sent as the caller of calls that begin here
 	HeaderNames traffic.Headers
+	// ParentID returns the request ID of the call for which a target makes the call
+	// with the given one, or "". Without it, no call counts as nested.
+	ParentID func(id string) string
 	// Snapshot returns the snapshot in force, or nil.
 	Snapshot func() *view.Snapshot
 	Local    Local
@@ -174,6 +179,7 @@
 	callerCtx    context.Context // ends when the caller disconnects
 	req          *Request
 	id           string
+	nested       bool // made by this host's target for a call that runs there
 	snapshot     *view.Snapshot
 	route        *traffic.Route
 	budget       *retry.Budget
@@ -194,6 +200,7 @@
 // Handle routes a call and returns the response for the caller.
 func (e *Entry) Handle(ctx context.Context, req *Request) *Response {
 	c := &call{entry: e, callerCtx: ctx, req: req, id: req.Header.Get(e.cfg.HeaderNames.RequestID), snapshot: e.cfg.Snapshot()}
+	c.nested = e.isNested(c.id)
 	e.count("calls.received")
 	c.awaitStartup()
 	response := c.prepare()
@@ -207,6 +214,15 @@
 	return response
 }
 
+// isNested reports whether this host's target makes a call for one that it runs.
+func (e *Entry) isNested(id string) bool {
+	if e.cfg.ParentID == nil {
+		return false
+	}
+	parent := e.cfg.ParentID(id)
+	return parent != "" && e.cfg.Local.IsRunning(parent)
+}
+
 // awaitStartup holds a call while the node has just started and has no target
 // for it yet, for at most half of the caller's timeout.
 func (c *call) awaitStartup() {
@@ -326,7 +342,7 @@
 	r := hop.Request{
 		Target: t.ID, Service: t.Service, Version: t.Version, Caller: c.entry.cfg.Service, ID: c.id,
 		Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: c.forwardedHeader(), Body: c.req.Body,
-		Priority: c.route.Priority, Idempotent: c.route.Idempotent, Route: c.route.Name,
+		Priority: c.route.Priority, Nested: c.nested, Idempotent: c.route.Idempotent, Route: c.route.Name,
 	}
 	t.Stat.Begin()
 	c.entry.cfg.Observer.Begin(service, isNew)
@@ -532,7 +548,7 @@
 	if retryAfter := response.Header.Get("Retry-After"); retryAfter != "" {
 		line = line.Str("retry_after", retryAfter)
 	}
-	line.Bool("caller_left", c.callerCtx.Err() != nil).Msg("call ended")
+	line.Bool("nested", c.nested).Bool("caller_left", c.callerCtx.Err() != nil).Msg("call ended")
 }
 
 func (e *Entry) count(name string) { metrics.GetOrRegisterCounter(name, e.cfg.Metrics).Inc(1) }
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -44,6 +44,8 @@
 	return resp
 }
 
+func (o *scriptedOwner) IsRunning(id string) bool { return id == "running" }
+
 type nopObserver struct{}
 
 func (nopObserver) Begin(*view.Service, bool)                            {}
@@ -310,3 +312,19 @@
 		}
 	}
 }
+
+// Guards against a call of a target that is not told apart from those of callers,
+// and against a caller that makes its calls look like one.
+func TestCallsOfTargetsAreNested(t *testing.T) {
+	owner := &scriptedOwner{script: func(int, *hop.Request) *hop.Response { return successResponse(nil) }}
+	e := newEntry(owner, 1)
+	e.cfg.ParentID = func(id string) string { parent, _, _ := strings.Cut(id, "/"); return parent }
+	for id, want := range map[string]bool{"running/1": true, "ended/1": false, "c": false} {
+		r := requestFor("/menus/1")
+		r.Header.Set("Call-Name", id)
+		e.Handle(t.Context(), r)
+		if got := owner.calls[len(owner.calls)-1].Nested; got != want {
+			t.Errorf("%s: nested=%v", id, got)
+		}
+	}
+}
--- a/internal/hop/fields.go
+++ b/internal/hop/fields.go
@@ -40,6 +40,7 @@
 	Idempotent     bool   `cbor:"7,keyasint,omitempty"`
 	DeadlineAt     int64  `cbor:"8,keyasint"`
 	SoftDeadlineAt int64  `cbor:"9,keyasint"`
+	Nested         bool   `cbor:"10,keyasint,omitempty"`
 }
 
 // wireResponse is the encoding of a Response.
@@ -133,7 +134,7 @@
 	}
 	return c.writeMessageLocked(frameRequest, &wireRequest{
 		Stream: r.Stream, Fields: fields, ID: r.ID, URI: r.URI, Body: r.Body, Priority: r.Priority,
-		Idempotent: r.Idempotent, DeadlineAt: r.DeadlineAt, SoftDeadlineAt: r.SoftDeadlineAt,
+		Idempotent: r.Idempotent, DeadlineAt: r.DeadlineAt, SoftDeadlineAt: r.SoftDeadlineAt, Nested: r.Nested,
 	})
 }
 
@@ -150,7 +151,7 @@
 		Stream: w.Stream, Target: mesh.TargetID(f[fieldTarget]), Service: mesh.ServiceName(f[fieldService]),
 		Version: mesh.TargetVersion(f[fieldVersion]), Caller: mesh.ServiceName(f[fieldCaller]), ID: w.ID,
 		Method: f[fieldMethod], URI: w.URI, Host: f[fieldHost], Header: h, Body: w.Body, Priority: w.Priority,
-		Idempotent: w.Idempotent, Route: f[fieldRoute], DeadlineAt: w.DeadlineAt, SoftDeadlineAt: w.SoftDeadlineAt,
+		Idempotent: w.Idempotent, Route: f[fieldRoute], DeadlineAt: w.DeadlineAt, SoftDeadlineAt: w.SoftDeadlineAt, Nested: w.Nested,
 	}, nil
 }
 
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -34,7 +34,8 @@
 	Host       string
 	Header     http.Header
 	Body       []byte
-	Priority   int // 0 is the highest
+	Priority   int  // 0 is the highest
+	Nested     bool // a call of a target, whose own call waits for it
 	Idempotent bool
 	Route      string
 	// DeadlineAt and SoftDeadlineAt are readings of the receiving node's monotonic
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -43,7 +43,7 @@
 	deadline := hop.TimeAt(r.DeadlineAt)
 	arrived := time.Now()
 	err := t.limiter.Admit(ctx, admission.Request{
-		Class: mesh.ClassOfPriority(r.Priority), Kind: r.Route, SoftDeadline: hop.TimeAt(r.SoftDeadlineAt), Deadline: deadline,
+		Class: mesh.ClassOfPriority(r.Priority), Nested: r.Nested, Kind: r.Route, SoftDeadline: hop.TimeAt(r.SoftDeadlineAt), Deadline: deadline,
 	})
 	if err != nil {
 		return o.refusalResponse(t, r, err, arrived)
@@ -68,8 +68,10 @@
 // the outcome and the time at the target.
 func (o *Owner) runAdmitted(ctx context.Context, t *target, r *hop.Request, deadline time.Time) (res exchange.Result, took time.Duration) {
 	sent := time.Now()
+	o.countRunning(r.ID, 1)
 	defer func() {
 		took = time.Since(sent)
+		o.countRunning(r.ID, -1)
 		t.limiter.Release(admission.Result{
 			Kind: r.Route, Shed: res.Reason == exchange.Shed, Answered: res.Kind == exchange.Answered, ServiceTime: took,
 		})
@@ -81,6 +83,22 @@
 	}), 0
 }
 
+// IsRunning reports whether a call with the request ID runs at a target of this
+// host.
+func (o *Owner) IsRunning(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.running[id] > 0
+}
+
+func (o *Owner) countRunning(id string, change int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.running[id] += change; o.running[id] == 0 {
+		delete(o.running, id)
+	}
+}
+
 // find returns the target of a call, or the reason for a refusal.
 func (o *Owner) find(r *hop.Request) (*target, string) {
 	o.mu.Lock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -81,6 +81,7 @@
 	bounds   Bounds // in force
 	targets  map[mesh.TargetID]*target
 	departed map[mesh.TargetID]int64 // start times of the targets that have left
+	running  map[string]int          // attempts that run at the targets, by request ID
 }
 
 // target is the state of a target since its last start. A restart replaces it.
@@ -96,7 +97,7 @@
 
 // New returns an owner without targets.
 func New(cfg Config) *Owner {
-	return &Owner{cfg: cfg, bounds: cfg.Bounds, targets: make(map[mesh.TargetID]*target), departed: make(map[mesh.TargetID]int64)}
+	return &Owner{cfg: cfg, bounds: cfg.Bounds, targets: make(map[mesh.TargetID]*target), departed: make(map[mesh.TargetID]int64), running: make(map[string]int)}
 }
 
 // SetBounds replaces the bounds. A target that is already draining keeps the
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -47,7 +47,8 @@
 	AdvertiseAddress netip.AddrPort
 
 	HeaderNames traffic.Headers
-	Bounds      Bounds // in force until SetBounds
+	ParentID    func(requestID string) string // see entry.Config
+	Bounds      Bounds                        // in force until SetBounds
 
 	// FirstStart means that the whole system starts for the first time.
 	FirstStart bool
@@ -173,7 +174,7 @@
 		Buffers: s.buffers, Guard: s.guard, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	s.entry = entry.New(entry.Config{
-		Self: cfg.Host, IP: ip, Service: cfg.Service, HeaderNames: cfg.HeaderNames, Snapshot: s.control.Snapshot,
+		Self: cfg.Host, IP: ip, Service: cfg.Service, HeaderNames: cfg.HeaderNames, ParentID: cfg.ParentID, Snapshot: s.control.Snapshot,
 		Local: s.owner, Observer: s.control.Observer(), RetryBurst: s.retryBurst, MayExpose: s.control.MayExpose,
 		RemoteCost: remoteCost, RemoteByteCost: remoteByteCost, WarmUp: warmUp,
 		Guard: s.guard, Metrics: cfg.Metrics, Log: cfg.Log,
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -39,12 +39,16 @@
 // Request describes a call to be admitted.
 type Request struct {
 	Class mesh.Class
+	// Nested means that a call which already runs at another target waits for this
+	// one. A refusal would waste the work done for it, so that a nested call has room
+	// of its own in the queue and runs in its turn also when it is late.
+	Nested bool
 	// Kind groups calls of similar service time, for example those of a route.
 	Kind string
 	// SoftDeadline is when the call misses its latency target; zero means that only
 	// Deadline counts. A call that can no longer meet its soft deadline is late: it
-	// runs after all other queued calls or is refused, unless calls of its Kind are
-	// short (see isShort).
+	// runs after all other queued calls or is refused, unless runsLate
+	// says otherwise.
 	SoftDeadline time.Time
 	Deadline     time.Time
 }
@@ -109,7 +113,7 @@
 		return nil
 	}
 	w := newWaiter(&req)
-	w.serviceTime, w.isShort = l.meanServiceTime(req.Kind), l.isShort(req.Kind)
+	w.serviceTime, w.runsLate = l.meanServiceTime(req.Kind, now), l.runsLate(&req, now)
 	maxWait := l.waitLimit(w, now)
 	if late {
 		l.queue.pushLate(w)
@@ -132,14 +136,14 @@
 		return false, ReasonDeadline
 	case l.inFlight < l.limit.current && l.queue.len() == 0:
 		return false, ""
-	case l.queue.isFull(req.Class, l.limit.current):
+	case l.queue.isFull(req, l.limit.current):
 		return false, ReasonQueueFull
 	}
 	wait := l.expectedWait(req, now)
 	if wait+l.serviceTime.low > remaining {
 		return false, ReasonDeadline
 	}
-	if req.SoftDeadline.IsZero() || l.isShort(req.Kind) || !now.Add(time.Duration(softWaitMargin*float64(wait))+l.meanServiceTime(req.Kind)).After(req.SoftDeadline) {
+	if req.SoftDeadline.IsZero() || l.runsLate(req, now) || !now.Add(time.Duration(softWaitMargin*float64(wait))+l.meanServiceTime(req.Kind, now)).After(req.SoftDeadline) {
 		return false, ""
 	}
 	if l.queue.len() >= l.lateQueueLimit() {
@@ -163,20 +167,26 @@
 // counts as short.
 const shortCallFraction = 0.5
 
-// isShort reports whether calls of a kind are short. Short calls run in their turn
-// even when they are late, since a longer call of another service often waits for
-// them.
-func (l *Limiter) isShort(kind string) bool {
-	return float64(l.meanServiceTime(kind)) < shortCallFraction*float64(l.serviceTime.mean)
+// runsLate reports whether a call runs in its turn even when it is late: a nested
+// call, and a call of a short kind, since a longer call of another service often
+// waits for one.
+func (l *Limiter) runsLate(req *Request, now time.Time) bool {
+	return req.Nested || float64(l.meanServiceTime(req.Kind, now)) < shortCallFraction*float64(l.serviceTime.mean)
 }
 
 // meanServiceTime returns the mean service time of a kind, or of all calls when
-// the kind has no estimate.
-func (l *Limiter) meanServiceTime(kind string) time.Duration {
-	if e := l.kinds[kind]; e != nil {
-		return e.mean
+// the kind has no estimate. An estimate that no call has updated for estimateTTL
+// counts only as far as it is below the mean of all calls: a kind that was slow once
+// would otherwise be refused as late for good, with no call that measures it again.
+func (l *Limiter) meanServiceTime(kind string, now time.Time) time.Duration {
+	e := l.kinds[kind]
+	switch {
+	case e == nil:
+		return l.serviceTime.mean
+	case now.Sub(e.updatedAt) > estimateTTL:
+		return min(e.mean, l.serviceTime.mean)
 	}
-	return l.serviceTime.mean
+	return e.mean
 }
 
 // expectedWait estimates how long a call would wait.
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -7,26 +7,43 @@
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
 
-const classCount = int(mesh.ClassBackground) + 1
+// queueClass is a class of calls in the queue: that of the call, or nestedClass.
+type queueClass int
 
-// classWeights are the relative shares of the classes while calls of all of them
-// are queued. The lowest is above zero, so that no class starves.
-var classWeights = [classCount]float64{mesh.ClassUrgent: 16, mesh.ClassNormal: 4, mesh.ClassBackground: 1}
+// Nested calls have a class of their own. They come in numbers and with short soft
+// deadlines, and would leave no turn to the urgent calls of callers.
+const (
+	nestedClass = queueClass(mesh.ClassBackground) + 1
+	classCount  = int(nestedClass) + 1
+)
+
+func (r *Request) queueClass() queueClass {
+	if r.Nested {
+		return nestedClass
+	}
+	return queueClass(r.Class)
+}
+
+// classWeights are the relative shares of the classes in the time of the slots while
+// calls of all of them are queued. The lowest is above zero, so that no class
+// starves.
+var classWeights = [classCount]float64{mesh.ClassUrgent: 16, mesh.ClassNormal: 4, mesh.ClassBackground: 1, nestedClass: 16}
 
 // queueFactor is the capacity of the queue as a multiple of the concurrency limit:
 // at 4 a call waits at most about four service times.
 const queueFactor = 4
 
 // classQueueShare is the share of the queue's capacity that may be in use when a
-// call of the class arrives. The rest is reserved for higher classes.
-var classQueueShare = [classCount]float64{mesh.ClassUrgent: 1, mesh.ClassNormal: 0.5, mesh.ClassBackground: 0.25}
+// call of the class arrives. The rest is reserved for higher classes. Nested calls
+// have a capacity of their own.
+var classQueueShare = [classCount]float64{mesh.ClassUrgent: 1, mesh.ClassNormal: 0.5, mesh.ClassBackground: 0.25, nestedClass: 0.75}
 
 // waiter is a queued call. decision receives "" when the call is admitted, and
 // otherwise the reason for its refusal.
 type waiter struct {
 	Request
 	serviceTime time.Duration // expected service time
-	isShort     bool          // runs in its turn even when late
+	runsLate    bool          // runs in its turn even when late
 	decision    chan Reason
 	heap        *dueHeap // the heap that contains the call, or nil
 	index       int      // in the heap
@@ -56,6 +73,10 @@
 	length     int
 }
 
+// minTurnTime is the least time that a turn counts with, also before any service
+// time is known.
+const minTurnTime = time.Millisecond
+
 // turnInterval measures the time between the turns of a class that has queued
 // calls.
 type turnInterval struct {
@@ -85,17 +106,23 @@
 
 func (q *queue) len() int { return q.length }
 
-// isFull reports whether the queue has no room for a call of the class.
-func (q *queue) isFull(class mesh.Class, limit int) bool {
-	return float64(q.length) >= max(1, queueFactor*float64(limit)*classQueueShare[class])
+// isFull reports whether the queue has no room for a call.
+func (q *queue) isFull(req *Request, limit int) bool {
+	class := req.queueClass()
+	inUse := q.heaps[nestedClass].Len()
+	if class != nestedClass {
+		inUse = q.length - inUse
+	}
+	return float64(inUse) >= max(1, queueFactor*float64(limit)*classQueueShare[class])
 }
 
 func (q *queue) push(w *waiter, now time.Time) {
-	h := &q.heaps[w.Class]
+	class := w.queueClass()
+	h := &q.heaps[class]
 	if h.Len() == 0 {
 		// A class gets no credit for the time in which it had no queued call.
-		q.pass[w.Class] = max(q.pass[w.Class], q.globalPass)
-		q.turns[w.Class].lastTurn = now
+		q.pass[class] = max(q.pass[class], q.globalPass)
+		q.turns[class].lastTurn = now
 	}
 	w.heap = h
 	heap.Push(h, w)
@@ -126,7 +153,7 @@
 		w := heap.Pop(&q.heaps[next]).(*waiter)
 		q.length--
 		q.turns[next].record(now)
-		if !w.isShort && !w.SoftDeadline.IsZero() && now.Add(w.serviceTime).After(w.SoftDeadline) {
+		if !w.runsLate && !w.SoftDeadline.IsZero() && now.Add(w.serviceTime).After(w.SoftDeadline) {
 			if q.length > lateLimit {
 				w.decision <- ReasonLate
 			} else {
@@ -135,7 +162,7 @@
 			continue
 		}
 		q.globalPass = q.pass[next]
-		q.pass[next] += 1 / classWeights[next]
+		q.pass[next] += max(minTurnTime, w.serviceTime).Seconds() / classWeights[next]
 		return w
 	}
 	if q.late.Len() == 0 {
@@ -162,19 +189,20 @@
 func (q *queue) estimateWait(req *Request, turnTime time.Duration, now time.Time) time.Duration {
 	ahead := 0
 	due := req.dueAt()
-	for _, w := range q.heaps[req.Class] {
+	class := req.queueClass()
+	for _, w := range q.heaps[class] {
 		if w.dueAt().Before(due) {
 			ahead++
 		}
 	}
-	activeWeight := classWeights[req.Class]
+	activeWeight := classWeights[class]
 	for c := range q.heaps {
-		if c != int(req.Class) && q.heaps[c].Len() > 0 {
+		if c != int(class) && q.heaps[c].Len() > 0 {
 			activeWeight += classWeights[c]
 		}
 	}
-	turns := min(q.length, int(float64(ahead+1)*activeWeight/classWeights[req.Class])-1) + 1
-	return max(time.Duration(turns)*turnTime, time.Duration(ahead+1)*q.turns[req.Class].expected(now))
+	turns := min(q.length, int(float64(ahead+1)*activeWeight/classWeights[class])-1) + 1
+	return max(time.Duration(turns)*turnTime, time.Duration(ahead+1)*q.turns[class].expected(now))
 }
 
 // dueHeap is a min-heap of waiters by dueAt.
