Wake less often, ask the store less, and keep what left across more restarts

Change: timers run when something is due (monitor, store follower, suspicions, heartbeats of targets), the links of a host send their heartbeats at once, log lines are written in batches of 250 ms; an idle connection is pinged only before a call that must not run twice; the mean and the ejections of a set are kept for 20 ms; a host that starts reads the configuration from the store only if it follows it. A finding on the way: TestRestartedHostLearnsWhatLeft failed once, as the record of the earlier process had been replaced everywhere before a link was up.

--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -71,6 +71,7 @@
 	}
 	a.tracker.Prune(func(k routing.Key) bool { return known[k.Host] })
 	a.current.Store(s)
+	wake(a.monitor.wakeup)
 }
 
 // targetsByService returns the targets of all hosts that have neither failed nor
--- a/internal/control/monitor.go
+++ b/internal/control/monitor.go
@@ -33,7 +33,8 @@
 // the counts to the coordinators. It also judges its own counts, so that a bad
 // version is detected while the coordinator is unreachable.
 type RolloutMonitor struct {
-	agent *Agent
+	agent  *Agent
+	wakeup chan struct{} // holds an element after a snapshot was built
 
 	mu          sync.Mutex
 	tallies     map[mesh.ServiceName]*rollout.Tally
@@ -43,7 +44,7 @@
 }
 
 func newRolloutMonitor(a *Agent) *RolloutMonitor {
-	return &RolloutMonitor{agent: a, tallies: make(map[mesh.ServiceName]*rollout.Tally), oldInFlight: make(map[mesh.ServiceName]int), histories: make(map[rolloutID]*rollout.History)}
+	return &RolloutMonitor{agent: a, wakeup: make(chan struct{}, 1), tallies: make(map[mesh.ServiceName]*rollout.Tally), oldInFlight: make(map[mesh.ServiceName]int), histories: make(map[rolloutID]*rollout.History)}
 }
 
 // Begin counts the start of a call. isNew means that it goes to the next version.
@@ -78,24 +79,47 @@
 }
 
 func (m *RolloutMonitor) run(ctx context.Context) {
-	for round := 0; pause.For(ctx, tallyPeriod); round++ {
-		m.agent.stall.round(time.Now())
-		s := m.agent.current.Load()
-		if s == nil {
-			continue
+	for round := 0; ; round++ {
+		running := m.runningRollouts()
+		if len(running) == 0 && !m.awaitSnapshot(ctx) || !pause.For(ctx, tallyPeriod) {
+			return
 		}
-		for _, service := range s.Services {
-			p := service.Rollout
-			if p == nil || p.State != rollout.Running {
-				continue
-			}
-			if round%tallyRounds(m.agent.LiveHosts(), p.Permille) == 0 {
-				m.evaluate(ctx, service, p)
+		m.agent.stall.round(time.Now())
+		for _, service := range running {
+			if round%tallyRounds(m.agent.LiveHosts(), service.Rollout.Permille) == 0 {
+				m.evaluate(ctx, service, service.Rollout)
 			}
 		}
 	}
 }
 
+// runningRollouts returns the services that are being rolled out.
+func (m *RolloutMonitor) runningRollouts() []*view.Service {
+	s := m.agent.current.Load()
+	if s == nil {
+		return nil
+	}
+	var running []*view.Service
+	for _, service := range s.Services {
+		if p := service.Rollout; p != nil && p.State == rollout.Running {
+			running = append(running, service)
+		}
+	}
+	return running
+}
+
+// awaitSnapshot waits for the next snapshot, and reports whether the context is
+// still valid. A host without a running rollout has nothing to do in its rounds.
+func (m *RolloutMonitor) awaitSnapshot(ctx context.Context) bool {
+	m.agent.stall.idle()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-m.wakeup:
+		return true
+	}
+}
+
 // tallyRounds returns the number of tally periods between two tallies of a host.
 func tallyRounds(hosts, permille int) int {
 	if permille >= highSharePermille {
--- a/internal/control/stall.go
+++ b/internal/control/stall.go
@@ -31,6 +31,13 @@
 	g.lastRound = now
 }
 
+// idle records that no rounds follow for now, since no rollout is running.
+func (g *stallGuard) idle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastRound = time.Time{}
+}
+
 func (g *stallGuard) detect(now time.Time) {
 	if !g.lastRound.IsZero() && now.Sub(g.lastRound) > stallLimit {
 		g.resumed, g.lastRound = now, now
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -26,8 +26,14 @@
 	// succession share one call.
 	feedPause = 250 * time.Millisecond
 	// followerCheckPeriod is how often a host that does not follow the store checks
-	// whether it has become the follower.
-	followerCheckPeriod = 300 * time.Millisecond
+	// whether it has become the follower, while the host records change, and
+	// maxFollowerCheckPeriod while they do not.
+	followerCheckPeriod    = 300 * time.Millisecond
+	maxFollowerCheckPeriod = 2 * time.Second
+	// peerConfigTimeout is how long a host that starts waits for the configuration from
+	// its peers before it reads the store.
+	peerConfigTimeout = 500 * time.Millisecond
+	peerConfigPoll    = 20 * time.Millisecond
 	// backupReadPeriod is the mean time between backup reads of the store in a data
 	// centre. Each host that does not follow the store multiplies it by the number
 	// of live hosts there.
@@ -48,6 +54,7 @@
 	agent   *Agent
 	version uint64 // version at which the feed continues; 0 means that the table must be read
 	joined  bool   // the hosts' rows were read and the row of this host exists
+	settled bool   // the first read was made, or was not needed
 	backoff time.Duration
 	// rejoinDelay is how long a host without links waits before it reads the
 	// hosts' rows again, and hostsReadAt when it last read them.
@@ -64,8 +71,8 @@
 	for ctx.Err() == nil {
 		f.rejoinIfIsolated()
 		following := a.isStoreFollower()
-		if !following && f.joined && time.Now().Before(nextBackup) {
-			if !pause.For(ctx, followerCheckPeriod) {
+		if wait := time.Until(nextBackup); !following && f.joined && wait > 0 {
+			if !a.awaitChange(ctx, min(wait, maxFollowerCheckPeriod)) {
 				return
 			}
 			continue
@@ -89,6 +96,24 @@
 	}
 }
 
+// awaitChange waits until the host records change or the time is over, at least for
+// followerCheckPeriod. It reports whether the context is still valid.
+func (a *Agent) awaitChange(ctx context.Context, limit time.Duration) bool {
+	changed := a.members.NextChange()
+	if !pause.For(ctx, followerCheckPeriod) {
+		return false
+	}
+	timer := time.NewTimer(max(0, limit-followerCheckPeriod))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
 func (a *Agent) backupReadDelay() time.Duration {
 	hosts := len(a.localHosts())
 	return time.Duration(rand.ExpFloat64() * float64(max(1, hosts)) * float64(backupReadPeriod))
@@ -141,13 +166,22 @@
 	return detached < maxDetached && (len(peers) == 0 || peers[0].ID == self)
 }
 
-// poll reads the tables in full once, and then the changes.
+// poll reads the tables in full once, and then the changes. A host that has just
+// started and does not follow the store reads nothing when it has peers, which send
+// it the configuration.
 func (f *follower) poll(ctx context.Context, wait time.Duration) error {
 	if !f.joined {
 		if err := f.join(ctx); err != nil {
 			return err
 		}
 	}
+	if !f.settled {
+		f.settled = true
+		// The join has shown the other hosts of the data centre.
+		if !f.agent.isStoreFollower() && (f.agent.awaitConfig(ctx, peerConfigTimeout) || f.agent.gossip.LinkCount() > 0) {
+			return nil
+		}
+	}
 	if f.version == 0 {
 		return f.readAll(ctx)
 	}
@@ -169,6 +203,17 @@
 	return nil
 }
 
+// awaitConfig waits for a configuration from other hosts and reports whether there
+// is one.
+func (a *Agent) awaitConfig(ctx context.Context, limit time.Duration) bool {
+	for until := time.Now().Add(limit); a.Snapshot() == nil; {
+		if time.Now().After(until) || !pause.For(ctx, peerConfigPoll) {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *follower) readAll(ctx context.Context) error {
 	rows, version, err := f.agent.cfg.Store.Rows(ctx, f.agent.cfg.Codec.Table)
 	if err != nil {
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -24,8 +24,13 @@
 	// connection. A connection that fails it is closed and replaced.
 	reusePingTimeout = 150 * time.Millisecond
 	// maxIdleWithoutPing is how long a connection may be idle and still be used
-	// without a ping.
+	// without a ping for a call that must not run twice: its outcome would be unknown
+	// if the connection had gone silent meanwhile.
 	maxIdleWithoutPing = time.Second
+	// maxIdleIdempotent is the same for a call that can be repeated. In a large mesh
+	// most calls find their connection idle for seconds, and a ping costs as much as
+	// the call.
+	maxIdleIdempotent = 5 * time.Second
 	// maxConns bounds the connections to one node. More than one keeps a lost
 	// packet from delaying every call to the node (head-of-line blocking).
 	maxConns = 4
@@ -65,7 +70,11 @@
 // to the clock of the node. When the context ends first, the call is cancelled
 // at the node.
 func (p *Pool) Call(ctx context.Context, r Request, deadline, softDeadline time.Time) (*Response, error) {
-	c, err := p.acquire(ctx)
+	maxIdle := maxIdleWithoutPing
+	if r.Idempotent {
+		maxIdle = maxIdleIdempotent
+	}
+	c, err := p.acquire(ctx, maxIdle)
 	if err != nil {
 		return nil, err
 	}
@@ -74,7 +83,7 @@
 
 // Notify sends a one-way message.
 func (p *Pool) Notify(ctx context.Context, message []byte) error {
-	c, err := p.acquire(ctx)
+	c, err := p.acquire(ctx, maxIdleIdempotent)
 	if err != nil {
 		return err
 	}
@@ -94,14 +103,14 @@
 
 // acquire returns a live connection: an idle one, a new one while there are
 // fewer than maxConns, or the one with the fewest calls. A connection that has
-// received nothing lately is pinged first.
-func (p *Pool) acquire(ctx context.Context) (*clientConn, error) {
+// received nothing for maxIdle is pinged first.
+func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*clientConn, error) {
 	for {
 		c := p.leastLoaded()
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if c.sinceReceived() < maxIdleWithoutPing || c.ping(ctx, reusePingTimeout) {
+		if c.sinceReceived() < maxIdle || c.ping(ctx, reusePingTimeout) {
 			return c, nil
 		}
 		if ctx.Err() != nil {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -18,6 +18,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/pause"
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
 
@@ -261,37 +262,39 @@
 
 // Run checks the heartbeats of the targets until the context ends.
 func (o *Owner) Run(ctx context.Context) {
-	for {
-		tick := time.NewTimer(o.checkHeartbeats(time.Now()) / 2)
-		select {
-		case <-ctx.Done():
-			tick.Stop()
-			return
-		case <-tick.C:
-		}
+	for pause.For(ctx, max(minHeartbeatCheck, time.Until(o.checkHeartbeats(time.Now())))) {
 	}
 }
 
+// minHeartbeatCheck is the shortest time between two checks.
+const minHeartbeatCheck = 20 * time.Millisecond
+
 // checkHeartbeats marks the targets without recent heartbeats as silent and
-// removes those that have been draining for over a minute. It returns the
-// heartbeat interval.
-func (o *Owner) checkHeartbeats(now time.Time) time.Duration {
+// removes those that have been draining for over a minute. It returns when the next
+// check is due.
+func (o *Owner) checkHeartbeats(now time.Time) time.Time {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	interval := o.bounds.HeartbeatInterval
+	limit := maxMissedHeartbeats*o.bounds.HeartbeatInterval + o.bounds.HeartbeatInterval/2
+	next := now.Add(limit)
 	for _, t := range o.targets {
 		silence := now.Sub(t.lastHeartbeat)
 		switch {
 		case !t.drainStart.IsZero() && now.Sub(t.drainStart) > time.Minute:
 			o.remove(t, "left")
-		case !t.silent && silence > maxMissedHeartbeats*interval+interval/2:
+		case t.silent:
+		case silence > limit:
 			t.silent = true
 			o.cfg.Log.Warn().Str("target", string(t.ID)).Dur("quiet", silence).Msg("heartbeats stopped")
 			o.count("targets.silent")
 			o.publish()
+		default:
+			if due := t.lastHeartbeat.Add(limit); due.Before(next) {
+				next = due
+			}
 		}
 	}
-	return interval
+	return next
 }
 
 // publish passes the state of the targets to OnChange; o.mu must be held.
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -20,7 +20,7 @@
 	maxBatchBytes = 16 << 10
 	// batchDelay is the time after the first line in which further lines join its
 	// write.
-	batchDelay = 20 * time.Millisecond
+	batchDelay = 250 * time.Millisecond
 )
 
 // AsyncWriter writes lines in the background. It never blocks the caller. Lines
--- a/pkg/distribution/config.go
+++ b/pkg/distribution/config.go
@@ -23,10 +23,12 @@
 	fetchTimeout    = 5 * time.Second
 	// pushTimeout bounds how long the delivery of a head waits for the neighbours
 	// to acknowledge it, since one stuck link must not delay activation.
-	pushTimeout  = 250 * time.Millisecond
-	tickPeriod   = 500 * time.Millisecond
-	relinkJitter = time.Second // full jitter after a change of neighbours
-	maxBackoff   = 8 * time.Second
+	pushTimeout = 250 * time.Millisecond
+	tickPeriod  = 500 * time.Millisecond
+	// idleTickPeriod bounds the time until expired records are removed.
+	idleTickPeriod = 30 * time.Second
+	relinkJitter   = time.Second // full jitter after a change of neighbours
+	maxBackoff     = 8 * time.Second
 )
 
 // Fault names a kind of event that is counted and reported to Config.OnFault.
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -18,9 +18,10 @@
 // Gossip is the distribution engine of one host. Its methods are safe for
 // concurrent use.
 type Gossip struct {
-	cfg   Config
-	self  mesh.HostID
-	codec *codec
+	cfg     Config
+	self    mesh.HostID
+	created time.Time
+	codec   *codec
 
 	randMu     sync.Mutex
 	compressMu sync.Mutex // held while a text is compressed
@@ -58,6 +59,7 @@
 	}
 	return &Gossip{
 		codec:         c,
+		created:       time.Now(),
 		cfg:           cfg,
 		self:          cfg.Members.Self().ID,
 		links:         make(map[mesh.HostID]*link),
@@ -119,6 +121,12 @@
 	}
 }
 
+// untilHeartbeats returns the time until the links of this host send their next
+// heartbeats.
+func (g *Gossip) untilHeartbeats() time.Duration {
+	return HeartbeatPeriod - time.Since(g.created)%HeartbeatPeriod
+}
+
 // openLinks returns the open links. The caller holds g.mu.
 func (g *Gossip) openLinks() []*link {
 	links := make([]*link, 0, len(g.links))
@@ -205,17 +213,24 @@
 	}
 }
 
-// tick advances the timers of the membership table.
+// tick advances the timers of the membership table: in each tickPeriod while a host
+// is suspected, else once in idleTickPeriod.
 func (g *Gossip) tick(ctx context.Context) {
-	t := time.NewTicker(tickPeriod)
-	defer t.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		changed := g.cfg.Members.NextChange()
+		if !g.cfg.Members.HasSuspects() {
+			timer := time.NewTimer(idleTickPeriod)
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			case <-timer.C:
+			}
+			timer.Stop()
+		}
+		if !pause.For(ctx, tickPeriod) {
 			return
-		case now := <-t.C:
-			g.cfg.Members.Tick(now)
 		}
+		g.cfg.Members.Tick(time.Now())
 	}
 }
 
--- a/pkg/distribution/link.go
+++ b/pkg/distribution/link.go
@@ -82,6 +82,8 @@
 	hosts := []membership.Host{g.cfg.Members.Self()}
 	if h, ok := g.cfg.Members.GetRetained(l.peer); ok && (h.Status != membership.StatusAlive || h.HasLeavingTarget()) {
 		hosts = append(hosts, h)
+	} else if h, ok := g.cfg.Members.FormerOf(l.peer); ok {
+		hosts = append(hosts, h)
 	}
 	l.enqueueHosts(hosts)
 	l.enqueue(func(o *outbox) { o.heartbeat, o.head = true, true })
@@ -121,7 +123,7 @@
 // writeLoop sends heartbeats and queued items. It closes a link that makes no
 // progress, which ends readLoop.
 func (l *link) writeLoop(ctx context.Context) {
-	heartbeatTimer, flushTimer := time.NewTimer(HeartbeatPeriod), time.NewTimer(HeartbeatPeriod)
+	heartbeatTimer, flushTimer := time.NewTimer(l.g.untilHeartbeats()), time.NewTimer(HeartbeatPeriod)
 	defer heartbeatTimer.Stop()
 	defer flushTimer.Stop()
 	flushPending := false
@@ -182,14 +184,15 @@
 // scheduleHeartbeat queues a heartbeat if this host opened the link, and returns
 // the time to the next heartbeat or the end of the silence timeout. Only the host
 // that opened the link initiates heartbeats. The other one responds to each,
-// which saves one packet in four compared with two independent heartbeats.
+// which saves one packet in four compared with two independent heartbeats. All
+// links of a host send theirs at the same time, which wakes the process once.
 func (l *link) scheduleHeartbeat() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conn.Dialed() {
 		l.out.heartbeat = true
 	}
-	return min(HeartbeatPeriod, max(silenceTimeout-time.Since(l.lastReceived), time.Millisecond))
+	return min(l.g.untilHeartbeats(), max(silenceTimeout-time.Since(l.lastReceived), time.Millisecond))
 }
 
 // removeLink removes a link that has ended. Unless one side closed it as
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -165,6 +165,7 @@
 		return true
 	case StatusLeaving: // ranks above suspect, so only the local timer is started
 		e.suspected = now
+		t.notify() // Tick is due
 		return true
 	}
 	return false
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -57,6 +57,9 @@
 	version     uint64    // table version at the last change of the record
 	statusSince time.Time // when the status last changed
 	suspected   time.Time // zero unless suspected; also set for leaving hosts
+	// leaving is the newest record of an earlier process of the host, if a target was
+	// leaving in it. The present process does not know that.
+	leaving *Host
 }
 
 // NewTable returns a table that holds only the record of the host itself. The
@@ -176,6 +179,25 @@
 	return clone(e.host), true
 }
 
+// HasSuspects reports whether Tick has a suspicion to end.
+func (t *Table) HasSuspects() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.sorted, func(e *entry) bool { return !e.suspected.IsZero() && !e.host.Status.isTerminal() })
+}
+
+// FormerOf returns the newest record of an earlier process of another host in which
+// a target was leaving.
+func (t *Table) FormerOf(id mesh.HostID) (Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.hosts[id]
+	if e == nil || e.leaving == nil {
+		return Host{}, false
+	}
+	return *e.leaving, true
+}
+
 // NextChange returns a channel that is closed at the next change. Callers
 // obtain the channel before they read the state, so that no change is missed.
 func (t *Table) NextChange() <-chan struct{} {
@@ -238,6 +260,10 @@
 		t.sorted = slices.Insert(t.sorted, i, e)
 	} else {
 		t.digests[BucketOf(h.ID)] -= recordHash(&e.host)
+		if (h.Incarnation > e.host.Incarnation || h.Status.isTerminal()) && e.host.HasLeavingTarget() {
+			former := e.host
+			e.leaving = &former
+		}
 		if e.host.Status != h.Status {
 			e.statusSince = now
 		}
--- a/pkg/routing/cheapest.go
+++ b/pkg/routing/cheapest.go
@@ -18,6 +18,29 @@
 	RemoteCost time.Duration
 	// WarmUp is how long a target is slow after it became ready.
 	WarmUp time.Duration
+
+	summary *setSummary // set by PickCheapest
+}
+
+// setSummary holds what a pick needs to know of all targets of a set. It is shared
+// by the picks of summaryTTL, since each takes a pass over the set.
+type setSummary struct {
+	at                time.Time
+	meanServiceTime   time.Duration // see Set.meanServiceTime
+	mayExcludeEjected bool          // see Set.mayExcludeEjected
+}
+
+// summaryTTL is short against the time in which evidence of a target's health or
+// speed accumulates.
+const summaryTTL = 20 * time.Millisecond
+
+func (s *Set) summarize(now time.Time) *setSummary {
+	if c := s.summary.Load(); c != nil && now.Sub(c.at) < summaryTTL && !now.Before(c.at) {
+		return c
+	}
+	c := &setSummary{at: now, meanServiceTime: s.meanServiceTime(now), mayExcludeEjected: s.mayExcludeEjected(now)}
+	s.summary.Store(c)
+	return c
 }
 
 // timeMargin is the factor by which the time left must exceed the expected time
@@ -36,7 +59,8 @@
 // time. Unreachable and suspected targets are used only when there is no other; so
 // are ejected ones, unless more than half of the set is ejected.
 func (s *Set) PickCheapest(now time.Time, rng *rand.Rand, tried *PreviousAttempts, p CostParams) *Candidate {
-	skipEjected := s.mayExcludeEjected(now)
+	p.summary = s.summarize(now)
+	skipEjected := p.summary.mayExcludeEjected
 	remaining := float64(p.TimeLeft)
 	local, cost := s.cheapest(now, rng, tried, &p, skipEjected, true, false)
 	if local != nil && cost*timeMargin <= remaining {
@@ -95,7 +119,7 @@
 func (s *Set) cheapest(now time.Time, rng *rand.Rand, tried *PreviousAttempts, p *CostParams, skipEjected, skipUnhealthy, includeRemote bool) (*Candidate, float64) {
 	var best *Candidate
 	minCost := math.Inf(1)
-	mean := s.meanServiceTime(now)
+	mean := p.summary.meanServiceTime
 	visit := func(c *Candidate, extra time.Duration) {
 		if tried.contains(c) || skipUnhealthy && (c.Suspect || c.Stat.isUnreachable(now)) || skipEjected && c.Stat.isEjected(now) {
 			return
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
@@ -22,6 +23,7 @@
 // concurrent use; the candidates' Stats change.
 type Set struct {
 	local, remote []*Candidate
+	summary       atomic.Pointer[setSummary]
 }
 
 // NewSet builds the set of a service version as seen from a data centre.
