Stop the timers of a call when the call has ended

Cause: the check of a connection fired 300 ms after each call to another node, and the deadline of each write 2 s after it, on both sides: three wake-ups of an idle process for each call.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -455,6 +455,7 @@
 	c.server.Guard.Run("caller_write", func() {
 		_, err := c.conn.Write(encodeResponse(resp, method, last))
 		sent = err == nil
+		_ = c.conn.SetWriteDeadline(time.Time{}) // its timer would wake an idle process
 	})
 	return sent
 }
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -267,7 +267,16 @@
 func (c *clientConn) dropPending(stream uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.removePending(stream)
+}
+
+// removePending removes a call; c.mu must be held. Without a call, the connection
+// needs no check, and its timer would wake an idle process.
+func (c *clientConn) removePending(stream uint64) {
 	delete(c.pending, stream)
+	if len(c.pending) == 0 {
+		c.livenessTimer.Stop()
+	}
 }
 
 func (c *clientConn) pendingCalls() int {
@@ -292,7 +301,7 @@
 	for stream, ended := range c.pending {
 		if stream > last {
 			ended <- reply{err: ErrNotSent}
-			delete(c.pending, stream)
+			c.removePending(stream)
 		}
 	}
 	return len(c.pending)
@@ -380,7 +389,7 @@
 		}
 		c.mu.Lock()
 		ended := c.pending[resp.Stream]
-		delete(c.pending, resp.Stream)
+		c.removePending(resp.Stream)
 		done := c.leaving && len(c.pending) == 0
 		c.mu.Unlock()
 		if ended != nil {
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -168,7 +168,7 @@
 		_ = c.Close() // the write error is returned
 		return err
 	}
-	return nil
+	return c.SetWriteDeadline(time.Time{}) // its timer would wake an idle process
 }
 
 func (c *conn) writeMessage(kind byte, message any) error {
