--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -20,7 +20,7 @@
 	// minBuildInterval is the shortest time between two rebuilds for changes of host
 	// records. In a large mesh records change without pause while hosts start, and
 	// each build reads all of them.
-	minBuildInterval = 50 * time.Millisecond
+	minBuildInterval = 100 * time.Millisecond
 )
 
 // buildLoop builds a snapshot after each change of the host records.
--- a/pkg/distribution/outbox.go
+++ b/pkg/distribution/outbox.go
@@ -23,7 +23,7 @@
 // minRecordInterval is the shortest time between two frames of a link that hold
 // nothing but host records. While many hosts start or stop at once, records change
 // without pause, and the cost of a change grows with the frames that carry it.
-const minRecordInterval = 100 * time.Millisecond
+const minRecordInterval = 250 * time.Millisecond
 
 // outbox holds the items to be sent over a link. It keeps only the newest
 // version of each item, so that a slow link cannot make it grow without bound.
