Count the refusals of the servers themselves, and drain peers side by side

A call refused for memory or by a stopping server had no counter. The last frames of a stopping node were written one peer after the other, so that one that does not read could hold up the others.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -57,6 +57,7 @@
 	reasonNodeUnreachable = "node_unreachable"
 	reasonNodeLost        = "node_lost"
 	reasonInternal        = "internal_error"
+	reasonNoMemory        = "memory" // no room for the body of the call
 )
 
 // Local runs calls at the target of this host.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -57,10 +57,12 @@
 
 // Server accepts the connections of callers. Use NewServer to create one.
 type Server struct {
-	// Buffers is the memory for the bodies of calls and responses, and Guard
-	// recovers panics. Both are set before Run.
-	Buffers *bounded.Budget
-	Guard   *guard.Guard
+	// Buffers is the memory for the bodies of calls and responses, Guard recovers
+	// panics, and OnRefusal is called with the reason of each refusal of the server
+	// itself. They are set before Run.
+	Buffers   *bounded.Budget
+	Guard     *guard.Guard
+	OnRefusal func(reason string)
 
 	listener net.Listener
 	handle   func(ctx context.Context, r *Request) *Response
@@ -96,7 +98,7 @@
 
 // NewServer returns a server on an open listener.
 func NewServer(l net.Listener, handle func(context.Context, *Request) *Response, limits func() (traffic.Limits, bool)) *Server {
-	return &Server{listener: l, handle: handle, limits: limits, conns: make(map[*callerConn]bool), maxIdleTimeout: defaultIdleTimeout}
+	return &Server{OnRefusal: func(string) {}, listener: l, handle: handle, limits: limits, conns: make(map[*callerConn]bool), maxIdleTimeout: defaultIdleTimeout}
 }
 
 // Run accepts connections until Close.
@@ -352,6 +354,7 @@
 		case errors.Is(err, bounded.ErrBodyTooLong) && bound == limits.BodyBytes:
 			return statusResponse(http.StatusRequestEntityTooLarge)
 		case errors.Is(err, bounded.ErrBodyTooLong), errors.Is(err, bounded.ErrNoMemory):
+			c.server.OnRefusal(reasonNoMemory)
 			return memoryResponse()
 		case err != nil:
 			return c.readErrorResponse(err)
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -40,10 +40,12 @@
 
 // Server accepts the connections of other nodes.
 type Server struct {
-	// Buffers is the memory for the bodies of calls and responses, and Guard
-	// recovers panics. Both are set before Run.
-	Buffers *bounded.Budget
-	Guard   *guard.Guard
+	// Buffers is the memory for the bodies of calls and responses, Guard recovers
+	// panics, and OnRefusal is called with the reason of each refusal of the server
+	// itself. They are set before Run.
+	Buffers   *bounded.Budget
+	Guard     *guard.Guard
+	OnRefusal func(reason string)
 
 	listener net.Listener
 	handler  Handler
@@ -60,7 +62,7 @@
 
 // NewServer returns a server on an open listener.
 func NewServer(listener net.Listener, handler Handler) *Server {
-	return &Server{listener: listener, handler: handler, conns: make(map[net.Conn]bool), callConns: make(map[*serverConn]bool)}
+	return &Server{OnRefusal: func(string) {}, listener: listener, handler: handler, conns: make(map[net.Conn]bool), callConns: make(map[*serverConn]bool)}
 }
 
 // Run accepts connections until Close.
@@ -119,7 +121,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range conns {
-		c.goAway()
+		go c.goAway() // a peer that does not read must not hold up the others
 	}
 }
 
@@ -286,6 +288,7 @@
 		return err
 	}
 	if !s.accept(c, r.Stream) {
+		s.OnRefusal(reasonStopping)
 		return c.writeResponse(&Response{Stream: r.Stream, Outcome: NotRun, Reason: reasonStopping})
 	}
 	callCtx, cancelCall := context.WithCancel(ctx)
@@ -306,6 +309,8 @@
 		if s.Guard.Run("hop_call", func() { resp = s.handler.Call(ctx, r) }) {
 			resp = &Response{Outcome: Unknown, Reason: reasonInternal, SentToTarget: true}
 		}
+	} else {
+		s.OnRefusal(reasonNoMemory)
 	}
 	resp.Stream = r.Stream
 	s.Buffers.Hold(int64(len(resp.Body)))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -151,7 +151,7 @@
 		advertised = cfg.AdvertiseAddress
 	}
 	s.peers = hop.NewServer(calls, s)
-	s.peers.Guard, s.peers.Buffers = s.guard, s.buffers
+	s.peers.Guard, s.peers.Buffers, s.peers.OnRefusal = s.guard, s.buffers, s.countRefusal
 	s.control, err = control.New(control.Config{
 		Self: membership.Host{
 			ID: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: uint64(time.Now().UnixMilli()),
@@ -181,12 +181,16 @@
 		Guard: s.guard, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	s.callers = entry.NewServer(callers, s.entry.Handle, s.limits)
-	s.callers.Guard, s.callers.Buffers = s.guard, s.buffers
+	s.callers.Guard, s.callers.Buffers, s.callers.OnRefusal = s.guard, s.buffers, s.countRefusal
 	telemetry.RegisterProcess(cfg.Metrics)
 	s.registerGauges()
 	return s, nil
 }
 
+func (s *Sidecar) countRefusal(reason string) {
+	metrics.GetOrRegisterCounter("refused."+reason, s.cfg.Metrics).Inc(1)
+}
+
 // registerGauges registers gauges of the node's state, for operators without
 // access to its logs.
 func (s *Sidecar) registerGauges() {
