Recognise a segmentation fault in the race detector

The child process of the test ended with a segmentation fault at PC 0x41c729. A build of the same test program has __tsan::SlotLock there (0x41c6e0 to 0x41ceb0); the register dump is that of a fault outside of Go code. The project has no unsafe code. Only "ThreadSanitizer: CHECK failed" was recognised as a crash of the detector. Change: a child process that ends with a fault at an address of the race detector's functions is run again, with the same seed and up to three times, as after a failed internal check. Faults at other addresses, data races and failed tests are not run again.

--- a/internal/racetest/racetest.go
+++ b/internal/racetest/racetest.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"regexp"
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -20,7 +22,8 @@
 // RunInChild runs the current test in a child process and returns true.
 // It returns false when the caller must run the test itself. Go's race detector
 // resets its clocks after about 4 million synchronisation events in one process,
-// and a reset sometimes ends the process with "ThreadSanitizer: CHECK failed".
+// and a reset sometimes ends the process with "ThreadSanitizer: CHECK failed" or
+// with a segmentation fault in the detector's code.
 func RunInChild(t *testing.T, flags ...string) bool {
 	t.Helper()
 	if !Detector || os.Getenv(childEnv) != "" {
@@ -60,9 +63,28 @@
 // race detector ends. The flags, and so the seed, stay the same.
 const maxChildRuns = 3
 
-// raceDetectorCrashed reports whether the output shows that an internal check of
-// the race detector ended the process, without a data race or a failed test.
+// raceDetectorCrashed reports whether the output shows that the race detector
+// itself ended the process, by an internal check or by a segmentation fault in its
+// own code, without a data race or a failed test.
 func raceDetectorCrashed(out string) bool {
-	return strings.Contains(out, "ThreadSanitizer: CHECK failed") &&
+	return (strings.Contains(out, "ThreadSanitizer: CHECK failed") || faultInRaceDetector(out)) &&
 		!strings.Contains(out, "WARNING: DATA RACE") && !strings.Contains(out, "--- FAIL")
 }
+
+var faultAddress = regexp.MustCompile(`(?m)^SIG(?:SEGV|BUS): .*\nPC=0x([0-9a-f]+) `)
+
+// faultInRaceDetector reports whether a segmentation fault happened in code of the
+// race detector. The child process runs the program of this process, so that a
+// function has the same address in both.
+func faultInRaceDetector(out string) bool {
+	match := faultAddress.FindStringSubmatch(out)
+	if match == nil {
+		return false
+	}
+	pc, err := strconv.ParseUint(match[1], 16, 64)
+	if err != nil {
+		return false
+	}
+	function := runtime.FuncForPC(uintptr(pc))
+	return function != nil && (strings.HasPrefix(function.Name(), "_ZN6__tsan") || strings.HasPrefix(function.Name(), "__tsan_"))
+}
