Write the last log lines of a process

Cause: a line waits up to 250 ms for others to join its write, and the wait did not end when the process did, which waits 200 ms. Change: a flush ends the wait. Result: TestFlushWritesLinesThatWaitForMore fails before and passes after.

--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -81,8 +81,11 @@
 	for {
 		select {
 		case line := <-w.lines:
-			time.Sleep(batchDelay)
+			flushed := w.awaitBatch()
 			w.writeBatch(line)
+			if flushed != nil {
+				close(flushed)
+			}
 		case done := <-w.flush:
 			w.writeBatch(nil)
 			close(done)
@@ -90,6 +93,19 @@
 	}
 }
 
+// awaitBatch waits for batchDelay, or until a flush is requested. It returns the
+// channel that the flush waits for.
+func (w *AsyncWriter) awaitBatch() chan struct{} {
+	timer := time.NewTimer(batchDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case done := <-w.flush:
+		return done
+	}
+}
+
 // writeBatch appends the queued lines to a batch and writes it. The lines of a
 // failed write are lost, as there is no other output for the error.
 func (w *AsyncWriter) writeBatch(batch []byte) {
--- a/internal/telemetry/async_test.go
+++ b/internal/telemetry/async_test.go
@@ -60,3 +60,28 @@
 		t.Errorf("%d lines written and %d reported as dropped of %d", written, reported, lines)
 	}
 }
+
+// Guards against last lines of a process that are lost because they wait for more
+// lines to join their write.
+func TestFlushWritesLinesThatWaitForMore(t *testing.T) {
+	out := &blockingWriter{release: make(chan struct{})}
+	close(out.release)
+	w := NewAsyncWriter(out)
+	if _, err := w.Write([]byte("node stops\n")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(batchDelay / 5) // the first line waits
+	if _, err := w.Write([]byte("node stopped\n")); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	w.Flush(200 * time.Millisecond) // as at the end of a process
+	if took := time.Since(began); took > 150*time.Millisecond {
+		t.Errorf("Flush took %s", took)
+	}
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	if got := out.text.String(); got != "node stops\nnode stopped\n" {
+		t.Errorf("wrote %q", got)
+	}
+}
