Let a call that must not run twice wait on a silent connection

Cause: a connection between nodes that did not respond to a ping for 0.6 s was closed, and all its calls were answered 502, outcome unknown. A host without processor time is as silent as one behind a cut, and its target may be at work: the caller got no answer although one was coming. Change: the connection takes no further calls until it is heard again. Its calls that may run twice are sent to another node at once, as before; the others keep waiting for the response, until their deadlines. It is closed after its last call.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,7 +104,8 @@
 
 // acquire returns a live connection: an idle one, a new one while there are
 // fewer than maxConns, or the one with the fewest calls. A connection that has
-// received nothing for maxIdle is pinged first.
+// received nothing for maxIdle is pinged first; one that does not respond takes no
+// more calls until it is heard again.
 func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*clientConn, error) {
 	for {
 		c := p.leastLoaded()
@@ -116,26 +118,26 @@
 		if ctx.Err() != nil {
 			return nil, errors.Join(ErrNotSent, ctx.Err())
 		}
-		c.fail()
+		c.markSilent()
 	}
 }
 
 func (p *Pool) leastLoaded() *clientConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.conns = slices.DeleteFunc(p.conns, (*clientConn).isFinal)
 	var best *clientConn
-	alive := p.conns[:0]
+	usable := 0
 	for _, c := range p.conns {
 		if !c.isUsable() {
 			continue
 		}
-		alive = append(alive, c)
+		usable++
 		if best == nil || c.pendingCalls() < best.pendingCalls() {
 			best = c
 		}
 	}
-	p.conns = alive
-	if best != nil && best.pendingCalls() > 0 && len(p.conns)+p.dialing < maxConns {
+	if best != nil && best.pendingCalls() > 0 && usable+p.dialing < maxConns {
 		return nil
 	}
 	return best
@@ -163,7 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{conn: newConn(raw), pending: make(map[uint64]chan reply), lastReceived: time.Now(), failedCh: make(chan struct{})}
+	c := &clientConn{conn: newConn(raw), pending: make(map[uint64]pendingCall), lastReceived: time.Now(), failedCh: make(chan struct{})}
 	if err := c.handshake(); err != nil {
 		_ = raw.Close() // the handshake error is returned
 		return nil, err
@@ -185,12 +187,19 @@
 
 	mu           sync.Mutex
 	lastStream   uint64
-	pending      map[uint64]chan reply
+	pending      map[uint64]pendingCall
 	lastReceived time.Time // when the last frame was received
 	pingSent     time.Time // when the unanswered ping was sent; zero without one
 	pongReceived chan struct{}
 	failed       bool
 	leaving      bool // the node takes no further calls on this connection
+	silent       bool // the node has not responded to a ping, and nothing was received since
+}
+
+// pendingCall is a call that waits for its response.
+type pendingCall struct {
+	ended      chan reply
+	idempotent bool
 }
 
 // reply is the end of a pending call: its response, or an error.
@@ -227,13 +236,13 @@
 func (c *clientConn) call(ctx context.Context, r Request, deadline, softDeadline time.Time) (*Response, error) {
 	ended := make(chan reply, 1)
 	c.mu.Lock()
-	if c.failed || c.leaving {
+	if c.failed || c.leaving || c.silent {
 		c.mu.Unlock()
 		return nil, ErrNotSent
 	}
 	c.lastStream++
 	r.Stream = c.lastStream
-	c.pending[r.Stream] = ended
+	c.pending[r.Stream] = pendingCall{ended: ended, idempotent: r.Idempotent}
 	if len(c.pending) == 1 {
 		c.livenessTimer.Reset(maxSilence)
 	}
@@ -271,10 +280,11 @@
 }
 
 // removePending removes a call; c.mu must be held. Without a call, the connection
-// needs no check, and its timer would wake an idle process.
+// needs no check, and its timer would wake an idle process; a silent connection is
+// closed by the timer.
 func (c *clientConn) removePending(stream uint64) {
 	delete(c.pending, stream)
-	if len(c.pending) == 0 {
+	if len(c.pending) == 0 && !c.silent {
 		c.livenessTimer.Stop()
 	}
 }
@@ -289,7 +299,14 @@
 func (c *clientConn) isUsable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.failed && !c.leaving
+	return !c.failed && !c.leaving && !c.silent
+}
+
+// isFinal reports whether no call will be sent on the connection any more.
+func (c *clientConn) isFinal() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed || c.leaving
 }
 
 // leave ends the calls after the last one that the node handles: they have not run.
@@ -298,9 +315,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving = true
-	for stream, ended := range c.pending {
+	for stream, call := range c.pending {
 		if stream > last {
-			ended <- reply{err: ErrNotSent}
+			call.ended <- reply{err: ErrNotSent}
 			c.removePending(stream)
 		}
 	}
@@ -313,21 +330,50 @@
 	return time.Since(c.lastReceived)
 }
 
-// checkLiveness runs periodically while calls are pending. It pings a silent
-// connection and closes one that does not respond to a ping.
+// checkLiveness runs periodically while calls are pending. It pings a connection
+// that has received nothing, marks one that does not respond, and closes a silent
+// one when its last call has ended.
 func (c *clientConn) checkLiveness() {
 	c.mu.Lock()
-	waiting, silence, pinged := len(c.pending) > 0, time.Since(c.lastReceived), c.pingSent
+	waiting, silence, pinged, silent := len(c.pending) > 0, time.Since(c.lastReceived), c.pingSent, c.silent
 	if waiting && !c.failed {
 		c.livenessTimer.Reset(maxSilence)
 	}
 	c.mu.Unlock()
 	switch {
-	case !waiting || silence < maxSilence:
+	case silent && !waiting:
+		c.fail()
+	case silent || !waiting || silence < maxSilence:
 	case pinged.IsZero():
 		c.sendPing()
 	case time.Since(pinged) > pingTimeout:
-		c.fail()
+		c.markSilent()
+	}
+}
+
+// markSilent ends the calls that can be sent to another node. The others wait until
+// their deadlines: a node without processor time is as silent as one behind a cut,
+// its target may be at work, and an early "unknown" helps no caller.
+func (c *clientConn) markSilent() {
+	c.mu.Lock()
+	if c.failed {
+		c.mu.Unlock()
+		return
+	}
+	c.silent = true
+	var given []uint64
+	for stream, call := range c.pending {
+		if call.idempotent {
+			call.ended <- reply{err: ErrBroken}
+			given = append(given, stream)
+			c.removePending(stream)
+		}
+	}
+	c.livenessTimer.Reset(maxSilence)
+	c.mu.Unlock()
+	for _, stream := range given {
+		// After an error the connection is closed, which cancels the calls too.
+		_ = c.writeFrame(frameCancel, encodeUint(stream))
 	}
 }
 
@@ -365,7 +411,7 @@
 			return
 		}
 		c.mu.Lock()
-		c.lastReceived = time.Now()
+		c.lastReceived, c.silent = time.Now(), false
 		if c.pongReceived != nil {
 			close(c.pongReceived)
 			c.pongReceived, c.pingSent = nil, time.Time{}
@@ -388,12 +434,12 @@
 			return
 		}
 		c.mu.Lock()
-		ended := c.pending[resp.Stream]
+		call, waiting := c.pending[resp.Stream]
 		c.removePending(resp.Stream)
 		done := c.leaving && len(c.pending) == 0
 		c.mu.Unlock()
-		if ended != nil {
-			ended <- reply{resp: resp}
+		if waiting {
+			call.ended <- reply{resp: resp}
 		}
 		if done {
 			return
@@ -410,12 +456,12 @@
 	}
 	c.failed = true
 	pending := c.pending
-	c.pending = make(map[uint64]chan reply)
+	c.pending = make(map[uint64]pendingCall)
 	c.mu.Unlock()
 	close(c.failedCh)
 	c.livenessTimer.Stop()
 	_ = c.Close() // nothing more is sent or read
-	for _, ended := range pending {
-		ended <- reply{err: ErrBroken}
+	for _, call := range pending {
+		call.ended <- reply{err: ErrBroken}
 	}
 }
