Hold versions that fail a few more calls than the old one

Change: a version is also held when its failures fit an excess of 3% twenty times as well as the upper bound of the old version's rate. The verdict is unchanged.

--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -84,12 +84,16 @@
 	// minExcessFailureRate is the least difference between the failure rates of a
 	// bad version and the old version.
 	minExcessFailureRate = 0.12
+	// minDoubtfulExcess is the same for a version that is held. A hold costs only time,
+	// while a share that is raised too early exposes many calls.
+	minDoubtfulExcess = 0.03
 	// minFailureRate is the least failure rate that is assumed for a good version.
 	minFailureRate = 0.01
 	// wilsonZ is the width of the interval of the old version's failure rate, in
 	// standard deviations. The new version's failures are not judged when the old
 	// version's assumed failure rate is maxBaselineRate or higher.
 	wilsonZ         = 2.0
+	doubtfulZ       = 1.0 // the same for minDoubtfulExcess
 	maxBaselineRate = 0.8
 	// minSlowRatio is the least ratio of the typical latencies of a slow version and
 	// the old version. Cold targets take twice as long, and targets of one service
@@ -139,13 +143,13 @@
 
 // wilsonUpperBound returns the upper end of the Wilson interval of a failure rate.
 // The interval is wide when the old version has few calls.
-func wilsonUpperBound(failed, n float64) float64 {
+func wilsonUpperBound(failed, n, z float64) float64 {
 	if n == 0 {
 		return 1
 	}
-	z2 := wilsonZ * wilsonZ
+	z2 := z * z
 	rate := failed / n
-	return (rate + z2/(2*n) + wilsonZ*math.Sqrt(rate*(1-rate)/n+z2/(4*n*n))) / (1 + z2/n)
+	return (rate + z2/(2*n) + z*math.Sqrt(rate*(1-rate)/n+z2/(4*n*n))) / (1 + z2/n)
 }
 
 // judgeFailures returns the evidence that the new version fails too often, or "".
@@ -153,21 +157,22 @@
 // version's failure rate with a rate that is higher by minExcessFailureRate or
 // more.
 func (v *VersionCounts) judgeFailures() string {
-	if v.New.Failed < 3 || v.logLikelihoodRatio(wilsonUpperBound(float64(v.Old.Failed), float64(v.Old.Calls))) < math.Log(badVersionRatio) {
+	if v.New.Failed < 3 || v.logLikelihoodRatio(wilsonUpperBound(float64(v.Old.Failed), float64(v.Old.Calls), wilsonZ), minExcessFailureRate) < math.Log(badVersionRatio) {
 		return ""
 	}
 	return fmt.Sprintf("%d of %d calls failed, of the old version %d of %d", v.New.Failed, v.New.Calls, v.Old.Failed, v.Old.Calls)
 }
 
 // logLikelihoodRatio returns the logarithm of the likelihood ratio of a bad version
-// to one that fails at the baseline rate.
-func (v *VersionCounts) logLikelihoodRatio(baseline float64) float64 {
+// to one that fails at the baseline rate. A bad version fails at a rate that is
+// higher by minExcess or more.
+func (v *VersionCounts) logLikelihoodRatio(baseline, minExcess float64) float64 {
 	baseline = max(minFailureRate, baseline)
 	if baseline >= maxBaselineRate || v.New.Calls == 0 {
 		return 0 // the old version has too few calls, or fails as well
 	}
 	n, failed := float64(v.New.Calls), float64(v.New.Failed)
-	badRate := min(0.9, max(baseline*1.5+minExcessFailureRate, failed/n))
+	badRate := min(0.9, max(baseline*1.5+minExcess, failed/n))
 	return failed*math.Log(badRate/baseline) + (n-failed)*math.Log((1-badRate)/(1-baseline))
 }
 
@@ -185,9 +190,14 @@
 	return all.shouldHold()
 }
 
+// shouldHold compares the new version's failures with the old version's failure rate
+// for a large excess, and with the upper bound of that rate for a small one.
 func (v *VersionCounts) shouldHold() bool {
 	if v.New.Failed < 2 {
 		return false
 	}
-	return v.logLikelihoodRatio((float64(v.Old.Failed)+0.5)/(float64(v.Old.Calls)+1)) >= math.Log(holdRatio)
+	failed, calls := float64(v.Old.Failed), float64(v.Old.Calls)
+	large := v.logLikelihoodRatio((failed+0.5)/(calls+1), minExcessFailureRate)
+	small := v.logLikelihoodRatio(wilsonUpperBound(failed, calls, doubtfulZ), minDoubtfulExcess)
+	return max(large, small) >= math.Log(holdRatio)
 }
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -203,3 +203,76 @@
 		}
 	}
 }
+
+// simulateShares plays a rollout of 16 s at 1,000 calls a second with the shares
+// that the coordinator sets. It returns the part of all calls that the new version
+// got, and whether it was taken back.
+func simulateShares(seed uint64, old, v float64) (exposure float64, takenBack bool) {
+	const calls, perSecond = 16_000, 1000
+	rng := rand.New(rand.NewPCG(seed, 2))
+	o := &Order{Within: calls / perSecond * time.Second}
+	tally := &Tally{Routes: make(map[string]VersionCounts)}
+	var h History
+	permille, changed, exposed := 0, time.Duration(0), 0
+	for i := range calls {
+		elapsed := time.Duration(i) * time.Second / perSecond
+		isNew, rate := rng.IntN(1000) < permille, old
+		if isNew {
+			exposed++
+			rate = v
+		}
+		tally.Observe([]string{"menus", "orders"}[i%2], isNew, rng.Float64() < rate, 60*time.Millisecond)
+		if i%100 != 0 {
+			continue
+		}
+		h.Add(time.Unix(0, 0).Add(elapsed), maps.Clone(tally.Routes))
+		doubtful := h.ShouldHold()
+		if h.Judge() != "" || doubtful && !MayHold(o, elapsed) {
+			return float64(exposed) / calls, true
+		}
+		if permille == 1000 && !doubtful && MayComplete(o, elapsed) {
+			return float64(exposed) / calls, false
+		}
+		if next := NextShare(o, permille, elapsed, elapsed-changed, doubtful); next != permille {
+			permille, changed = next, elapsed
+		}
+	}
+	return float64(exposed) / calls, false
+}
+
+// Guards against a version that fails a few more calls than the old one, which is
+// too little for a verdict while the share is low, and whose share is raised to half
+// of all calls; and against good versions that are taken back for such a doubt.
+func TestVersionWithFewErrorsIsHeldAtALowShare(t *testing.T) {
+	const seeds = 100
+	for _, c := range []struct {
+		old, v float64
+		bad    bool
+	}{
+		{old: 0.01, v: 0.06, bad: true},
+		{old: 0.02, v: 0.08, bad: true},
+		{old: 0.00, v: 0.00},
+		{old: 0.01, v: 0.01},
+		{old: 0.03, v: 0.03},
+		{old: 0.05, v: 0.05},
+		{old: 0.10, v: 0.10},
+		{old: 0.20, v: 0.20},
+	} {
+		taken, over := 0, 0
+		for seed := range uint64(seeds) {
+			exposure, takenBack := simulateShares(seed, c.old, c.v)
+			if takenBack {
+				taken++
+			}
+			if exposure > 0.1 {
+				over++
+			}
+		}
+		if c.bad && (taken < seeds || over > 0) {
+			t.Errorf("bad version, %.0f%% of calls fail: taken back in %d of %d, got over a tenth in %d", 100*c.v, taken, seeds, over)
+		}
+		if !c.bad && taken > 0 {
+			t.Errorf("good version, %.0f%% of calls fail: taken back in %d of %d", 100*c.v, taken, seeds)
+		}
+	}
+}
