Withdraw keys with revocation lists

Cause: the operators' fault "a key that had been withdrawn was in use again" could happen in nutmeghoistd in a plainer way: no key could be withdrawn. A certificate that was replaced stayed valid until NotAfter, on running and on restarted hosts. Handshakes in both directions refuse a revoked certificate, open links and outgoing connections with it are closed, requests on incoming ones are refused. A list that is older, damaged, missing or of another CA leaves the list in force; a host does not start with one that it cannot verify, nor with its own key revoked.

--- a/cmd/nutmeghoist-keys/main.go
+++ b/cmd/nutmeghoist-keys/main.go
@@ -1,5 +1,5 @@
 // Command nutmeghoist-keys creates the CA of a mesh and a certificate for each
-// of its hosts.
+// of its hosts, and revokes certificates.
 package main
 
 import (
@@ -20,10 +20,11 @@
 const exitUsage = 2
 
 type settings struct {
-	Dir  string `long:"dir" default:"keys" description:"directory for the PEM files"`
-	CA   string `long:"ca-name" default:"nutmeghoist mesh" description:"name of a new CA"`
-	Days int    `long:"days" default:"365" description:"days that new certificates are valid"`
-	Args struct {
+	Dir    string `long:"dir" default:"keys" description:"directory for the PEM files"`
+	CA     string `long:"ca-name" default:"nutmeghoist mesh" description:"name of a new CA"`
+	Days   int    `long:"days" default:"365" description:"days that new certificates are valid"`
+	Revoke bool   `long:"revoke" description:"add the certificates of the hosts to crl.pem instead of creating new ones"`
+	Args   struct {
 		Hosts []string `positional-arg-name:"HOST[=IP,IP]" description:"hosts to create certificates for"`
 	} `positional-args:"yes"`
 }
@@ -55,6 +56,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Revoke {
+		return revoke(ca, s)
+	}
 	for _, arg := range s.Args.Hosts {
 		host, ips, err := parseHost(arg)
 		if err != nil {
@@ -68,16 +72,41 @@
 	return nil
 }
 
+func crlFile(s *settings) string { return filepath.Join(s.Dir, "crl.pem") }
+
+// revoke adds the certificates of the hosts to the revocation list.
+func revoke(ca *tlskeys.CA, s *settings) error {
+	if len(s.Args.Hosts) == 0 {
+		return errors.New("--revoke needs the hosts whose certificates are revoked")
+	}
+	var files []string
+	for _, arg := range s.Args.Hosts {
+		host, _, err := parseHost(arg)
+		if err != nil {
+			return err
+		}
+		files = append(files, filepath.Join(s.Dir, host+".pem"))
+	}
+	return ca.Revoke(crlFile(s), files...)
+}
+
+// openCA loads the CA of the directory, or creates it with an empty revocation list.
 func openCA(s *settings, validFor time.Duration) (*tlskeys.CA, error) {
 	cert, key := filepath.Join(s.Dir, "ca.pem"), filepath.Join(s.Dir, "ca-key.pem")
 	if _, err := os.Stat(cert); !errors.Is(err, os.ErrNotExist) {
 		return tlskeys.LoadCA(cert, key)
 	}
+	if s.Revoke {
+		return nil, fmt.Errorf("directory %s has no CA whose certificates could be revoked", s.Dir)
+	}
 	ca, err := tlskeys.NewCA(s.CA, validFor)
 	if err != nil {
 		return nil, err
 	}
-	return ca, ca.Write(cert, key)
+	if err := ca.Write(cert, key); err != nil {
+		return nil, err
+	}
+	return ca, ca.Revoke(crlFile(s))
 }
 
 func parseHost(arg string) (string, []net.IP, error) {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -94,6 +94,12 @@
 func (n *Node) callHandler() http.Handler {
 	calls, control := n.proxy.PeerHandler(), n.controlHandler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS != nil && n.keys.IsRevoked(*r.TLS) { // since the connection was opened
+			n.count("keys.revoked_requests")
+			w.Header().Set("Connection", "close")
+			http.Error(w, "certificate is revoked", http.StatusForbidden)
+			return
+		}
 		if isControl(r) {
 			control.ServeHTTP(w, r)
 			return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -82,6 +83,11 @@
 	if keys.Host() != s.Host {
 		return nil, fmt.Errorf("certificate %s is for host %q, the settings name host %q", s.CertFile, keys.Host(), s.Host)
 	}
+	if s.CRLFile != "" {
+		if err := keys.LoadRevocations(s.CRLFile); err != nil {
+			return nil, err
+		}
+	}
 	client := adapter.NewStore(s.Platform, registry)
 	n := &Node{
 		settings: s, log: logger, metrics: registry, keys: keys,
@@ -126,8 +132,7 @@
 		Hosts: n.liveHosts, MeshHosts: n.liveMeshHosts, OnVeto: n.publishVeto, OnFault: n.recordLateFault,
 	})
 	n.controlClient = &http.Client{Transport: &http.Transport{
-		TLSClientConfig:     n.keys.ClientConfig(),
-		DialContext:         n.dialer().DialContext,
+		DialTLSContext:      n.dialControl,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     30 * time.Second,
 	}}
@@ -141,12 +146,30 @@
 	return &net.Dialer{Timeout: controlTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))}
 }
 
+// dialControl opens a connection for control requests to another node.
+func (n *Node) dialControl(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := n.dialer().DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	conf := n.keys.ClientConfig()
+	conf.ServerName, _, _ = net.SplitHostPort(address)
+	tc := tls.Client(c, conf)
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if err := tc.HandshakeContext(ctx); err != nil {
+		_ = c.Close() // the handshake error is returned
+		return nil, err
+	}
+	return n.keys.Track(tc), nil
+}
+
 func (n *Node) wireCalls() {
 	n.targets = announce.New(n.announceConfig())
 	n.proxy = proxy.New(proxy.Config{
 		Self: n.settings.Host, DataCentre: n.settings.DataCentre, Snapshot: n.active.Load,
 		Chooser: n.moves, Observer: n.moves, Targets: n.targets,
-		PeerTLS: n.keys.ClientConfig(), PeerSource: n.settings.CallAddress.Addr(), Metrics: n.metrics, Log: n.log,
+		PeerTLS: n.keys.ClientConfig(), TrackPeer: n.keys.Track, PeerSource: n.settings.CallAddress.Addr(), Metrics: n.metrics, Log: n.log,
 	})
 	telemetry.RegisterProcess(n.metrics)
 	for name, value := range map[string]func(peer.Stats) int64{
@@ -187,7 +210,7 @@
 		}
 	})
 	for _, loop := range []func(context.Context){
-		n.targets.Run, n.targetLoop, n.memberLoop, n.rebuildLoop, n.moveLoop, n.startupLoop, n.fallbackLoop, n.reportLoop, n.vetoLoop,
+		n.targets.Run, n.targetLoop, n.memberLoop, n.rebuildLoop, n.moveLoop, n.startupLoop, n.fallbackLoop, n.reportLoop, n.vetoLoop, n.revocationLoop,
 	} {
 		run(loop)
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -175,6 +175,22 @@
 	_ = t.socket.Close()
 }
 
+// CloseRevoked closes the links to peers whose certificates are revoked.
+func (t *Transport) CloseRevoked() {
+	t.mu.Lock()
+	var revoked []*quic.Conn
+	for c := range t.conns {
+		if t.keys.IsRevoked(c.ConnectionState().TLS) {
+			revoked = append(revoked, c)
+		}
+	}
+	t.mu.Unlock()
+	for _, c := range revoked {
+		t.stats.unauthorized.Add(1)
+		closeConnection(c, distribution.CloseProtocol)
+	}
+}
+
 // track registers a connection, so that it counts towards the limit and is
 // closed on shutdown. It reports false if the transport has been closed.
 func (t *Transport) track(conn *quic.Conn) bool {
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -73,6 +73,53 @@
 	}
 }
 
+// Guards against a link that outlives the withdrawn key of its peer, and against new
+// links with that key.
+func TestLinksToRevokedPeersAreClosed(t *testing.T) {
+	ca := newAuthority(t)
+	crl := ca.file("crl")
+	if err := ca.ca.Revoke(crl); err != nil {
+		t.Fatal(err)
+	}
+	keys := ca.keys(t, "a")
+	if err := keys.LoadRevocations(crl); err != nil {
+		t.Fatal(err)
+	}
+	a := newTransport(t, peer.Config{Keys: keys})
+	b, c := newTransport(t, peer.Config{Keys: ca.keys(t, "b")}), newTransport(t, peer.Config{Keys: ca.keys(t, "c")})
+	accepted := serve(t, endpoint{a, a.Addr()})
+	for _, tr := range []*peer.Transport{b, c} {
+		serve(t, endpoint{tr, tr.Addr()})
+		if _, err := tr.Dial(contextWithTimeout(t, 2*time.Second), distribution.Endpoint{Address: a.Addr()}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	links := map[string]distribution.Link{}
+	for range 2 {
+		l := <-accepted.links
+		links[string(l.Peer())] = l
+	}
+	if err := ca.ca.Revoke(crl, ca.file("b")); err != nil {
+		t.Fatal(err)
+	}
+	if changed, err := keys.ReloadRevocations(); !changed || err != nil {
+		t.Fatal(changed, err)
+	}
+	a.CloseRevoked()
+	var closed *distribution.ClosedError
+	if _, err := links["b"].Receive(); !errors.As(err, &closed) {
+		t.Errorf("link to the host with the revoked key: %v", err)
+	}
+	if err := links["c"].Send(contextWithTimeout(t, time.Second), []byte("frame")); err != nil {
+		t.Errorf("link to another host: %v", err)
+	}
+	for name, tr := range map[string]struct{ from, to *peer.Transport }{"revoked host dials": {b, a}, "revoked host is dialled": {a, b}} {
+		if _, err := tr.from.Dial(contextWithTimeout(t, 2*time.Second), distribution.Endpoint{Address: tr.to.Addr()}); !errors.Is(err, distribution.ErrUnauthorized) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 // Guards against an unlimited number of peers.
 func TestPeerLimit(t *testing.T) {
 	auth := newAuthority(t)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,9 @@
 	Observer move.Observer // may be nil
 	Targets  Targets
 	PeerTLS  *tls.Config // client side of node-to-node calls; nil means plain connections
+	// TrackPeer, if set, returns a connection to another node that is closed when the
+	// certificate of that node is revoked.
+	TrackPeer func(*tls.Conn) net.Conn
 	// PeerSource is the local IP address of connections to other nodes; the zero
 	// value leaves the choice to the operating system.
 	PeerSource netip.Addr
--- a/internal/proxy/peerlink.go
+++ b/internal/proxy/peerlink.go
@@ -62,5 +62,8 @@
 		_ = c.Close()
 		return nil, err
 	}
+	if p.cfg.TrackPeer != nil {
+		return p.cfg.TrackPeer(tc), nil
+	}
 	return tc, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,7 @@
 	CAFile          string `long:"ca-file" env:"NUTMEGHOIST_CA_FILE" description:"PEM file with the mesh's CA certificate"`
 	CertFile        string `long:"cert-file" env:"NUTMEGHOIST_CERT_FILE" description:"PEM file with this host's certificate"`
 	KeyFile         string `long:"key-file" env:"NUTMEGHOIST_KEY_FILE" description:"PEM file with this host's private key"`
+	CRLFile         string `long:"crl-file" env:"NUTMEGHOIST_CRL_FILE" description:"PEM file with the revocation lists of the mesh's CAs; read again while the node runs"`
 	DrainTimeout    string `long:"drain-timeout" env:"NUTMEGHOIST_DRAIN_TIMEOUT" default:"65s" description:"longest time a planned stop waits for calls in flight; longer than the longest route timeout (60s)"`
 	LogLevel        string `long:"log-level" env:"NUTMEGHOIST_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 	MemoryLimit     string `long:"memory-limit-mb" env:"NUTMEGHOIST_MEMORY_LIMIT_MB" default:"256" description:"soft memory limit of the Go runtime in MB"`
@@ -62,6 +63,7 @@
 	CAFile          string
 	CertFile        string
 	KeyFile         string
+	CRLFile         string // "" without revocation lists
 	DrainTimeout    time.Duration
 	LogLevel        string
 	MemoryLimit     int64 // bytes
@@ -138,6 +140,7 @@
 		CAFile:          c.file("ca-file", o.CAFile),
 		CertFile:        c.file("cert-file", o.CertFile),
 		KeyFile:         c.file("key-file", o.KeyFile),
+		CRLFile:         c.optionalFile("crl-file", o.CRLFile),
 		DrainTimeout:    c.duration("drain-timeout", o.DrainTimeout, time.Second, 10*time.Minute),
 		LogLevel:        c.logLevel("log-level", o.LogLevel),
 		MemoryLimit:     c.megabytes("memory-limit-mb", o.MemoryLimit),
@@ -204,6 +207,13 @@
 	return seeds
 }
 
+func (c *checker) optionalFile(setting, v string) string {
+	if v == "" {
+		return v
+	}
+	return c.file(setting, v)
+}
+
 func (c *checker) file(setting, v string) string {
 	if v == "" {
 		c.add(settingName(setting), "is not set", "a PEM file, see nutmeghoist-keys")
@@ -228,6 +238,11 @@
 		c.add(settingName("cert-file"), err.Error(), "the certificate of this host and its key, signed by the CA of the mesh")
 		return
 	}
+	if _, err := os.Stat(s.CRLFile); s.CRLFile != "" && err == nil {
+		if err := keys.LoadRevocations(s.CRLFile); err != nil {
+			c.add(settingName("crl-file"), err.Error(), "the revocation lists of the mesh's CAs, see nutmeghoist-keys --revoke")
+		}
+	}
 	if keys.Host() != s.Host {
 		c.add(settingName("cert-file"), fmt.Sprintf("certificate %s is for host %q, the settings name host %q", s.CertFile, keys.Host(), s.Host),
 			"the certificate of this host")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -76,6 +76,36 @@
 	}
 }
 
+// Guards against revocation lists that cannot be used and pass --check-settings.
+func TestParseChecksRevocationLists(t *testing.T) {
+	dir := t.TempDir()
+	path := func(name string) string { return filepath.Join(dir, name) }
+	ca, err := tlskeys.NewCA("mesh", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(ca.Write(path("ca.pem"), path("ca-key.pem")), ca.Revoke(path("empty-list.pem")),
+		ca.IssueHostCertificate("h1", nil, time.Hour, path("h1.pem"), path("h1-key.pem")),
+		ca.Revoke(path("list.pem"), path("h1.pem")), os.WriteFile(path("damaged.pem"), []byte("list"), 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	for file, message := range map[string]string{
+		"": "", "empty-list.pem": "", "list.pem": "certificate is revoked",
+		"damaged.pem": "no PEM revocation list", "missing.pem": "no such file",
+	} {
+		args := []string{
+			"--host", "h1", "--data-centre", "north", "--check-settings",
+			"--ca-file", path("ca.pem"), "--cert-file", path("h1.pem"), "--key-file", path("h1-key.pem"),
+		}
+		if file != "" {
+			args = append(args, "--crl-file", path(file))
+		}
+		if _, err := Parse(args); (message == "") != (err == nil) || err != nil && !strings.Contains(err.Error(), message) {
+			t.Errorf("%q: %v", file, err)
+		}
+	}
+}
+
 // Guards against settings that are read from flags only.
 func TestParseReadsEnvironment(t *testing.T) {
 	t.Setenv("NUTMEGHOIST_HOST", "not a name")
--- a/internal/tlskeys/load.go
+++ b/internal/tlskeys/load.go
@@ -10,6 +10,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -18,11 +20,19 @@
 // Keys holds the CA certificates and the certificate and private key of one
 // host.
 type Keys struct {
+	cas    []*x509.Certificate
 	caPool *x509.CertPool
 	cert   tls.Certificate
 	host   mesh.HostID
 	// resetKey is computed once, since encoding the private key can fail.
 	resetKey [32]byte
+
+	crlFile string // "" without revocation lists
+	revoked atomic.Pointer[revocations]
+
+	mu      sync.Mutex
+	crl     []byte // text of the lists in force
+	tracked map[*tls.Conn]bool
 }
 
 // Load reads the CA certificates and the certificate and key of a host from PEM
@@ -68,7 +78,7 @@
 		return nil, fmt.Errorf("key file %s: %w", keyFile, err)
 	}
 	reset := sha256.Sum256(append([]byte("stateless reset\x00"), der...))
-	return &Keys{caPool: pool, cert: cert, host: host, resetKey: reset}, nil
+	return &Keys{cas: cas, caPool: pool, cert: cert, host: host, resetKey: reset, tracked: make(map[*tls.Conn]bool)}, nil
 }
 
 func loadKeyPair(certFile, keyFile string) (tls.Certificate, error) {
@@ -131,10 +141,11 @@
 // requires TLS 1.3 and a client certificate issued by the CA.
 func (k *Keys) ServerConfig() *tls.Config {
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{k.cert},
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		ClientCAs:    k.caPool,
+		MinVersion:       tls.VersionTLS13,
+		Certificates:     []tls.Certificate{k.cert},
+		ClientAuth:       tls.RequireAndVerifyClientCert,
+		ClientCAs:        k.caPool,
+		VerifyConnection: k.verifyNotRevoked, // after the chain
 		// A resumed session would not detect that the certificate has expired.
 		SessionTicketsDisabled: true,
 	}
@@ -167,8 +178,17 @@
 	if _, err := cs.PeerCertificates[0].Verify(opts); err != nil {
 		return fmt.Errorf("verify certificate of peer: %w", err)
 	}
-	_, err := certificateHost(cs.PeerCertificates[0])
-	return err
+	if _, err := certificateHost(cs.PeerCertificates[0]); err != nil {
+		return err
+	}
+	return k.verifyNotRevoked(cs)
+}
+
+func (k *Keys) verifyNotRevoked(cs tls.ConnectionState) error {
+	if k.IsRevoked(cs) {
+		return fmt.Errorf("certificate %q of peer: %w", cs.PeerCertificates[0].Subject.CommonName, ErrRevoked)
+	}
+	return nil
 }
 
 // PeerHost returns the host named in the peer's certificate.
