--- a/internal/bench/drill/drill.go
+++ b/internal/bench/drill/drill.go
@@ -144,7 +144,7 @@
 		return err
 	}
 	if kinds, err := d.reportKinds(ctx, "v2"); err != nil || slices.Contains(kinds, source.ReportDone) {
-		return fmt.Errorf("reports %v during the outage, error %w", kinds, err)
+		return fmt.Errorf("reports %v during the outage, error %v", kinds, err)
 	}
 	if wait := time.Until(by); wait > 0 {
 		time.Sleep(wait)
@@ -183,7 +183,7 @@
 		time.Sleep(wait)
 	}
 	if kinds, err := d.reportKinds(ctx, "v3"); err != nil || slices.Contains(kinds, source.ReportDone) {
-		return fmt.Errorf("reports %v while a data centre is unreachable, error %w", kinds, err)
+		return fmt.Errorf("reports %v while a data centre is unreachable, error %v", kinds, err)
 	}
 	d.cluster.HealDataCentre(isolatedDataCentre)
 	healed := time.Now()
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -170,7 +170,8 @@
 // Guards against closing an idle connection as soon as the configured idle
 // timeout has passed, when a caller may just be reusing it.
 func TestIdleConnectionsOutliveIdleTimeout(t *testing.T) {
-	_, address := startServer(t, echo)
+	// Without an earlier configuration, whose longer timeout would stay in force.
+	_, address := startServer(t, echo, func(s *Server) { s.maxIdleTimeout = 0 })
 	c, r := dial(t, address)
 	for range 2 {
 		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: m\r\n\r\n")
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -118,12 +118,8 @@
 // Guards against a call to an unreachable target that is reported as possibly
 // run.
 func TestUnreachableTargetIsNotRun(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = l.Close()
-	res := NewClient(l.Addr().String(), names).Do(t.Context(), getCall("a"))
+	// The port of a closed listener could be reused by another test.
+	res := NewClient("127.99.99.99:1", names).Do(t.Context(), getCall("a"))
 	if res.Kind != NotRun || res.Reason != Unreachable || res.Sent {
 		t.Errorf("got %+v", res)
 	}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -84,22 +84,20 @@
 	}
 }
 
+// refusingAddress refuses connections. The port of a closed listener could be
+// reused by another test.
+const refusingAddress = "127.99.99.99:1"
+
 // Guards against reporting a non-idempotent call as not sent although its bytes
 // may have reached the owner, and against reporting one as sent although no
 // connection could be opened.
 func TestErrorsDistinguishSentFromNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	_ = l.Close()
-	if _, err := NewPool(loopback, address).Call(t.Context(), Request{}, inTwoSeconds(), inTwoSeconds()); !errors.Is(err, ErrNotSent) {
+	if _, err := NewPool(loopback, refusingAddress).Call(t.Context(), Request{}, inTwoSeconds(), inTwoSeconds()); !errors.Is(err, ErrNotSent) {
 		t.Errorf("no listener: got %v, want ErrNotSent", err)
 	}
 	var server *Server
 	ready := make(chan struct{})
-	l, err = net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/distribution/connect.go
+++ b/pkg/distribution/connect.go
@@ -176,7 +176,11 @@
 		signal(g.relinkPending)
 		return true // the peer opened a link at the same time, and both ends keep that one
 	}
-	g.fault(FaultDialFailed, id, err)
+	if errors.Is(err, ErrUnauthorized) {
+		g.fault(FaultUnauthorized, id, err)
+	} else {
+		g.fault(FaultDialFailed, id, err)
+	}
 	if suspectOnFailure && !errors.Is(err, ErrBusy) {
 		g.cfg.Members.Suspect(id)
 	}
--- a/pkg/distribution/faults_test.go
+++ b/pkg/distribution/faults_test.go
@@ -158,6 +158,7 @@
 
 func suspectRefutes(m *testMesh) {
 	m.startNodes(8, 2)
+	before := m.nodes["h005"].table.Self().Incarnation
 	m.nodes["h001"].table.Suspect("h005")
 	worst := membership.StatusAlive
 	for range 200 {
@@ -170,8 +171,8 @@
 	if worst > membership.StatusSuspect || !m.allSeenAlive() {
 		m.t.Errorf("worst status %d; all alive: %v", worst, m.allSeenAlive())
 	}
-	if inc := m.nodes["h005"].table.Self().Incarnation; inc == 0 {
-		m.t.Error("no refutation")
+	if inc := m.nodes["h005"].table.Self().Incarnation; inc <= before {
+		m.t.Errorf("incarnation %d, %d before the suspicion: no refutation", inc, before)
 	}
 }
 
--- a/pkg/distribution/link_test.go
+++ b/pkg/distribution/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -125,7 +126,11 @@
 			table.Merge([]membership.Host{{ID: "b", Status: membership.StatusAlive}})
 			transport := newStubLink("", false)
 			transport.dialErr = c.err
-			g, err := New(Config{Members: table, Transport: transport, ActiveVersion: func() (v mesh.ConfigVersion) { return }})
+			var unauthorized bool
+			g, err := New(Config{
+				Members: table, Transport: transport, ActiveVersion: func() (v mesh.ConfigVersion) { return },
+				OnFault: func(f Fault, _ mesh.HostID, _ error) { unauthorized = unauthorized || f == FaultUnauthorized },
+			})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -136,6 +141,9 @@
 			if h, _ := table.Get("b"); h.Status != c.want {
 				t.Errorf("%v, linked %v: status %d, not %d", c.err, c.linked, h.Status, c.want)
 			}
+			if want := errors.Is(c.err, ErrUnauthorized); unauthorized != want {
+				t.Errorf("%v: reported as unauthorized %v, want %v", c.err, unauthorized, want)
+			}
 		})
 	}
 }
