Play endless bytes and second copies of answers in the soak

The soak played neither of the two faults of targets that the operators and the users named last. A second schedule, which leaves the faults of a seed as they were, lets a tenth of a target's answers come without end in the head or the body, or twice, with and without the ID of the call. A node must close such a connection within 10 s, keep its memory within its settings (peak resident size), and give no caller the answer to another call. The two regression seeds play without it, as recorded.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -91,3 +91,16 @@
 		t.Error("orders are not routed to a service")
 	}
 }
+
+// Guards against a node over its memory that is not reported because the size is not
+// found.
+func TestPeakMemory(t *testing.T) {
+	for status, want := range map[string]int64{
+		"Name:\tnode\nVmPeak:\t  900000 kB\nVmHWM:\t   41216 kB\nVmRSS:\t   39000 kB\n": 41216 << 10,
+		"VmHWM:\tmany kB\n": 0, "": 0,
+	} {
+		if got := peakMemory(status); got != want {
+			t.Errorf("%q: %d, want %d", status, got, want)
+		}
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -182,7 +182,12 @@
 	for _, a := range c.nodes {
 		a.signal(syscall.SIGCONT)
 		a.storeRelay.Heal(zone(a.index), storeZone)
-		a.eachServingTarget(func(t *target) { t.slowFactor.Store(1); t.losesAnswers.Store(false); t.truncatesAnswers.Store(false) })
+		a.eachServingTarget(func(t *target) {
+			t.slowFactor.Store(1)
+			t.losesAnswers.Store(false)
+			t.truncatesAnswers.Store(false)
+			t.answers.Store(0)
+		})
 		for _, b := range c.nodes {
 			c.relay.Delay(zone(a.index), zone(b.index), 0)
 			c.relay.Heal(zone(a.index), zone(b.index))
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -40,7 +40,7 @@
 		Host: n.host, DataCentre: n.dataCentre, IP: n.cluster.address(i, 0).Addr(), Service: n.service, TargetAddress: n.cluster.address(i, 1),
 		CallerAddress: n.cluster.address(i, portCaller), CallAddress: n.cluster.address(i, portCall),
 		ReadyAddress: n.cluster.address(i, portReady), AnnounceAddress: n.cluster.address(i, portAnnounce),
-		StoreAddress: n.cluster.relayAddress(i, portStore).String(), MemoryBytes: 128 << 20, Bounds: b,
+		StoreAddress: n.cluster.relayAddress(i, portStore).String(), MemoryBytes: maxNodeMemory, Bounds: b,
 	}
 	return os.WriteFile(n.cluster.path(string(n.host)+".conf"), platform.EncodeSettings(settings), 0o600)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,6 +31,8 @@
 	Program  string        // path of nutmeghoist-sidecar
 	Dir      string        // for settings and logs; kept after a failure
 	Slot     int           // 0 to 255; concurrent runs need different slots
+	// AnswerFaults adds targets that send bytes without end, or an answer twice.
+	AnswerFaults bool
 }
 
 const (
@@ -98,12 +100,18 @@
 		wg.Go(func() { n.sendCalls(callerCtx) })
 	}
 	wg.Go(func() { c.config.run(callerCtx) })
+	if o.AnswerFaults {
+		wg.Go(func() { c.injectAnswerFaults(ctx) })
+	}
 	c.inject(ctx, &wg)
 	c.heal()
 	healedAt := time.Now()
 	pause.For(ctx, cooldownTime)
 	stopCallers()
 	wg.Wait()
+	for _, n := range c.nodes {
+		n.checkMemory()
+	}
 	violations := c.journal.check(healedAt.Add(recoveryTime), time.Now())
 	totals := c.journal.counts()
 	fmt.Fprintf(out, "seed=%d nodes=%d calls=%d answered=%d refused=%d unknown=%d runs=%d faults=%d broken=%d\n",
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -37,6 +37,7 @@
 	slowFactor       atomic.Int64 // multiplies the service time
 	losesAnswers     atomic.Bool  // a tenth of the calls get no answer
 	truncatesAnswers atomic.Bool  // a tenth of the answers are cut short
+	answers          atomic.Int32 // an answerFault
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -158,11 +159,12 @@
 	}
 }
 
-func (t *target) serve(c net.Conn) {
+func (t *target) serve(raw net.Conn) {
+	c := &answerConn{Conn: raw}
 	defer func() {
 		_ = c.Close() // the connection is closed even on an error
 		t.mu.Lock()
-		delete(t.conns, c)
+		delete(t.conns, raw)
 		t.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
@@ -175,7 +177,7 @@
 }
 
 // handle runs one call and reports whether the connection stays open.
-func (t *target) handle(req *http.Request, c net.Conn) bool {
+func (t *target) handle(req *http.Request, c *answerConn) bool {
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return false
 	}
@@ -209,9 +211,13 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", names.RequestID, id, names.Stamp, len(body)+9, body)
 		return false
 	}
-	// After a failed write the caller's node sees a broken connection.
-	_, err = fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", status, names.RequestID, id, names.Stamp, len(body), body)
-	return err == nil
+	fault := answerFault(t.answers.Load())
+	if rand.IntN(10) != 0 {
+		fault = noAnswerFault
+	}
+	rest := fmt.Sprintf("%s: s\r\nContent-Length: %d\r\n\r\n%s", names.Stamp, len(body), body)
+	statusLine := fmt.Sprintf("HTTP/1.1 %d X\r\n", status)
+	return fault.send(t, c, statusLine+names.RequestID+": "+id+"\r\n"+rest, statusLine+rest)
 }
 
 // answerBody returns the body of a target's answer to a call.
