--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -66,6 +66,7 @@
 			list[i].Timeout = 2 * time.Second
 		}
 	}
+	reportPauses(t)
 	return &testMesh{t: t, snap: &snapshot.Snapshot{
 		Rules:   list,
 		Targets: map[mesh.ServiceVersion][]snapshot.Target{orders: nil},
