Send no call on a connection that has left a ping unanswered

Change: a connection that has left a ping unanswered for 150 ms takes no calls until it is heard again. At most eight connections to a node wait or are dialled while it does not respond; calls beyond that are refused as not run at once. Result: TestCallAvoidsAnUnresponsiveNode fails before and passes after.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -35,6 +35,12 @@
 	// maxConns bounds the connections to one node. More than one keeps a lost
 	// packet from delaying every call to the node (head-of-line blocking).
 	maxConns = 4
+	// maxUnresponsiveConns bounds the connections that do not respond and the dials
+	// beside them. A call beyond it is refused at once.
+	maxUnresponsiveConns = 2 * maxConns
+	// suspectTime is how long a connection may leave a ping unanswered and still take
+	// calls.
+	suspectTime = 150 * time.Millisecond
 )
 
 // Errors of a call without a response.
@@ -108,9 +114,12 @@
 // more calls until it is heard again.
 func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*clientConn, error) {
 	for {
-		c := p.leastLoaded()
-		if c == nil {
+		c, mayDial := p.leastLoaded()
+		switch {
+		case c == nil && mayDial:
 			return p.dial(ctx)
+		case c == nil:
+			return nil, errors.Join(ErrNotSent, errUnresponsive)
 		}
 		if c.sinceReceived() < maxIdle || c.ping(ctx, reusePingTimeout) {
 			return c, nil
@@ -122,11 +131,14 @@
 	}
 }
 
-func (p *Pool) leastLoaded() *clientConn {
+var errUnresponsive = errors.New("the node does not respond on its open connections")
+
+// leastLoaded returns the connection to use. Without one it reports whether another
+// may be opened.
+func (p *Pool) leastLoaded() (best *clientConn, mayDial bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conns = slices.DeleteFunc(p.conns, (*clientConn).isFinal)
-	var best *clientConn
 	usable := 0
 	for _, c := range p.conns {
 		if !c.isUsable() {
@@ -138,9 +150,10 @@
 		}
 	}
 	if best != nil && best.pendingCalls() > 0 && usable+p.dialing < maxConns {
-		return nil
+		return nil, true
 	}
-	return best
+	unresponsive := len(p.conns) - usable
+	return best, unresponsive == 0 || unresponsive+p.dialing < maxUnresponsiveConns
 }
 
 func (p *Pool) dial(ctx context.Context) (*clientConn, error) {
@@ -299,7 +312,8 @@
 func (c *clientConn) isUsable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.failed && !c.leaving && !c.silent
+	suspect := !c.pingSent.IsZero() && time.Since(c.pingSent) > suspectTime
+	return !c.failed && !c.leaving && !c.silent && !suspect
 }
 
 // isFinal reports whether no call will be sent on the connection any more.
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -264,6 +264,46 @@
 	}
 }
 
+// Guards against calls that are sent to a node which has left a ping unanswered, and
+// fail with an unknown outcome or after their time, although another node could run
+// them; and against one dial more for each of them.
+func TestCallAvoidsAnUnresponsiveNode(t *testing.T) {
+	address, resume := pausedNode(t, handlerFunc(func(context.Context, *Request) *Response { return &Response{Outcome: Answered, Status: 200} }))
+	p := NewPool(loopback, address)
+	defer p.Close()
+	deadline := time.Now().Add(10 * time.Second)
+	var first sync.WaitGroup
+	for range 2 * maxConns {
+		first.Go(func() {
+			if _, err := p.Call(t.Context(), Request{ID: "first"}, deadline, deadline); err != nil && !errors.Is(err, ErrNotSent) {
+				t.Errorf("call under way: %v", err)
+			}
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(maxSilence + 2*suspectTime)
+	began := time.Now()
+	var later sync.WaitGroup
+	for range 50 {
+		later.Go(func() {
+			if _, err := p.Call(t.Context(), Request{ID: "later", Idempotent: true}, deadline, deadline); !errors.Is(err, ErrNotSent) {
+				t.Errorf("call to an unresponsive node: %v, want ErrNotSent", err)
+			}
+		})
+	}
+	later.Wait()
+	if took := time.Since(began); took > 2*dialTimeout {
+		t.Errorf("refused after %s", took)
+	}
+	p.mu.Lock()
+	if n := len(p.conns) + p.dialing; n > maxUnresponsiveConns {
+		t.Errorf("%d connections", n)
+	}
+	p.mu.Unlock()
+	resume()
+	first.Wait()
+}
+
 // Guards against silent connections that stay open after their last call.
 func TestSilentConnectionIsClosedAfterItsLastCall(t *testing.T) {
 	var blocked *atomic.Bool
