Take no pause of this process for the silence of another node

Change: silence is counted in checks of 0.3 s, and a check that comes over 0.1 s late does not count. An idempotent call is given up only after 0.9 s of its own. Result: TestPauseOfThisProcessIsNoSilence fails without the condition and passes with it.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -16,11 +16,19 @@
 	// are about 1 ms apart; a lost SYN is retransmitted after a second or more.
 	dialTimeout = 300 * time.Millisecond
 	// maxSilence is how long a connection with pending calls may receive nothing
-	// before it is pinged.
+	// before it is pinged, and the time between two checks.
 	maxSilence = 300 * time.Millisecond
 	// pingTimeout bounds the wait for the response to a ping. A busy node is slow
 	// to respond.
 	pingTimeout = 600 * time.Millisecond
+	// suspectChecks and silentChecks are the numbers of checks in a row, the first of
+	// which sends a ping, from which a connection takes no more calls and its idempotent
+	// calls are sent elsewhere.
+	suspectChecks = 2
+	silentChecks  = 1 + int(pingTimeout/maxSilence)
+	// maxCheckDelay is how late a check may be and still count. After a pause of this
+	// process the responses may have arrived and not been read.
+	maxCheckDelay = 100 * time.Millisecond
 	// reusePingTimeout bounds the ping before a call is sent on an idle
 	// connection. A connection that fails it is closed and replaced.
 	reusePingTimeout = 150 * time.Millisecond
@@ -38,9 +46,6 @@
 	// maxUnresponsiveConns bounds the connections that do not respond and the dials
 	// beside them. A call beyond it is refused at once.
 	maxUnresponsiveConns = 2 * maxConns
-	// suspectTime is how long a connection may leave a ping unanswered and still take
-	// calls.
-	suspectTime = 150 * time.Millisecond
 )
 
 // Errors of a call without a response.
@@ -201,9 +206,10 @@
 	mu           sync.Mutex
 	lastStream   uint64
 	pending      map[uint64]pendingCall
-	lastReceived time.Time // when the last frame was received
-	pingSent     time.Time // when the unanswered ping was sent; zero without one
-	pongReceived chan struct{}
+	lastReceived time.Time     // when the last frame was received
+	lastCheck    time.Time     // when the connection was last checked, or its first call sent
+	silentFor    int           // checks in a row that found it silent
+	pongReceived chan struct{} // closed by the next frame; nil without an unanswered ping
 	failed       bool
 	leaving      bool // the node takes no further calls on this connection
 	silent       bool // the node has not responded to a ping, and nothing was received since
@@ -213,6 +219,7 @@
 type pendingCall struct {
 	ended      chan reply
 	idempotent bool
+	sent       time.Time
 }
 
 // reply is the end of a pending call: its response, or an error.
@@ -255,8 +262,9 @@
 	}
 	c.lastStream++
 	r.Stream = c.lastStream
-	c.pending[r.Stream] = pendingCall{ended: ended, idempotent: r.Idempotent}
+	c.pending[r.Stream] = pendingCall{ended: ended, idempotent: r.Idempotent, sent: time.Now()}
 	if len(c.pending) == 1 {
+		c.lastCheck = time.Now()
 		c.livenessTimer.Reset(maxSilence)
 	}
 	c.mu.Unlock()
@@ -312,8 +320,7 @@
 func (c *clientConn) isUsable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	suspect := !c.pingSent.IsZero() && time.Since(c.pingSent) > suspectTime
-	return !c.failed && !c.leaving && !c.silent && !suspect
+	return !c.failed && !c.leaving && !c.silent && c.silentFor < suspectChecks
 }
 
 // isFinal reports whether no call will be sent on the connection any more.
@@ -345,47 +352,64 @@
 }
 
 // checkLiveness runs periodically while calls are pending. It pings a connection
-// that has received nothing, marks one that does not respond, and closes a silent
-// one when its last call has ended.
+// that has received nothing, ends the calls of one that does not respond, and closes
+// a silent one when its last call has ended.
 func (c *clientConn) checkLiveness() {
 	c.mu.Lock()
-	waiting, silence, pinged, silent := len(c.pending) > 0, time.Since(c.lastReceived), c.pingSent, c.silent
+	now := time.Now()
+	waiting := len(c.pending) > 0
 	if waiting && !c.failed {
 		c.livenessTimer.Reset(maxSilence)
 	}
+	onTime := now.Sub(c.lastCheck) < maxSilence+maxCheckDelay
+	c.lastCheck = now
+	if waiting && onTime && now.Sub(c.lastReceived) >= maxSilence {
+		c.silentFor++
+	}
+	silent, silentFor := c.silent, c.silentFor
 	c.mu.Unlock()
 	switch {
 	case silent && !waiting:
 		c.fail()
-	case silent || !waiting || silence < maxSilence:
-	case pinged.IsZero():
-		c.sendPing()
-	case time.Since(pinged) > pingTimeout:
+	case !waiting || !onTime:
+	case silentFor >= silentChecks:
 		c.markSilent()
+		c.endSilentCalls()
+	case silentFor == 1:
+		c.sendPing()
 	}
 }
 
-// markSilent ends the calls that can be sent to another node. The others wait until
-// their deadlines: a node without processor time is as silent as one behind a cut,
-// its target may be at work, and an early "unknown" helps no caller.
+// markSilent keeps further calls from the connection until it is heard again.
 func (c *clientConn) markSilent() {
 	c.mu.Lock()
 	if c.failed {
 		c.mu.Unlock()
 		return
 	}
-	c.silent = true
-	var given []uint64
+	if !c.silent {
+		c.silent = true
+		c.livenessTimer.Reset(maxSilence)
+	}
+	c.mu.Unlock()
+}
+
+// endSilentCalls ends the calls that can be sent to another node and have heard
+// nothing for as long as a connection may be silent. The others wait until their
+// deadlines: a node without processor time is as silent as one behind a cut, its
+// target may be at work, and an early "unknown" helps no caller.
+func (c *clientConn) endSilentCalls() {
+	c.mu.Lock()
+	var ended []uint64
 	for stream, call := range c.pending {
-		if call.idempotent {
+		if call.idempotent && time.Since(call.sent) >= maxSilence+pingTimeout {
 			call.ended <- reply{err: ErrBroken}
-			given = append(given, stream)
+			ended = append(ended, stream)
 			c.removePending(stream)
 		}
 	}
-	c.livenessTimer.Reset(maxSilence)
 	c.mu.Unlock()
-	for _, stream := range given {
+	for _, stream := range ended {
 		// After an error the connection is closed, which cancels the calls too.
 		_ = c.writeFrame(frameCancel, encodeUint(stream))
 	}
@@ -396,7 +420,6 @@
 	c.mu.Lock()
 	if c.pongReceived == nil {
 		c.pongReceived = make(chan struct{})
-		c.pingSent = time.Now()
 	}
 	pong := c.pongReceived
 	c.mu.Unlock()
@@ -425,10 +448,10 @@
 			return
 		}
 		c.mu.Lock()
-		c.lastReceived, c.silent = time.Now(), false
+		c.lastReceived, c.silentFor, c.silent = time.Now(), 0, false
 		if c.pongReceived != nil {
 			close(c.pongReceived)
-			c.pongReceived, c.pingSent = nil, time.Time{}
+			c.pongReceived = nil
 		}
 		c.mu.Unlock()
 		if kind == frameGoAway {
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -281,7 +281,7 @@
 		})
 		time.Sleep(5 * time.Millisecond)
 	}
-	time.Sleep(maxSilence + 2*suspectTime)
+	time.Sleep((suspectChecks + 1) * maxSilence)
 	began := time.Now()
 	var later sync.WaitGroup
 	for range 50 {
@@ -304,6 +304,44 @@
 	first.Wait()
 }
 
+// Guards against calls that are given up although their responses have arrived,
+// because this process was paused and its check ran before they were read.
+func TestPauseOfThisProcessIsNoSilence(t *testing.T) {
+	started := make(chan struct{})
+	release := make(chan struct{})
+	address := serve(t, handlerFunc(func(context.Context, *Request) *Response {
+		close(started)
+		<-release
+		return &Response{Outcome: Answered, Status: 200}
+	}))
+	p := NewPool(loopback, address)
+	defer p.Close()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := p.Call(t.Context(), Request{Idempotent: true}, time.Now().Add(time.Minute), inTwoSeconds())
+		ended <- err
+	}()
+	<-started
+	c := p.conns[0]
+	c.mu.Lock()
+	// As after a pause of 3 s that began before the last check of the connection.
+	c.lastReceived, c.lastCheck, c.silentFor = c.lastReceived.Add(-3*time.Second), c.lastCheck.Add(-3*time.Second), silentChecks-1
+	call := c.pending[1]
+	call.sent = call.sent.Add(-3 * time.Second)
+	c.pending[1] = call
+	c.mu.Unlock()
+	c.checkLiveness()
+	select {
+	case err := <-ended:
+		t.Errorf("the call was given up: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(release)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against silent connections that stay open after their last call.
 func TestSilentConnectionIsClosedAfterItsLastCall(t *testing.T) {
 	var blocked *atomic.Bool
