--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -333,7 +333,8 @@
 	c.checkLiveness()
 	select {
 	case err := <-ended:
-		t.Errorf("the call was given up: %v", err)
+		close(release)
+		t.Fatalf("the call was given up: %v", err)
 	case <-time.After(50 * time.Millisecond):
 	}
 	close(release)
