Close connections that are suspected when their last call ends

Found in reading the diff: a connection that had left one check unanswered took no more calls; when its last call ended before the next check, its timer was stopped, and it stayed in the pool, counted as unresponsive, until a frame came. Eight of them would have kept a node from being called. Change: its timer goes on and closes it. Result: TestUnresponsiveConnectionIsClosedAfterItsLastCall fails before (call of 750 ms) and passes after.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -30,7 +30,7 @@
 	// process the responses may have arrived and not been read.
 	maxCheckDelay = 100 * time.Millisecond
 	// reusePingTimeout bounds the ping before a call is sent on an idle
-	// connection. A connection that fails it is closed and replaced.
+	// connection. A connection that fails it takes no calls until it is heard again.
 	reusePingTimeout = 150 * time.Millisecond
 	// maxIdleWithoutPing is how long a connection may be idle and still be used
 	// without a ping for a call that must not run twice: its outcome would be unknown
@@ -301,15 +301,19 @@
 }
 
 // removePending removes a call; c.mu must be held. Without a call, the connection
-// needs no check, and its timer would wake an idle process; a silent connection is
-// closed by the timer.
+// needs no check, and its timer would wake an idle process. One that takes no more
+// calls is closed by the timer.
 func (c *clientConn) removePending(stream uint64) {
 	delete(c.pending, stream)
-	if len(c.pending) == 0 && !c.silent {
+	if len(c.pending) == 0 && !c.isUnresponsive() {
 		c.livenessTimer.Stop()
 	}
 }
 
+// isUnresponsive reports whether the node has not responded to a ping; c.mu must be
+// held.
+func (c *clientConn) isUnresponsive() bool { return c.silent || c.silentFor >= suspectChecks }
+
 func (c *clientConn) pendingCalls() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -320,7 +324,7 @@
 func (c *clientConn) isUsable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.failed && !c.leaving && !c.silent && c.silentFor < suspectChecks
+	return !c.failed && !c.leaving && !c.isUnresponsive()
 }
 
 // isFinal reports whether no call will be sent on the connection any more.
@@ -353,7 +357,7 @@
 
 // checkLiveness runs periodically while calls are pending. It pings a connection
 // that has received nothing, ends the calls of one that does not respond, and closes
-// a silent one when its last call has ended.
+// it when its last call has ended.
 func (c *clientConn) checkLiveness() {
 	c.mu.Lock()
 	now := time.Now()
@@ -366,10 +370,10 @@
 	if waiting && onTime && now.Sub(c.lastReceived) >= maxSilence {
 		c.silentFor++
 	}
-	silent, silentFor := c.silent, c.silentFor
+	unresponsive, silentFor := c.isUnresponsive(), c.silentFor
 	c.mu.Unlock()
 	switch {
-	case silent && !waiting:
+	case unresponsive && !waiting:
 		c.fail()
 	case !waiting || !onTime:
 	case silentFor >= silentChecks:
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -343,28 +343,32 @@
 	}
 }
 
-// Guards against silent connections that stay open after their last call.
-func TestSilentConnectionIsClosedAfterItsLastCall(t *testing.T) {
-	var blocked *atomic.Bool
-	owner := serve(t, handlerFunc(func(context.Context, *Request) *Response {
-		blocked.Store(true)
-		return &Response{Outcome: Answered}
-	}))
-	address, s := startProxy(t, owner)
-	blocked = s
-	p := NewPool(loopback, address)
-	defer p.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-	defer cancel()
-	if _, err := p.Call(ctx, Request{}, time.Now().Add(time.Minute), inTwoSeconds()); !errors.Is(err, ErrBroken) {
-		t.Errorf("got %v, want ErrBroken", err)
-	}
-	for _, c := range p.conns {
-		select {
-		case <-c.failedCh:
-		case <-time.After(2 * maxSilence):
-			t.Error("the connection is still open")
+// Guards against connections that do not respond and stay open after their last call,
+// so that the pool counts them for good: of calls that ended while the connection was
+// only suspected, or was silent.
+func TestUnresponsiveConnectionIsClosedAfterItsLastCall(t *testing.T) {
+	for _, callTime := range []time.Duration{maxSilence*suspectChecks + maxSilence/2, 2 * time.Second} {
+		var blocked *atomic.Bool
+		owner := serve(t, handlerFunc(func(context.Context, *Request) *Response {
+			blocked.Store(true)
+			return &Response{Outcome: Answered}
+		}))
+		address, s := startProxy(t, owner)
+		blocked = s
+		p := NewPool(loopback, address)
+		ctx, cancel := context.WithTimeout(t.Context(), callTime)
+		if _, err := p.Call(ctx, Request{}, time.Now().Add(time.Minute), inTwoSeconds()); !errors.Is(err, ErrBroken) {
+			t.Errorf("call of %s: got %v, want ErrBroken", callTime, err)
+		}
+		cancel()
+		for _, c := range p.conns {
+			select {
+			case <-c.failedCh:
+			case <-time.After(2 * maxSilence):
+				t.Errorf("call of %s: the connection is still open", callTime)
+			}
 		}
+		p.Close()
 	}
 }
 
