Log the rate limits that targets name and what is sent meanwhile

No line or counter told whether a limit is not read, is applied by each host for itself, or is lost when a node restarts. The node beside a target sees all calls to it, so it logs each change of what the answers name and counts the calls that it sends while a limit is named; answers that say that the target leaves are logged too. No call is decided by it yet.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -83,7 +83,10 @@
 	Header http.Header
 	Body   []byte
 	Sent   bool // bytes of the call reached the target
-	Err    error
+	// Signals is what the target says of itself; empty without an answer that is
+	// certainly its own.
+	Signals Signals
+	Err     error
 }
 
 // Reason says why a call has no usable response.
@@ -324,7 +327,7 @@
 // used before, a response without the call's ID proves nothing: it can be a late
 // second copy of the response to an earlier call.
 func (c *Client) classify(resp *http.Response, body []byte, call *Call, reusedConn bool) Result {
-	res := Result{Kind: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body, Sent: true}
+	res := Result{Kind: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body, Sent: true, Signals: c.signalsOf(resp.Header)}
 	ids := resp.Header.Values(c.names.RequestID)
 	idMatches := len(ids) == 1 && ids[0] == call.ID
 	isOwn := idMatches || len(ids) == 0 && !reusedConn
@@ -332,7 +335,7 @@
 	case isOwn && resp.StatusCode == http.StatusMisdirectedRequest:
 		return Result{Kind: NotRun, Reason: Misdirected, Sent: true}
 	case isOwn && resp.Header.Get(c.names.NotRun) != "":
-		return Result{Kind: NotRun, Reason: Shed, Sent: true}
+		return Result{Kind: NotRun, Reason: Shed, Sent: true, Signals: c.signalsOf(resp.Header)}
 	case !idMatches, resp.Header.Get(c.names.Stamp) == "", resp.Header.Get("Content-Encoding") != "":
 		return unknownResult(Malformed, errors.New("response lacks the request ID or stamp, or its body is encoded"))
 	}
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -76,11 +76,22 @@
 			Kind: r.Route, Shed: res.Reason == exchange.Shed, Answered: res.Kind == exchange.Answered, ServiceTime: took,
 		})
 	}()
-	return t.client.Do(ctx, &exchange.Call{
+	res = t.client.Do(ctx, &exchange.Call{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Caller: r.Caller, Expect: r.Target, Idempotent: r.Idempotent, Deadline: deadline,
-		MaySend: func() bool { return !o.pastSendLimit(t) },
-	}), 0
+		MaySend: func() bool { return o.maySend(t) },
+	})
+	o.observe(t, r.ID, &res)
+	return res, 0
+}
+
+// maySend reports whether a call may be sent to the target now, and counts it.
+func (o *Owner) maySend(t *target) bool {
+	if o.pastSendLimit(t) {
+		return false
+	}
+	o.countSend(t)
+	return true
 }
 
 // IsRunning reports whether a call with the request ID runs at a target of this
--- a/pkg/traffic/traffic.go
+++ b/pkg/traffic/traffic.go
@@ -134,4 +134,6 @@
 	ExpectInstance string // the target for which a call is meant
 	NotRun         string // on an answer: the target did not run the call
 	CallerService  string // service of the host where the call began
+	RateLimit      string // on an answer: calls a second that the target takes from all nodes
+	Leaving        string // on an answer: the target is about to leave
 }
