Hold the calls to a target to the rate limit that it names

Callers saw nothing of it: the target did. Cause: the header was passed on to the caller and read by nobody. A bound that all nodes share had no process that counts.

The queue, the expected wait, refusals at once and the time to come back go by the slower of slots and rate; load reports carry both, so that calls go where there is room. What an answer says counts only in the order that is certain. After a restart of the node, calls carry the limit that their nodes have passed on, and without that four calls are in flight until the first answer.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -115,6 +115,7 @@
 	rng             *rand.Rand
 	routes          routeStats
 	callerRetries   callerRetries
+	signals         targetSignals
 
 	mu      sync.Mutex
 	pools   map[string]*hop.Pool
@@ -344,6 +345,7 @@
 		Target: t.ID, Service: t.Service, Version: t.Version, Caller: c.entry.cfg.Service, ID: c.id,
 		Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: c.forwardedHeader(), Body: c.req.Body,
 		Priority: c.route.Priority, Nested: c.nested, Idempotent: c.route.Idempotent, Route: c.route.Name,
+		Signals: c.entry.signals.get(t),
 	}
 	t.Stat.Begin()
 	c.entry.cfg.Observer.Begin(service, isNew)
@@ -369,9 +371,11 @@
 	if resp.Load != nil {
 		t.Stat.ReportLoad(routing.Load{
 			InFlight: resp.Load.InFlight, Queued: resp.Load.Queued, Limit: resp.Load.Limit,
-			Mean: time.Duration(resp.Load.MeanUs) * time.Microsecond,
+			Mean: time.Duration(resp.Load.MeanUs) * time.Microsecond, RateLimit: resp.Load.RateLimit,
+			RateWait: time.Duration(resp.Load.RateWaitUs) * time.Microsecond,
 		}, time.Now())
 	}
+	c.entry.signals.record(t, resp)
 	c.recordSignal(t, resp)
 	return resp
 }
@@ -447,7 +451,7 @@
 	if c.callerCtx.Err() != nil || c.ctx.Err() != nil {
 		return false
 	}
-	if resp.Outcome == hop.NotRun && isOverload(resp.Reason) {
+	if resp.Outcome == hop.NotRun && admission.Reason(resp.Reason).IsLoad() {
 		c.tried.Shed = true
 	}
 	if !resp.SentToTarget {
@@ -555,13 +559,3 @@
 func (e *Entry) count(name string) { metrics.GetOrRegisterCounter(name, e.cfg.Metrics).Inc(1) }
 
 func isNotSent(err error) bool { return errors.Is(err, hop.ErrNotSent) }
-
-// isOverload reports whether an owner refused a call because of the target's
-// load.
-func isOverload(reason string) bool {
-	switch admission.Reason(reason) {
-	case admission.ReasonQueueFull, admission.ReasonDeadline, admission.ReasonLate, admission.ReasonQueueWait:
-		return true
-	}
-	return false
-}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 
 var names = traffic.Headers{
 	RequestID: "Call-Name", DeadlineMs: "Left-Ms", Stamp: "Proof", ExpectInstance: "Meant-For", NotRun: "Not-Run", CallerService: "From-Service",
+	RateLimit: "Takes", Leaving: "Going",
 }
 
 // script responds to the n-th request of a target, from 0. It reports whether
--- a/internal/hop/fields.go
+++ b/internal/hop/fields.go
@@ -41,6 +41,8 @@
 	DeadlineAt     int64  `cbor:"8,keyasint"`
 	SoftDeadlineAt int64  `cbor:"9,keyasint"`
 	Nested         bool   `cbor:"10,keyasint,omitempty"`
+
+	Signals *TargetSignals `cbor:"11,keyasint,omitempty"`
 }
 
 // wireResponse is the encoding of a Response.
@@ -55,6 +57,8 @@
 	Body         []byte  `cbor:"8,keyasint,omitempty"`
 	Load         *Load   `cbor:"9,keyasint,omitempty"`
 	ServiceUs    int64   `cbor:"10,keyasint,omitempty"`
+
+	Signals *TargetSignals `cbor:"11,keyasint,omitempty"`
 }
 
 // fieldWriter encodes fields into header blocks, which must be sent in the order
@@ -134,7 +138,7 @@
 	}
 	return c.writeMessageLocked(frameRequest, &wireRequest{
 		Stream: r.Stream, Fields: fields, ID: r.ID, URI: r.URI, Body: r.Body, Priority: r.Priority,
-		Idempotent: r.Idempotent, DeadlineAt: r.DeadlineAt, SoftDeadlineAt: r.SoftDeadlineAt, Nested: r.Nested,
+		Idempotent: r.Idempotent, DeadlineAt: r.DeadlineAt, SoftDeadlineAt: r.SoftDeadlineAt, Nested: r.Nested, Signals: r.Signals,
 	})
 }
 
@@ -151,7 +155,7 @@
 		Stream: w.Stream, Target: mesh.TargetID(f[fieldTarget]), Service: mesh.ServiceName(f[fieldService]),
 		Version: mesh.TargetVersion(f[fieldVersion]), Caller: mesh.ServiceName(f[fieldCaller]), ID: w.ID,
 		Method: f[fieldMethod], URI: w.URI, Host: f[fieldHost], Header: h, Body: w.Body, Priority: w.Priority,
-		Idempotent: w.Idempotent, Route: f[fieldRoute], DeadlineAt: w.DeadlineAt, SoftDeadlineAt: w.SoftDeadlineAt, Nested: w.Nested,
+		Idempotent: w.Idempotent, Route: f[fieldRoute], DeadlineAt: w.DeadlineAt, SoftDeadlineAt: w.SoftDeadlineAt, Nested: w.Nested, Signals: w.Signals,
 	}, nil
 }
 
@@ -164,7 +168,7 @@
 	}
 	return c.writeMessageLocked(frameResponse, &wireResponse{
 		Stream: r.Stream, Outcome: r.Outcome, RetryAfterMs: r.RetryAfterMs, SentToTarget: r.SentToTarget, Status: r.Status,
-		Stamp: r.Stamp, Fields: fields, Body: r.Body, Load: r.Load, ServiceUs: r.ServiceUs,
+		Stamp: r.Stamp, Fields: fields, Body: r.Body, Load: r.Load, ServiceUs: r.ServiceUs, Signals: r.Signals,
 	})
 }
 
@@ -179,6 +183,6 @@
 	}
 	return &Response{
 		Stream: w.Stream, Outcome: w.Outcome, Reason: f[fieldReason], RetryAfterMs: w.RetryAfterMs, SentToTarget: w.SentToTarget,
-		Status: w.Status, Stamp: w.Stamp, Header: h, Body: w.Body, Load: w.Load, ServiceUs: w.ServiceUs,
+		Status: w.Status, Stamp: w.Stamp, Header: h, Body: w.Body, Load: w.Load, ServiceUs: w.ServiceUs, Signals: w.Signals,
 	}, nil
 }
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -424,3 +424,21 @@
 		<-done
 	})
 }
+
+// Guards against losing on the way what a target has said of itself.
+func TestSignalsTravelBothWays(t *testing.T) {
+	address := serve(t, handlerFunc(func(_ context.Context, r *Request) *Response {
+		return &Response{Outcome: Answered, Signals: r.Signals, Load: &Load{RateLimit: 2.5, RateWaitUs: 7}}
+	}))
+	p := NewPool(loopback, address)
+	defer p.Close()
+	for _, sent := range []*TargetSignals{nil, {Started: 10, RateLimit: 2.5}} {
+		resp, err := p.Call(t.Context(), Request{Signals: sent}, inTwoSeconds(), inTwoSeconds())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if (resp.Signals == nil) != (sent == nil) || sent != nil && *resp.Signals != *sent || resp.Load.RateLimit != 2.5 || resp.Load.RateWaitUs != 7 {
+			t.Errorf("sent %+v, got back %+v and load %+v", sent, resp.Signals, resp.Load)
+		}
+	}
+}
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -43,6 +43,16 @@
 	// A response after SoftDeadlineAt is late and no longer has its full benefit.
 	DeadlineAt     int64
 	SoftDeadlineAt int64
+	// Signals is what the target has said of itself, as far as the caller's node knows.
+	Signals *TargetSignals
+}
+
+// TargetSignals is what a target has said of itself in its answers.
+type TargetSignals struct {
+	Started int64 `cbor:"1,keyasint"` // start of the target that said so, in Unix milliseconds
+	// RateLimit is the number of calls a second that the target takes from all nodes
+	// together.
+	RateLimit float64 `cbor:"2,keyasint"`
 }
 
 // Outcome is what is known about a call after an attempt.
@@ -61,6 +71,10 @@
 	Queued   int   `cbor:"2,keyasint"`
 	Limit    int   `cbor:"3,keyasint"` // concurrent calls
 	MeanUs   int64 `cbor:"4,keyasint"` // mean time of a call at the target, in microseconds
+	// RateLimit is the number of calls a second that the target takes, 0 without a limit,
+	// and RateWaitUs how long a new call would wait for it, in microseconds.
+	RateLimit  float64 `cbor:"5,keyasint,omitempty"`
+	RateWaitUs int64   `cbor:"6,keyasint,omitempty"`
 }
 
 // Response is the outcome of a call at the owner of its target.
@@ -75,7 +89,8 @@
 	Header       http.Header
 	Body         []byte
 	Load         *Load
-	ServiceUs    int64 // time at the target, in microseconds
+	ServiceUs    int64          // time at the target, in microseconds
+	Signals      *TargetSignals // in force at the owner; nil without any
 }
 
 // The kinds of frames on call connections and gossip links.
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -40,6 +40,7 @@
 		o.count("refused." + reason)
 		return &hop.Response{Outcome: hop.NotRun, Reason: reason}
 	}
+	applySignals(t, r.Signals)
 	deadline := hop.TimeAt(r.DeadlineAt)
 	arrived := time.Now()
 	err := t.limiter.Admit(ctx, admission.Request{
@@ -74,26 +75,28 @@
 		o.countRunning(r.ID, -1)
 		t.limiter.Release(admission.Result{
 			Kind: r.Route, Shed: res.Reason == exchange.Shed, Answered: res.Kind == exchange.Answered, ServiceTime: took,
+			NotSent: !res.Sent, Rate: rateNotice(&res),
 		})
 	}()
+	sends := 0
 	res = t.client.Do(ctx, &exchange.Call{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Caller: r.Caller, Expect: r.Target, Idempotent: r.Idempotent, Deadline: deadline,
-		MaySend: func() bool { return o.maySend(t) },
+		MaySend: func() bool {
+			if o.pastSendLimit(t) {
+				return false
+			}
+			if sends++; sends > 1 {
+				t.limiter.CountResend()
+			}
+			o.countSend(t)
+			return true
+		},
 	})
 	o.observe(t, r.ID, &res)
 	return res, 0
 }
 
-// maySend reports whether a call may be sent to the target now, and counts it.
-func (o *Owner) maySend(t *target) bool {
-	if o.pastSendLimit(t) {
-		return false
-	}
-	o.countSend(t)
-	return true
-}
-
 // IsRunning reports whether a call with the request ID runs at a target of this
 // host.
 func (o *Owner) IsRunning(id string) bool {
@@ -175,7 +178,11 @@
 
 func (o *Owner) withLoad(t *target, resp *hop.Response) *hop.Response {
 	l := t.limiter.Load()
-	resp.Load = &hop.Load{InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, MeanUs: l.Mean.Microseconds()}
+	resp.Load = &hop.Load{
+		InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, MeanUs: l.Mean.Microseconds(),
+		RateLimit: l.RateLimit, RateWaitUs: l.RateWait.Microseconds(),
+	}
+	resp.Signals = t.signals(l)
 	return resp
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -172,7 +172,7 @@
 }
 
 func (o *Owner) limiterConfig(h Heartbeat) admission.Config {
-	return admission.Config{Slots: h.Slots, Connections: o.cfg.MaxConnections(h.Service), FixedLimit: true}
+	return admission.Config{Slots: h.Slots, Connections: o.cfg.MaxConnections(h.Service), FixedLimit: true, NamesRate: true}
 }
 
 func (o *Owner) addTarget(h Heartbeat) *target {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -23,7 +23,7 @@
 
 func newOwner(published *[]membership.Target) *Owner {
 	return New(Config{
-		HeaderNames:    traffic.Headers{RequestID: "Call-Name", DeadlineMs: "Left-Ms", Stamp: "Proof", ExpectInstance: "Meant-For", NotRun: "Not-Run", CallerService: "From"},
+		HeaderNames:    traffic.Headers{RequestID: "Call-Name", DeadlineMs: "Left-Ms", Stamp: "Proof", ExpectInstance: "Meant-For", NotRun: "Not-Run", CallerService: "From", RateLimit: "Takes", Leaving: "Going"},
 		Bounds:         Bounds{Drain: drainTime, HeartbeatInterval: 100 * time.Millisecond},
 		MaxConnections: func(mesh.ServiceName) int { return 10 },
 		OnChange: func(l []membership.Target) {
--- a/internal/owner/signals.go
+++ b/internal/owner/signals.go
@@ -4,9 +4,36 @@
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/internal/exchange"
+	"nutmeghoist.example/nutmeghoist/internal/hop"
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 )
 
+// applySignals applies what a target has said to an earlier process of this node, as
+// the node of a caller knows it. It does not apply to another start of the target.
+func applySignals(t *target, s *hop.TargetSignals) {
+	if s != nil && s.Started == t.Started && s.RateLimit > 0 {
+		t.limiter.TellRate(s.RateLimit)
+	}
+}
+
+// signals returns what the target has said, for the nodes of callers; nil when it has
+// said nothing.
+func (t *target) signals(l admission.Load) *hop.TargetSignals {
+	if l.RateLimit == 0 {
+		return nil
+	}
+	return &hop.TargetSignals{Started: t.Started, RateLimit: l.RateLimit}
+}
+
+// rateNotice returns what the outcome of a call says about the rate limit. A refusal
+// without a limit does not lift one.
+func rateNotice(res *exchange.Result) admission.RateNotice {
+	if res.Kind == exchange.Answered || res.Signals.Rate.Kind == admission.RateLimited {
+		return res.Signals.Rate
+	}
+	return admission.RateNotice{}
+}
+
 // rateAccount counts what is sent to a target that names a rate limit.
 type rateAccount struct {
 	limited   bool
@@ -27,7 +54,7 @@
 		o.count("target.said_leaving")
 		o.cfg.Log.Info().Str("target", string(t.ID)).Str("id", id).Msg("target says that it leaves")
 	}
-	a, n := &t.rate, res.Signals.Rate
+	a, n := &t.rate, rateNotice(res)
 	switch n.Kind {
 	case admission.RateUnreadable:
 		o.count("target.rate_limit_unreadable")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -251,7 +251,7 @@
 
 func (s *Sidecar) load(id mesh.TargetID) (routing.Load, bool) {
 	l, ok := s.owner.Load(id)
-	return routing.Load{InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, Mean: l.Mean}, ok
+	return routing.Load(l), ok
 }
 
 // Call implements hop.Handler.
--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -20,6 +20,9 @@
 	// FixedLimit keeps the concurrency limit when the target sheds load. Set it when
 	// nothing else calls the target: its refusals then have another cause than load.
 	FixedLimit bool
+	// NamesRate means that the answers of the target can name a rate limit, see
+	// Result.Rate. Until the first answer, few calls are in flight.
+	NamesRate bool
 }
 
 func (c Config) limit() int { return max(1, min(c.Slots, c.Connections)) }
@@ -32,6 +35,9 @@
 	queue       queue
 	limit       adaptiveLimit
 	fixedLimit  bool
+	rate        rateLimit
+	rateTimer   *time.Timer // admits waiting calls when the rate allows the next; nil while none is set
+	nextReturn  time.Time   // see retryAfter
 	serviceTime estimate
 	kinds       map[string]*estimate // service times by Request.Kind
 }
@@ -63,6 +69,11 @@
 	Limit    int `json:"limit"` // concurrency limit
 	// Mean is the mean service time; 0 before the first call.
 	Mean time.Duration `json:"-"`
+	// RateLimit is the number of calls a second that the target takes from all nodes
+	// together; 0 when it names no limit. RateWait is how long a new call would wait
+	// for it behind those that are queued.
+	RateLimit float64       `json:"rate_limit,omitempty"`
+	RateWait  time.Duration `json:"-"`
 }
 
 // Result describes how an admitted call ended.
@@ -71,11 +82,17 @@
 	Shed        bool          // the target refused for load without running the call
 	Answered    bool          // the target ran the call and its answer was complete
 	ServiceTime time.Duration // from dispatch to the end of the answer
+	NotSent     bool          // no byte of the call reached the target
+	Rate        RateNotice    // what the answer says; its zero value without an answer
 }
 
 // New returns a limiter for a target.
 func New(c Config) *Limiter {
-	return &Limiter{limit: adaptiveLimit{nominal: c.limit(), current: c.limit()}, fixedLimit: c.FixedLimit}
+	l := &Limiter{limit: adaptiveLimit{nominal: c.limit(), current: c.limit()}, fixedLimit: c.FixedLimit, rate: rateLimit{state: rateUnlimitedState}}
+	if c.NamesRate {
+		l.rate.state = rateChart.Initial()
+	}
+	return l
 }
 
 // Resize changes the target's slots and connections. Calls in flight continue.
@@ -103,12 +120,12 @@
 	l.limit.probe(now)
 	late, reason := l.refusalReason(&req, now)
 	if reason != "" {
-		err := &Refusal{Reason: reason, RetryAfter: l.retryAfter()}
+		err := &Refusal{Reason: reason, RetryAfter: l.retryAfter(now)}
 		l.mu.Unlock()
 		return err
 	}
-	if l.inFlight < l.limit.current && l.queue.len() == 0 {
-		l.inFlight++
+	if l.hasRoom(now) && l.queue.len() == 0 {
+		l.start(now)
 		l.mu.Unlock()
 		return nil
 	}
@@ -125,6 +142,21 @@
 	return l.wait(ctx, w, maxWait)
 }
 
+// hasRoom reports whether a call may be sent now.
+func (l *Limiter) hasRoom(now time.Time) bool {
+	return l.inFlight < min(l.limit.current, l.rate.maxInFlight()) && l.rate.wait(1, now) == 0
+}
+
+func (l *Limiter) start(now time.Time) {
+	l.inFlight++
+	l.rate.take(now)
+}
+
+// turnTime returns the mean time between two calls that the target can take.
+func (l *Limiter) turnTime() time.Duration {
+	return max(l.serviceTime.mean/time.Duration(l.limit.current), l.rate.interval())
+}
+
 // refusalReason returns the reason to refuse a new call, or "", and whether the
 // call is late: it can meet its deadline but not its soft deadline.
 func (l *Limiter) refusalReason(req *Request, now time.Time) (late bool, reason Reason) {
@@ -134,24 +166,33 @@
 		return false, ReasonDraining
 	case remaining <= 0 || l.serviceTime.exceeds(remaining, now):
 		return false, ReasonDeadline
-	case l.inFlight < l.limit.current && l.queue.len() == 0:
+	case l.hasRoom(now) && l.queue.len() == 0:
 		return false, ""
 	case l.queue.isFull(req, l.limit.current):
-		return false, ReasonQueueFull
+		return false, l.orRateLimit(ReasonQueueFull)
 	}
 	wait := l.expectedWait(req, now)
 	if wait+l.serviceTime.low > remaining {
-		return false, ReasonDeadline
+		return false, l.orRateLimit(ReasonDeadline)
 	}
 	if req.SoftDeadline.IsZero() || l.runsLate(req, now) || !now.Add(time.Duration(softWaitMargin*float64(wait))+l.meanServiceTime(req.Kind, now)).After(req.SoftDeadline) {
 		return false, ""
 	}
 	if l.queue.len() >= l.lateQueueLimit() {
-		return true, ReasonLate
+		return true, l.orRateLimit(ReasonLate)
 	}
 	return true, ""
 }
 
+// orRateLimit returns ReasonRateLimit when the rate limit, and not the slots, makes
+// calls wait.
+func (l *Limiter) orRateLimit(reason Reason) Reason {
+	if l.rate.interval() > l.serviceTime.mean/time.Duration(l.limit.current) {
+		return ReasonRateLimit
+	}
+	return reason
+}
+
 // softWaitMargin multiplies the expected wait for the comparison with the soft
 // deadline: a call that is refused only after a wait has lost the time in which
 // another target could have run it.
@@ -161,7 +202,13 @@
 // fewer calls than the quotient wait.
 const lateQueueDivisor = 2
 
-func (l *Limiter) lateQueueLimit() int { return max(1, l.limit.current/lateQueueDivisor) }
+func (l *Limiter) lateQueueLimit() int {
+	concurrency := l.limit.current
+	if l.rate.bounded() {
+		concurrency = min(concurrency, int(l.serviceTime.mean/l.turnTime()))
+	}
+	return max(1, concurrency/lateQueueDivisor)
+}
 
 // shortCallFraction is the fraction of the mean service time below which a call
 // counts as short.
@@ -191,7 +238,7 @@
 
 // expectedWait estimates how long a call would wait.
 func (l *Limiter) expectedWait(req *Request, now time.Time) time.Duration {
-	return l.queue.estimateWait(req, l.serviceTime.mean/time.Duration(l.limit.current), now)
+	return l.queue.estimateWait(req, l.turnTime(), now)
 }
 
 // waitLimit returns the maximum wait of a queued call. A call that waits several
@@ -231,16 +278,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.queue.remove(w) {
-		return &Refusal{Reason: reason, RetryAfter: l.retryAfter()}
+		return &Refusal{Reason: reason, RetryAfter: l.retryAfter(time.Now())}
 	}
 	// The call was admitted or refused at the same moment.
 	decided := <-w.decision
 	if decided == "" && reason == ReasonCancelled {
 		l.inFlight--
+		l.rate.giveBack()
 		l.admitWaiting(time.Now())
 		return &Refusal{Reason: reason}
 	}
-	return refusalError(decided, l.retryAfter())
+	return refusalError(decided, l.retryAfter(time.Now()))
 }
 
 func (l *Limiter) refusal(reason Reason) error {
@@ -249,7 +297,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return refusalError(reason, l.retryAfter())
+	return refusalError(reason, l.retryAfter(time.Now()))
 }
 
 // Release ends an admitted call.
@@ -258,6 +306,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
+	if r.NotSent {
+		l.rate.giveBack()
+	}
+	l.rate.observe(r.Rate, now.Add(-r.ServiceTime), now)
 	if r.Answered {
 		l.serviceTime.add(r.ServiceTime, now)
 		l.recordKind(r, now)
@@ -287,7 +339,11 @@
 // admitWaiting admits queued calls to free slots. A call that can no longer meet
 // its deadline is refused instead.
 func (l *Limiter) admitWaiting(now time.Time) {
-	for l.inFlight < l.limit.current {
+	for l.queue.len() > 0 && l.inFlight < min(l.limit.current, l.rate.maxInFlight()) {
+		if wait := l.rate.wait(1, now); wait > 0 {
+			l.scheduleAdmission(wait)
+			return
+		}
 		w := l.queue.pop(now, l.lateQueueLimit())
 		if w == nil {
 			return
@@ -296,11 +352,39 @@
 			w.decision <- ReasonDeadline
 			continue
 		}
-		l.inFlight++
+		l.start(now)
 		w.decision <- ""
 	}
 }
 
+// scheduleAdmission admits waiting calls when the rate limit allows the next one.
+func (l *Limiter) scheduleAdmission(wait time.Duration) {
+	if l.rateTimer != nil {
+		return
+	}
+	l.rateTimer = time.AfterFunc(wait, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.rateTimer = nil
+		l.admitWaiting(time.Now())
+	})
+}
+
+// TellRate applies a rate limit that another node has learned from the target's
+// answers. It counts only until an answer of the target itself arrives here.
+func (l *Limiter) TellRate(perSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate.tell(perSecond, time.Now())
+}
+
+// CountResend counts a call that is sent to the target a second time.
+func (l *Limiter) CountResend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate.take(time.Now())
+}
+
 // Drain refuses new and queued calls. Calls in flight continue.
 func (l *Limiter) Drain() {
 	l.mu.Lock()
@@ -316,10 +400,32 @@
 func (l *Limiter) Load() Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Load{InFlight: l.inFlight, Queued: l.queue.len(), Limit: l.limit.current, Mean: l.serviceTime.mean}
+	load := Load{InFlight: l.inFlight, Queued: l.queue.len(), Limit: l.limit.current, Mean: l.serviceTime.mean}
+	if l.rate.bounded() {
+		load.RateLimit, load.RateWait = l.rate.rate(), l.rate.wait(l.queue.len()+1, time.Now())
+	}
+	return load
 }
 
-// retryAfter returns the expected time until the current queue is empty.
-func (l *Limiter) retryAfter() time.Duration {
-	return max(MinRetryAfter, time.Duration(l.queue.len()+1)*l.serviceTime.mean/time.Duration(l.limit.current))
+// maxReturnDelay bounds RetryAfter under a rate limit: the limit can have been lifted
+// by then.
+const maxReturnDelay = 5 * time.Second
+
+// retryAfter returns the expected time until the current queue is empty. Under a rate
+// limit, refused calls are told times that are as far apart as the limit allows, in the
+// order of their refusals.
+func (l *Limiter) retryAfter(now time.Time) time.Duration {
+	delay := max(MinRetryAfter, time.Duration(l.queue.len()+1)*l.turnTime())
+	if !l.rate.bounded() {
+		return delay
+	}
+	at := now.Add(delay)
+	if at.Before(l.nextReturn) {
+		at = l.nextReturn
+	}
+	if latest := now.Add(maxReturnDelay); at.After(latest) {
+		at = latest
+	}
+	l.nextReturn = at.Add(l.rate.interval())
+	return at.Sub(now)
 }
--- a/pkg/admission/nested_test.go
+++ b/pkg/admission/nested_test.go
@@ -22,10 +22,17 @@
 // playStreams sends the calls of all streams to a target of 9 slots, for 20 s of
 // virtual time. It returns the outcomes of each.
 func playStreams(t *testing.T, streams []stream) []loadResult {
+	t.Helper()
+	return playStreamsAt(t, streams, RateNotice{})
+}
+
+// playStreamsAt is playStreams with a target whose answers say something about its
+// rate limit.
+func playStreamsAt(t *testing.T, streams []stream, rate RateNotice) []loadResult {
 	t.Helper()
 	results := make([]loadResult, len(streams))
 	synctest.Test(t, func(t *testing.T) {
-		l := New(Config{Slots: 9, Connections: 9, FixedLimit: true})
+		l := New(Config{Slots: 9, Connections: 9, FixedLimit: true, NamesRate: rate.Kind != 0})
 		var mu sync.Mutex
 		var wg sync.WaitGroup
 		for i, s := range streams {
@@ -44,7 +51,7 @@
 						err := l.Admit(t.Context(), req)
 						if err == nil {
 							time.Sleep(service)
-							l.Release(Result{Kind: s.Kind, Answered: true, ServiceTime: service})
+							l.Release(Result{Kind: s.Kind, Answered: true, ServiceTime: service, Rate: rate})
 						}
 						mu.Lock()
 						defer mu.Unlock()
--- a/pkg/admission/refusal.go
+++ b/pkg/admission/refusal.go
@@ -16,6 +16,7 @@
 	ReasonQueueWait Reason = "queue_wait" // the call was queued much longer than expected
 	ReasonCancelled Reason = "cancelled"  // the caller cancelled the queued call
 	ReasonDraining  Reason = "draining"   // the target takes no new calls
+	ReasonRateLimit Reason = "rate_limit" // the rate that the target takes leaves no room in time
 )
 
 // Refusal is the error for a call that was not admitted.
@@ -28,9 +29,13 @@
 	return fmt.Sprintf("call refused: %s, retry after %s", r.Reason, r.RetryAfter)
 }
 
-// IsLoad reports whether the call was refused for load.
-func (r *Refusal) IsLoad() bool {
-	return r.Reason == ReasonQueueFull || r.Reason == ReasonLate || r.Reason == ReasonDeadline || r.Reason == ReasonQueueWait
+// IsLoad reports whether the reason is the load of the target.
+func (r Reason) IsLoad() bool {
+	switch r {
+	case ReasonQueueFull, ReasonLate, ReasonDeadline, ReasonQueueWait, ReasonRateLimit:
+		return true
+	}
+	return false
 }
 
 // refusalError returns a *Refusal, or nil when reason is "".
--- a/pkg/routing/cheapest.go
+++ b/pkg/routing/cheapest.go
@@ -144,11 +144,12 @@
 // cost returns the expected time of a call at the target plus penalties, in
 // nanoseconds. mean is the mean service time over all targets.
 func (c *Candidate) cost(now time.Time, p *CostParams, mean time.Duration) float64 {
-	serviceTime, limit := float64(defaultServiceTime), float64(max(1, c.Slots))
+	serviceTime, limit, rateWait := float64(defaultServiceTime), float64(max(1, c.Slots)), 0.0
 	if mean > 0 {
 		serviceTime = float64(mean)
 	}
 	if l, ok := c.Stat.reportedLoad(now); ok {
+		rateWait = float64(l.RateWait)
 		if l.Mean > 0 {
 			serviceTime = float64(l.Mean)
 		}
@@ -161,7 +162,7 @@
 		expected = float64(p.MeanServiceTime) * serviceTime / float64(mean)
 	}
 	load := float64(c.Stat.load(now))
-	wait := max(0, load+1-limit) * serviceTime / limit
+	wait := max(rateWait, (load+1-limit)*serviceTime/limit)
 	cost := wait + expected*(1+fullLoadSlowdown*min(1, load/limit))
 	if now.Sub(c.readyAt) < p.WarmUp {
 		cost *= warmUpFactor
@@ -174,7 +175,8 @@
 }
 
 // reportedLoad returns the load that the target's owner reported last, without
-// its counts of calls when the report is old.
+// its counts of calls when the report is old. The wait for a rate limit is corrected
+// by the time and by this node's calls since the report.
 func (s *Stat) reportedLoad(now time.Time) (Load, bool) {
 	if f := s.loadSource.Load(); f != nil {
 		return (*f)(), true
@@ -187,5 +189,9 @@
 	if now.Sub(r.at) > loadReportTTL {
 		l.InFlight, l.Queued = 0, 0
 	}
+	if l.RateLimit > 0 {
+		begun := float64(s.begun.Load()-r.ownBegun) / l.RateLimit * float64(time.Second)
+		l.RateWait = max(0, l.RateWait-now.Sub(r.at)+time.Duration(begun))
+	}
 	return l, true
 }
--- a/pkg/routing/cheapest_test.go
+++ b/pkg/routing/cheapest_test.go
@@ -19,6 +19,8 @@
 	mean        time.Duration
 	failures    int  // failed calls in a row
 	unreachable bool // refuses connections
+	rateLimit   float64
+	rateWait    time.Duration
 }
 
 // newLoadedSet builds a set as seen from data centre "north". The IDs of the
@@ -32,7 +34,7 @@
 			Target: membership.Target{ID: id, Slots: 10, State: membership.TargetReady}, Host: "h", DataCentre: tt.dc,
 		})
 		stat := tracker.Stat(Key{"h", id})
-		stat.ReportLoad(Load{InFlight: tt.inFlight, Queued: tt.queued, Limit: 10, Mean: tt.mean}, now)
+		stat.ReportLoad(Load{InFlight: tt.inFlight, Queued: tt.queued, Limit: 10, Mean: tt.mean, RateLimit: tt.rateLimit, RateWait: tt.rateWait}, now)
 		for range tt.failures {
 			stat.recordOutcome(true)
 		}
@@ -57,6 +59,8 @@
 		{"local target although the remote one is idle", []testTarget{{dc: "north", inFlight: 9, mean: 50 * ms}, {dc: "south", mean: 50 * ms}}, 200 * ms, 0},
 		{"local target with a short wait", []testTarget{{dc: "north", inFlight: 10, queued: 5, mean: 50 * ms}, {dc: "south", mean: 50 * ms}}, 200 * ms, 0},
 		{"remote target when the local one is too late", []testTarget{{dc: "north", inFlight: 10, queued: 40, mean: 50 * ms}, {dc: "south", mean: 50 * ms}}, 200 * ms, 1},
+		{"remote target when the rate limit of the local one leaves no room", []testTarget{{dc: "north", mean: 50 * ms, rateLimit: 5, rateWait: 300 * ms}, {dc: "south", mean: 50 * ms}}, 200 * ms, 1},
+		{"local target whose rate limit leaves room", []testTarget{{dc: "north", mean: 50 * ms, rateLimit: 5}, {dc: "south", mean: 50 * ms}}, 200 * ms, 0},
 		{"local target when both are equally late", []testTarget{{dc: "north", inFlight: 10, queued: 40, mean: 50 * ms}, {dc: "south", inFlight: 10, queued: 39, mean: 50 * ms}}, 200 * ms, 0},
 		{"faster target", []testTarget{{dc: "north", mean: 150 * ms}, {dc: "north", mean: 50 * ms}}, 400 * ms, 1},
 		{"less loaded target", []testTarget{{dc: "north", inFlight: 10, queued: 10, mean: 50 * ms}, {dc: "north", inFlight: 2, mean: 50 * ms}}, 400 * ms, 1},
@@ -97,3 +101,29 @@
 		t.Errorf("third attempt with two targets: %+v", c)
 	}
 }
+
+// Guards against a report about a rate limit that is believed unchanged although time
+// has passed, or this node has sent calls, since.
+func TestRateWaitIsCorrectedSinceTheReport(t *testing.T) {
+	now := time.Now()
+	s := &Stat{}
+	s.Begin()
+	s.ReportLoad(Load{RateLimit: 10, RateWait: 300 * time.Millisecond}, now)
+	for _, tc := range []struct {
+		age   time.Duration
+		begun int
+		want  time.Duration
+	}{
+		{0, 0, 300 * time.Millisecond},
+		{200 * time.Millisecond, 0, 100 * time.Millisecond},
+		{200 * time.Millisecond, 2, 300 * time.Millisecond},
+		{10 * time.Second, 0, 0},
+	} {
+		for range tc.begun {
+			s.Begin()
+		}
+		if l, _ := s.reportedLoad(now.Add(tc.age)); l.RateWait != tc.want {
+			t.Errorf("after %s and %d calls: %s, want %s", tc.age, tc.begun, l.RateWait, tc.want)
+		}
+	}
+}
--- a/pkg/routing/stat.go
+++ b/pkg/routing/stat.go
@@ -33,18 +33,24 @@
 	Queued   int
 	Limit    int           // concurrency limit of the owner
 	Mean     time.Duration // mean service time; 0 when not known
+	// RateLimit is the number of calls a second that the target takes from all nodes
+	// together, 0 without a limit, and RateWait how long a new call would wait for it.
+	RateLimit float64
+	RateWait  time.Duration
 }
 
 type loadReport struct {
 	Load
 	at          time.Time
 	ownInFlight int64 // this node's calls in flight when the report arrived
+	ownBegun    int64 // this node's calls begun until the report arrived
 }
 
 // Stat holds this node's statistics and outlier detection for one target. It
 // outlives snapshots and is safe for concurrent use.
 type Stat struct {
 	inFlight       atomic.Int64
+	begun          atomic.Int64 // calls since the start of this process
 	lastLoadReport atomic.Pointer[loadReport]
 	loadSource     atomic.Pointer[func() Load] // exact load of a target on this host
 	// Times in Unix nanoseconds; 0 means never.
@@ -91,7 +97,10 @@
 }
 
 // Begin counts the start of a call to the target.
-func (s *Stat) Begin() { s.inFlight.Add(1) }
+func (s *Stat) Begin() {
+	s.inFlight.Add(1)
+	s.begun.Add(1)
+}
 
 // End counts the end of a call.
 func (s *Stat) End() { s.inFlight.Add(-1) }
@@ -101,7 +110,7 @@
 
 // ReportLoad records the load that the target's owner reported with an answer.
 func (s *Stat) ReportLoad(l Load, now time.Time) {
-	s.lastLoadReport.Store(&loadReport{Load: l, at: now, ownInFlight: s.inFlight.Load()})
+	s.lastLoadReport.Store(&loadReport{Load: l, at: now, ownInFlight: s.inFlight.Load(), ownBegun: s.begun.Load()})
 }
 
 // SetLoadSource sets the function that returns the exact load of a target on this
