Drain a target that says in its answers that it leaves

The header was passed on and read by nobody, the same cause as for rate limits.

The owner starts the drain with the answer; calls carry the fact from the nodes that have passed it on, and these stop sending by their own clock.

TestNoCallAfterTheTargetSaysThatItLeaves fails without the owner's part (120 calls after the drain time), TestNoCallAfterAnAnswerThatSaysLeaving without the caller's (the last call 400 ms after the answer, 200 allowed).

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -92,6 +92,8 @@
 	// MayExpose reports whether calls may be sent to a version that is being rolled
 	// out. Without it, they may.
 	MayExpose func() bool
+	// DrainTime returns how long after a target has said that it leaves calls may reach it.
+	DrainTime func() time.Duration
 	// RetryBurst returns the retries that this node may save up for a service.
 	RetryBurst func() int
 	// RemoteCost and RemoteByteCost are the cost of a call to another data centre,
@@ -335,6 +337,7 @@
 	return routing.CostParams{
 		TimeLeft: time.Until(c.softDeadline), MeanServiceTime: meanTime, WarmUp: c.entry.cfg.WarmUp,
 		RemoteCost: c.entry.cfg.RemoteCost + time.Duration(meanBytes)*c.entry.cfg.RemoteByteCost,
+		Exclude:    c.entry.signals.exclude(time.Now()),
 	}
 }
 
@@ -375,7 +378,7 @@
 			RateWait: time.Duration(resp.Load.RateWaitUs) * time.Microsecond,
 		}, time.Now())
 	}
-	c.entry.signals.record(t, resp)
+	c.entry.signals.record(t, resp, c.entry.cfg.DrainTime())
 	c.recordSignal(t, resp)
 	return resp
 }
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -51,6 +51,8 @@
 func (nopObserver) Begin(*view.Service, bool)                            {}
 func (nopObserver) End(*view.Service, bool, string, bool, time.Duration) {}
 
+const drainTime = 200 * time.Millisecond
+
 func newEntry(owner *scriptedOwner, targets int) *Entry {
 	tracker := routing.NewTracker()
 	var list []snapshot.Target
@@ -73,7 +75,8 @@
 	return New(Config{
 		Self: "h", IP: net.IPv4(127, 0, 0, 1), Service: "galley", HeaderNames: traffic.Headers{RequestID: "Call-Name", DeadlineMs: "Left-Ms"},
 		Snapshot: func() *view.Snapshot { return s }, Local: owner, Observer: nopObserver{}, RetryBurst: func() int { return 10 },
-		Metrics: metrics.NewRegistry(), Log: &log.Logger{Level: log.PanicLevel + 1},
+		DrainTime: func() time.Duration { return drainTime },
+		Metrics:   metrics.NewRegistry(), Log: &log.Logger{Level: log.PanicLevel + 1},
 	})
 }
 
--- a/internal/entry/signals_test.go
+++ b/internal/entry/signals_test.go
@@ -33,10 +33,53 @@
 	for name, tc := range cases {
 		var s targetSignals
 		for _, resp := range tc.responses {
-			s.record(candidate(10), resp)
+			s.record(candidate(10), resp, drainTime)
 		}
 		if got := s.get(candidate(tc.started)); (got != nil) != tc.known || tc.known && got.RateLimit != 7 {
 			t.Errorf("%s: got %+v, want known %v", name, got, tc.known)
 		}
 	}
 }
+
+// Guards against a call to a target whose answer, passed on by this node, has said that
+// it leaves, when the owner of the target has been restarted and does not know.
+func TestNoCallAfterAnAnswerThatSaysLeaving(t *testing.T) {
+	noStart := time.Time{}.UnixMilli() // of the targets in these tests
+	var last time.Time
+	owner := &scriptedOwner{}
+	owner.script = func(_ int, r *hop.Request) *hop.Response {
+		resp := successResponse(r)
+		if r.Target == "t0" {
+			last = time.Now()
+			if r.Signals == nil {
+				resp.Signals = &hop.TargetSignals{Started: noStart, Leaving: true}
+			}
+		}
+		return resp
+	}
+	e := newEntry(owner, 2)
+	for begin := time.Now(); last.IsZero(); {
+		if time.Since(begin) > 5*time.Second {
+			t.Fatal("the target got no call")
+		}
+		e.Handle(t.Context(), requestFor("/menus/"))
+	}
+	said := last
+	served := 0
+	for time.Since(said) < 2*drainTime {
+		if e.Handle(t.Context(), requestFor("/menus/")).Status == 200 {
+			served++
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if late := last.Sub(said); late > drainTime {
+		t.Errorf("the last call was sent %s after the answer, want at most %s", late, drainTime)
+	}
+	if served < 50 {
+		t.Errorf("%d calls were served by the other target", served)
+	}
+	other := &routing.Candidate{Target: snapshot.Target{Host: "h", Target: membership.Target{ID: "t0", ReadySince: time.UnixMilli(20)}}}
+	if e.signals.exclude(time.Now())(other) {
+		t.Error("a new start of the target gets no calls")
+	}
+}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -432,7 +432,7 @@
 	}))
 	p := NewPool(loopback, address)
 	defer p.Close()
-	for _, sent := range []*TargetSignals{nil, {Started: 10, RateLimit: 2.5}} {
+	for _, sent := range []*TargetSignals{nil, {Started: 10, RateLimit: 2.5}, {Started: 10, Leaving: true}} {
 		resp, err := p.Call(t.Context(), Request{Signals: sent}, inTwoSeconds(), inTwoSeconds())
 		if err != nil {
 			t.Fatal(err)
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -51,8 +51,9 @@
 type TargetSignals struct {
 	Started int64 `cbor:"1,keyasint"` // start of the target that said so, in Unix milliseconds
 	// RateLimit is the number of calls a second that the target takes from all nodes
-	// together.
-	RateLimit float64 `cbor:"2,keyasint"`
+	// together, 0 without a limit.
+	RateLimit float64 `cbor:"2,keyasint,omitempty"`
+	Leaving   bool    `cbor:"3,keyasint,omitempty"` // it takes no calls once the drain time is over
 }
 
 // Outcome is what is known about a call after an attempt.
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -40,7 +40,7 @@
 		o.count("refused." + reason)
 		return &hop.Response{Outcome: hop.NotRun, Reason: reason}
 	}
-	applySignals(t, r.Signals)
+	o.applySignals(t, r.Signals)
 	deadline := hop.TimeAt(r.DeadlineAt)
 	arrived := time.Now()
 	err := t.limiter.Admit(ctx, admission.Request{
@@ -182,7 +182,7 @@
 		InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, MeanUs: l.Mean.Microseconds(),
 		RateLimit: l.RateLimit, RateWaitUs: l.RateWait.Microseconds(),
 	}
-	resp.Signals = t.signals(l)
+	resp.Signals = o.signals(t, l)
 	return resp
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -94,6 +94,7 @@
 	drainStart    time.Time     // when the drain was acknowledged; zero before
 	drainTime     time.Duration // from drainStart until no call may reach it
 	silent        bool          // heartbeats stopped
+	saidLeaving   bool          // in an answer
 	rate          rateAccount   // guarded by Owner.mu
 }
 
--- a/internal/owner/signals.go
+++ b/internal/owner/signals.go
@@ -10,19 +10,39 @@
 
 // applySignals applies what a target has said to an earlier process of this node, as
 // the node of a caller knows it. It does not apply to another start of the target.
-func applySignals(t *target, s *hop.TargetSignals) {
-	if s != nil && s.Started == t.Started && s.RateLimit > 0 {
+func (o *Owner) applySignals(t *target, s *hop.TargetSignals) {
+	if s == nil || s.Started != t.Started {
+		return
+	}
+	if s.RateLimit > 0 {
 		t.limiter.TellRate(s.RateLimit)
 	}
+	if s.Leaving {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.drainBySignal(t, "said so to another node")
+	}
+}
+
+// drainBySignal starts the drain of a target that says in its answers that it leaves;
+// o.mu must be held. Its heartbeats may say so later or not at all.
+func (o *Owner) drainBySignal(t *target, cause string) {
+	t.saidLeaving = true
+	if t.drainStart.IsZero() {
+		o.startDrain(t, cause)
+		o.publish()
+	}
 }
 
 // signals returns what the target has said, for the nodes of callers; nil when it has
 // said nothing.
-func (t *target) signals(l admission.Load) *hop.TargetSignals {
-	if l.RateLimit == 0 {
+func (o *Owner) signals(t *target, l admission.Load) *hop.TargetSignals {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if l.RateLimit == 0 && !t.saidLeaving {
 		return nil
 	}
-	return &hop.TargetSignals{Started: t.Started, RateLimit: l.RateLimit}
+	return &hop.TargetSignals{Started: t.Started, RateLimit: l.RateLimit, Leaving: t.saidLeaving}
 }
 
 // rateNotice returns what the outcome of a call says about the rate limit. A refusal
@@ -50,9 +70,12 @@
 func (o *Owner) observe(t *target, id string, res *exchange.Result) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if res.Signals.Leaving && t.drainStart.IsZero() {
-		o.count("target.said_leaving")
-		o.cfg.Log.Info().Str("target", string(t.ID)).Str("id", id).Msg("target says that it leaves")
+	if res.Signals.Leaving {
+		if t.drainStart.IsZero() {
+			o.count("target.said_leaving")
+			o.cfg.Log.Info().Str("target", string(t.ID)).Str("id", id).Msg("target says that it leaves")
+		}
+		o.drainBySignal(t, "said so")
 	}
 	a, n := &t.rate, rateNotice(res)
 	switch n.Kind {
--- a/internal/owner/signals_test.go
+++ b/internal/owner/signals_test.go
@@ -179,3 +179,35 @@
 		t.Errorf("%d of about 100 calls arrived at the new start", got)
 	}
 }
+
+// Guards against a call that reaches a target later than the drain time after an answer
+// that said that it leaves: no heartbeat has said so, and the node may have been
+// restarted since.
+func TestNoCallAfterTheTargetSaysThatItLeaves(t *testing.T) {
+	leaving := &hop.TargetSignals{Started: 10, Leaving: true}
+	for name, signals := range map[string]*hop.TargetSignals{"in an answer": nil, "told by the caller's node": leaving} {
+		target := startLimitedTarget(t, 2*time.Millisecond)
+		o := ownerOf(t, target, 10)
+		if signals == nil {
+			target.say("Going: 1\r\n")
+		}
+		r := shortRequest()
+		r.Signals = signals
+		resp := o.Call(t.Context(), r)
+		said := time.Now()
+		if resp.Signals == nil || *resp.Signals != *leaving {
+			t.Errorf("%s: the caller's node is told %+v", name, resp.Signals)
+		}
+		target.say("")
+		flood(t, o, shortRequest, drainTime+drainTime/2)
+		_ = o.Heartbeat(Heartbeat{ID: "a", Address: target.address, Service: "galley", Version: "v1", Slots: 9, Sequence: 2, Started: 10})
+		flood(t, o, shortRequest, drainTime/4)
+		if late := target.arrived(said.Add(drainTime)); late > 0 {
+			t.Errorf("%s: %d calls arrived after the drain time", name, late)
+		}
+		_ = o.Heartbeat(Heartbeat{ID: "a", Address: target.address, Service: "galley", Version: "v1", Slots: 9, Sequence: 1, Started: 20})
+		if resp := o.Call(t.Context(), shortRequest()); resp.Outcome != hop.Answered || resp.Signals != nil {
+			t.Errorf("%s: the new start got no call: %+v", name, resp)
+		}
+	}
+}
--- a/pkg/routing/cheapest.go
+++ b/pkg/routing/cheapest.go
@@ -18,6 +18,8 @@
 	RemoteCost time.Duration
 	// WarmUp is how long a target is slow after it became ready.
 	WarmUp time.Duration
+	// Exclude reports whether a target gets no call at all. Without it, all may.
+	Exclude func(*Candidate) bool
 
 	summary *setSummary // set by PickCheapest
 }
@@ -121,7 +123,7 @@
 	minCost := math.Inf(1)
 	mean := p.summary.meanServiceTime
 	visit := func(c *Candidate, extra time.Duration) {
-		if tried.contains(c) || skipUnhealthy && (c.Suspect || c.Stat.isUnreachable(now)) || skipEjected && c.Stat.isEjected(now) {
+		if tried.contains(c) || p.Exclude != nil && p.Exclude(c) || skipUnhealthy && (c.Suspect || c.Stat.isUnreachable(now)) || skipEjected && c.Stat.isEjected(now) {
 			return
 		}
 		// The jitter spreads calls over targets of equal cost.
