Let urgent calls run ahead of their share after an idle time

Under a rate limit that all urgent calls fit into (28 of 40 a second, 90 less urgent ones beside them), a tenth of the urgent calls was refused while others ran: the class lost its credit each time that its queue was empty, and gave every fifth turn of a burst away.

The urgent class may now run ahead by 0.1 weighted seconds of service, about 20 calls; over longer times the weights hold as before, so that no class starves. The estimate of the wait knows of it.

--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -238,7 +238,7 @@
 
 // expectedWait estimates how long a call would wait.
 func (l *Limiter) expectedWait(req *Request, now time.Time) time.Duration {
-	return l.queue.estimateWait(req, l.turnTime(), now)
+	return l.queue.estimateWait(req, l.meanServiceTime(req.Kind, now), l.turnTime(), now)
 }
 
 // waitLimit returns the maximum wait of a queued call. A call that waits several
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -29,6 +30,11 @@
 // starves.
 var classWeights = [classCount]float64{mesh.ClassUrgent: 16, mesh.ClassNormal: 4, mesh.ClassBackground: 1, nestedClass: 16}
 
+// idleCredit is how far, in weighted seconds of service, a class may run ahead of its
+// share after a time without queued calls. Urgent calls that do not use up their share
+// on average run before all others also in a burst.
+var idleCredit = [classCount]float64{mesh.ClassUrgent: 0.1}
+
 // queueFactor is the capacity of the queue as a multiple of the concurrency limit:
 // at 4 a call waits at most about four service times.
 const queueFactor = 4
@@ -120,8 +126,7 @@
 	class := w.queueClass()
 	h := &q.heaps[class]
 	if h.Len() == 0 {
-		// A class gets no credit for the time in which it had no queued call.
-		q.pass[class] = max(q.pass[class], q.globalPass)
+		q.pass[class] = max(q.pass[class], q.globalPass-idleCredit[class])
 		q.turns[class].lastTurn = now
 	}
 	w.heap = h
@@ -161,7 +166,7 @@
 			}
 			continue
 		}
-		q.globalPass = q.pass[next]
+		q.globalPass = max(q.globalPass, q.pass[next])
 		q.pass[next] += max(minTurnTime, w.serviceTime).Seconds() / classWeights[next]
 		return w
 	}
@@ -186,7 +191,7 @@
 // turnTime. It counts the calls of the same class that are due earlier, and the
 // turns of other classes meanwhile. The measured turn interval of the class
 // accounts for calls of other classes that arrive later.
-func (q *queue) estimateWait(req *Request, turnTime time.Duration, now time.Time) time.Duration {
+func (q *queue) estimateWait(req *Request, serviceTime, turnTime time.Duration, now time.Time) time.Duration {
 	ahead := 0
 	due := req.dueAt()
 	class := req.queueClass()
@@ -195,13 +200,20 @@
 			ahead++
 		}
 	}
-	activeWeight := classWeights[class]
+	activeWeight, othersPass := classWeights[class], math.Inf(1)
 	for c := range q.heaps {
 		if c != int(class) && q.heaps[c].Len() > 0 {
 			activeWeight += classWeights[c]
+			othersPass = min(othersPass, q.pass[c])
 		}
 	}
-	turns := min(q.length, int(float64(ahead+1)*activeWeight/classWeights[class])-1) + 1
+	pass := q.pass[class]
+	if q.heaps[class].Len() == 0 {
+		pass = max(pass, q.globalPass-idleCredit[class])
+	}
+	// The class takes this many turns before any other.
+	first := min(float64(ahead+1), max(0, (othersPass-pass)*classWeights[class]/max(minTurnTime, serviceTime).Seconds()))
+	turns := min(q.length, int(first+(float64(ahead+1)-first)*activeWeight/classWeights[class])-1) + 1
 	return max(time.Duration(turns)*turnTime, time.Duration(ahead+1)*q.turns[class].expected(now))
 }
 
--- a/pkg/admission/rate_test.go
+++ b/pkg/admission/rate_test.go
@@ -114,6 +114,30 @@
 	})
 }
 
+// Guards, under a limit that leaves room for a third of the calls, against urgent calls
+// that are refused while others run, against refusals that take long, and against
+// answers that come too late. The load is that of an ordering service of which most
+// targets name limits.
+func TestRateLimitServesUrgentCallsFirst(t *testing.T) {
+	const urgent, normal = 0, 1
+	const perSecond, latencyTarget = 40, 200 * time.Millisecond
+	r := playStreamsAt(t, []stream{
+		{Request{Kind: "orders", Class: mesh.ClassUrgent}, 28, 78 * time.Millisecond, 250 * time.Millisecond, 600 * time.Millisecond},
+		{Request{Kind: "prices", Class: mesh.ClassNormal}, 90, 60 * time.Millisecond, latencyTarget, 500 * time.Millisecond},
+	}, named(perSecond))
+	if share := float64(r[urgent].inTime) / float64(r[urgent].calls); share < 0.9 {
+		t.Errorf("%.2f of the urgent calls in time: %+v", share, r[urgent])
+	}
+	if used := r[urgent].inTime + r[normal].inTime; float64(used) < 0.85*20*perSecond {
+		t.Errorf("%d calls in time, the limit allows %d", used, 20*perSecond)
+	}
+	for i := range r {
+		if mean := r[i].refusedWait / time.Duration(max(1, r[i].refused)); mean > latencyTarget/8 {
+			t.Errorf("refused calls waited %s on average: %+v", mean, r[i])
+		}
+	}
+}
+
 // Guards against refused callers that are all told to return at the same moment, which
 // has room for one of them.
 func TestRefusalsSpreadReturnsAtTheRateLimit(t *testing.T) {
