Divide the retry allowance among all known hosts, not the live ones

Each host divided the slack by the hosts that it saw alive, so that hosts behind a cut, which take each other for failed, took the whole of it each (nine parts of 1.00 where there is one), and so did a host that had just started and knew nobody.

Failed hosts count now, for the ten minutes that their records are shown. Before it has read the rows or has a link, a host takes one retry at a time.

TestSharesOfAllHostsAddUpToOneWhole failed before (the shares of nine hosts alone add up to 9.00).

--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -52,13 +52,17 @@
 		return
 	}
 	hosts := a.members.Hosts()
-	alive := 0
+	alive, sharing := 0, 0
 	for i := range hosts {
 		if hosts[i].Status == membership.StatusAlive {
 			alive++
 		}
+		if hosts[i].Status != membership.StatusLeft {
+			sharing++
+		}
 	}
 	a.liveHosts.Store(int64(alive))
+	a.sharingHosts.Store(int64(sharing))
 	progress := newestProgress(hosts)
 	s := &view.Snapshot{Config: a.config, Matcher: a.matcher, Services: make(map[mesh.ServiceName]*view.Service)}
 	targets := targetsByService(hosts)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -75,6 +75,10 @@
 	tracker   *routing.Tracker
 	current   atomic.Pointer[view.Snapshot]
 	liveHosts atomic.Int64
+	// sharingHosts is the number of hosts that share what is allowed to all of them
+	// together; see SharingHosts.
+	sharingHosts atomic.Int64
+	hostsLearned atomic.Bool // from the store or from another host
 
 	mu      sync.Mutex
 	config  *traffic.Config
@@ -151,6 +155,13 @@
 // LiveHosts returns the number of hosts that are alive, at least 1.
 func (a *Agent) LiveHosts() int { return max(1, int(a.liveHosts.Load())) }
 
+// SharingHosts returns the number of hosts among which an allowance for all of them is
+// divided, and false while this host has not learned it. Hosts that have failed count:
+// seen from the other side of a cut, this one has.
+func (a *Agent) SharingHosts() (int, bool) {
+	return max(1, int(a.sharingHosts.Load())), a.hostsLearned.Load() || a.gossip.LinkCount() > 0
+}
+
 // SetTargets publishes the targets of this host to the mesh.
 func (a *Agent) SetTargets(list []membership.Target) {
 	a.members.UpdateSelf(func(h *membership.Host) { h.Targets = list })
--- /dev/null
+++ b/internal/control/sharing_test.go
@@ -0,0 +1,51 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/internal/memnet"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
+)
+
+func cutAll(from, to mesh.HostID) memnet.Impairment { return memnet.Impairment{Lost: from != to} }
+
+// Guards against hosts that each take more than their part of what is allowed to all
+// of them: while cut off alone, after the cut, and before they know any other host.
+func TestSharesOfAllHostsAddUpToOneWhole(t *testing.T) {
+	meshTest(t, func(t *testing.T) {
+		m := startMesh(t)
+		defer m.stopAll()
+		check := func(when string) {
+			t.Helper()
+			sum := 0.0
+			for _, id := range m.order {
+				if hosts, learned := m.nodes[id].SharingHosts(); learned {
+					sum += 1 / float64(hosts)
+				}
+			}
+			if sum > 1.001 || sum < 0.9 {
+				t.Errorf("%s: the shares add up to %.2f", when, sum)
+			}
+		}
+		time.Sleep(8 * time.Second)
+		check("started")
+		m.net.SetImpairment(cutAll)
+		for range 10 {
+			time.Sleep(3 * time.Second)
+			check("all hosts alone")
+		}
+		m.net.SetImpairment(func(_, _ mesh.HostID) memnet.Impairment { return memnet.Impairment{} })
+		time.Sleep(20 * time.Second)
+		check("healed")
+		m.store.SetFaults(platformtest.Faults{Down: true})
+		m.net.SetImpairment(cutAll)
+		m.stopNode("h4")
+		n := m.start("h4", "south")
+		time.Sleep(5 * time.Second)
+		if hosts, learned := n.SharingHosts(); learned {
+			t.Errorf("a host that knows no other says that it shares with %d", hosts)
+		}
+	})
+}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -279,6 +279,7 @@
 		}
 	}
 	f.joined = true
+	f.agent.hostsLearned.Store(true)
 	f.agent.cfg.Log.Info().Int("hosts", len(f.agent.members.Hosts())).Bool("row_written", !rowPresent).Msg("joined through the store")
 	return nil
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -206,6 +206,13 @@
 	})
 	gauge("buffers.bytes", s.buffers.Used)
 	gauge("hosts.live", func() int64 { return int64(s.control.LiveHosts()) })
+	gauge("hosts.sharing", func() int64 {
+		hosts, learned := s.control.SharingHosts()
+		if !learned {
+			return 0
+		}
+		return int64(hosts)
+	})
 	gauge("targets.usable", func() int64 {
 		n := 0
 		if v := s.control.Snapshot(); v != nil {
@@ -396,9 +403,13 @@
 }
 
 // retryBurst returns this host's equal share of RetrySlack, from 1 to
-// retry.DefaultBurst.
+// retry.DefaultBurst, and 1 while it does not know how many hosts share it.
 func (s *Sidecar) retryBurst() int {
-	return max(1, min(retry.DefaultBurst, s.bounds.Load().RetrySlack/s.control.LiveHosts()))
+	hosts, learned := s.control.SharingHosts()
+	if !learned {
+		return 1
+	}
+	return max(1, min(retry.DefaultBurst, s.bounds.Load().RetrySlack/hosts))
 }
 
 // prunePools closes connections to nodes that have failed or left, at regular
