Play rate limits and leaving targets in the soak

The soak checks, from what callers were told and what targets got, that no target gets more than one and a half times its limit and 5 calls in any 4 s, and no call from a node that passed the word on more than the drain time before.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/pause"
 	"nutmeghoist.example/nutmeghoist/platform"
 )
@@ -110,6 +111,8 @@
 	out.status = resp.StatusCode
 	if resp.StatusCode == http.StatusOK {
 		target, found := strings.CutPrefix(strings.SplitN(string(text), "\n", 2)[0], out.id+" by ")
+		out.target = mesh.TargetID(target)
+		out.saysLimit, out.saysLeaving = resp.Header.Get(names.RateLimit) != "", resp.Header.Get(names.Leaving) != ""
 		out.complete = found && string(text) == strings.Repeat(out.id+" by "+target+"\n", 20) && resp.Header.Get(names.Stamp) != ""
 	}
 	if resp.Close {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -38,6 +38,7 @@
 	for i := range j.runs {
 		j.checkRun(&j.runs[i], finished)
 	}
+	j.checkSignals()
 	for _, result := range j.rollouts {
 		j.checkRollout(&result, end)
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -72,6 +73,53 @@
 	}
 }
 
+// Guards against checks that miss a target which gets too many calls under a limit, or
+// calls long after it has said that it leaves, and against charging nodes that were not
+// told.
+func TestCheckReportsIgnoredSignals(t *testing.T) {
+	start := time.Now().Add(-time.Minute)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	n := &node{cluster: &cluster{}, host: "node-0", service: "orderdesk"}
+	cases := map[string]struct {
+		perSecond    int     // calls from 5 s to 15 s, 8 s to 18 s after the limit of 4 is named
+		told         float64 // when the first answer is passed on
+		restart      float64 // when the process of the node ends
+		leaving      bool    // the answers say that the target leaves instead
+		limitEndsAt  float64
+		wantExceeded string
+	}{
+		"within the limit":   {perSecond: 6, told: 1, restart: 99},
+		"above the limit":    {perSecond: 9, told: 1, restart: 99, wantExceeded: "under a limit of 4 a second, 29 allowed"},
+		"told late":          {perSecond: 9, told: 14, restart: 99},
+		"restarted":          {perSecond: 9, told: 1, restart: 6},
+		"limit lifted early": {perSecond: 9, told: 1, restart: 99, limitEndsAt: 6},
+		"left":               {perSecond: 1, told: 1, restart: 99, leaving: true, wantExceeded: "said that the target leaves"},
+		"leaves late":        {perSecond: 1, told: 14, restart: 99, leaving: true},
+	}
+	for name, tc := range cases {
+		j, to := newJournal(), &target{node: n, id: "t1"}
+		j.limits = []*rateLimitSpan{{target: to, perSecond: 4, begin: at(-3)}}
+		if tc.limitEndsAt > 0 {
+			j.limits[0].end = at(tc.limitEndsAt)
+		}
+		j.outcomes = []outcome{{id: "first", node: n, processNumber: 1, begin: at(tc.told), end: at(tc.told), target: "t1", saysLimit: !tc.leaving, saysLeaving: tc.leaving}}
+		for i := range 10 * tc.perSecond {
+			when := 5 + float64(i)/float64(tc.perSecond)
+			o := outcome{id: fmt.Sprint(i), node: n, processNumber: 1, begin: at(when), end: at(when)}
+			if when > tc.restart {
+				o.processNumber = 2
+			}
+			j.outcomes = append(j.outcomes, o)
+			j.runs = append(j.runs, run{id: o.id, target: to, at: at(when), caller: "x"})
+		}
+		j.checkSignals()
+		found := strings.Join(j.violations, "\n")
+		if tc.wantExceeded == "" && found != "" || !strings.Contains(found, tc.wantExceeded) {
+			t.Errorf("%s: found %q, want %q", name, found, tc.wantExceeded)
+		}
+	}
+}
+
 func repeatRun(n int, r run) []run {
 	out := make([]run, n)
 	for i := range out {
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -58,6 +58,9 @@
 	status        int // HTTP status; 0 if the connection ended without an answer
 	timeout       bool
 	complete      bool // the answer is complete and belongs to the call
+	// What the answer says of its target, with status 200.
+	target                 mesh.TargetID
+	saysLimit, saysLeaving bool
 }
 
 // fault is one injected fault.
@@ -82,6 +85,7 @@
 	outcomes   []outcome
 	faults     []*fault
 	rollouts   []rolloutResult
+	limits     []*rateLimitSpan
 	claimed    map[mesh.ServiceName]bool // services whose rollout has begun
 	violations []string
 }
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -18,4 +18,8 @@
 		Options: Options{Seed: 204, Nodes: 6, Duration: 15 * time.Second},
 		Cause:   "SIGHUP ended a node that was stopping, with calls in flight",
 	},
+	{
+		Options: Options{Seed: 9000, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true},
+		Cause:   "targets that named a rate limit got as many calls as before",
+	},
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,6 +33,8 @@
 	Slot     int           // 0 to 255; concurrent runs need different slots
 	// AnswerFaults adds targets that send bytes without end, or an answer twice.
 	AnswerFaults bool
+	// RateLimits adds targets that name a rate limit for some time.
+	RateLimits bool
 }
 
 const (
@@ -103,6 +105,9 @@
 	if o.AnswerFaults {
 		wg.Go(func() { c.injectAnswerFaults(ctx) })
 	}
+	if o.RateLimits {
+		wg.Go(func() { c.injectRateLimits(ctx) })
+	}
 	c.inject(ctx, &wg)
 	c.heal()
 	healedAt := time.Now()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -38,6 +38,7 @@
 	losesAnswers     atomic.Bool  // a tenth of the calls get no answer
 	truncatesAnswers atomic.Bool  // a tenth of the answers are cut short
 	answers          atomic.Int32 // an answerFault
+	rateLimit        atomic.Int64 // calls a second that its answers name; 0 for none
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -188,7 +189,7 @@
 		return true
 	}
 	t.mu.Lock()
-	acked := t.acked
+	acked, draining := t.acked, t.draining
 	t.mu.Unlock()
 	t.node.cluster.journal.recordRun(run{
 		id: id, target: t, at: time.Now(), acked: acked, path: req.RequestURI,
@@ -215,7 +216,7 @@
 	if rand.IntN(10) != 0 {
 		fault = noAnswerFault
 	}
-	rest := fmt.Sprintf("%s: s\r\nContent-Length: %d\r\n\r\n%s", names.Stamp, len(body), body)
+	rest := fmt.Sprintf("%s%s: s\r\nContent-Length: %d\r\n\r\n%s", t.signals(draining), names.Stamp, len(body), body)
 	statusLine := fmt.Sprintf("HTTP/1.1 %d X\r\n", status)
 	return fault.send(t, c, statusLine+names.RequestID+": "+id+"\r\n"+rest, statusLine+rest)
 }
