Tell refused callers the earliest time of all the targets asked

A call that up to three targets refuse was told what the last of them had said, or the least delay when the last had said nothing, although another one had room sooner or only later. It is the earliest now.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -197,7 +197,7 @@
 	tried        routing.PreviousAttempts
 	serverError  *hop.Response // returned when no later attempt succeeds
 	reason       string
-	retryAfter   time.Duration
+	retryAfter   time.Duration // the earliest that a target named; 0 when none did
 	lastTarget   mesh.TargetID
 }
 
@@ -441,7 +441,10 @@
 // shouldRetry records an attempt that failed and reports whether to try another
 // target.
 func (c *call) shouldRetry(resp *hop.Response) bool {
-	c.reason, c.retryAfter = resp.Reason, time.Duration(resp.RetryAfterMs)*time.Millisecond
+	c.reason = resp.Reason
+	if at := time.Duration(resp.RetryAfterMs) * time.Millisecond; at > 0 && (c.retryAfter == 0 || at < c.retryAfter) {
+		c.retryAfter = at
+	}
 	if resp.Outcome == hop.Answered {
 		c.serverError, c.reason = resp, "server_error"
 	}
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -146,6 +146,28 @@
 	}
 }
 
+// Guards against callers that are told to come back later than a target that refused
+// them has room.
+func TestRetryAfterIsTheEarliestOfTheRefusals(t *testing.T) {
+	for name, tc := range map[string]struct {
+		delays []int64 // milliseconds that the targets name, one after the other
+		want   string
+	}{
+		"first":        {[]int64{120, 900, 300}, "0.120"},
+		"last":         {[]int64{900, 300, 120}, "0.120"},
+		"one has none": {[]int64{0, 300, 0}, "0.300"},
+		"none":         {[]int64{0, 0, 0}, "0.050"},
+	} {
+		e := newEntry(&scriptedOwner{script: func(n int, _ *hop.Request) *hop.Response {
+			return &hop.Response{Outcome: hop.NotRun, Reason: "target_draining", RetryAfterMs: tc.delays[n]}
+		}}, 3)
+		resp := e.Handle(t.Context(), requestFor("/menus/"))
+		if got := resp.Header.Get("Retry-After"); resp.Status != http.StatusServiceUnavailable || got != tc.want {
+			t.Errorf("%s: status %d, Retry-After %q, want %q", name, resp.Status, got, tc.want)
+		}
+	}
+}
+
 // Guards against a node that responds with 404 before it has a configuration.
 func TestNotReadyWithoutConfiguration(t *testing.T) {
 	e := newEntry(&scriptedOwner{}, 0)
