Give urgent calls their share of the calls under a rate limit

Under a limit of 3 calls a second, urgent calls got 10 of 64 turns, no more than their part of the arrivals: a call that came just before the next turn was refused as if a whole interval lay ahead, so that each turn went to whoever came right after it; and turns counted by the time of a slot, which is not what is scarce.

Without a limit nothing changes.

TestLowRateLimitServesUrgentCallsFirst failed before.

--- a/pkg/admission/limiter.go
+++ b/pkg/admission/limiter.go
@@ -157,6 +157,11 @@
 	return max(l.serviceTime.mean/time.Duration(l.limit.current), l.rate.interval())
 }
 
+// timeForTurns returns the time until the target has taken a number of calls.
+func (l *Limiter) timeForTurns(n int, now time.Time) time.Duration {
+	return max(time.Duration(n)*l.serviceTime.mean/time.Duration(l.limit.current), l.rate.wait(n, now))
+}
+
 // refusalReason returns the reason to refuse a new call, or "", and whether the
 // call is late: it can meet its deadline but not its soft deadline.
 func (l *Limiter) refusalReason(req *Request, now time.Time) (late bool, reason Reason) {
@@ -184,10 +189,19 @@
 	return true, ""
 }
 
-// orRateLimit returns ReasonRateLimit when the rate limit, and not the slots, makes
-// calls wait.
+// bindingInterval returns the time between two calls that the rate limit sets, or 0
+// when the slots make calls wait longer.
+func (l *Limiter) bindingInterval() time.Duration {
+	if interval := l.rate.interval(); interval > l.serviceTime.mean/time.Duration(l.limit.current) {
+		return interval
+	}
+	return 0
+}
+
+// orRateLimit returns ReasonRateLimit when the rate limit makes calls wait, and
+// otherwise the reason.
 func (l *Limiter) orRateLimit(reason Reason) Reason {
-	if l.rate.interval() > l.serviceTime.mean/time.Duration(l.limit.current) {
+	if l.bindingInterval() > 0 {
 		return ReasonRateLimit
 	}
 	return reason
@@ -238,7 +252,11 @@
 
 // expectedWait estimates how long a call would wait.
 func (l *Limiter) expectedWait(req *Request, now time.Time) time.Duration {
-	return l.queue.estimateWait(req, l.meanServiceTime(req.Kind, now), l.turnTime(), now)
+	return l.queue.estimateWait(req, turnEstimate{
+		cost:          turnCost(l.meanServiceTime(req.Kind, now), l.bindingInterval()),
+		timeFor:       func(turns int) time.Duration { return l.timeForTurns(turns, now) },
+		sinceLastTurn: max(0, l.rate.interval()-l.rate.wait(1, now)),
+	}, now)
 }
 
 // waitLimit returns the maximum wait of a queued call. A call that waits several
@@ -344,7 +362,7 @@
 			l.scheduleAdmission(wait)
 			return
 		}
-		w := l.queue.pop(now, l.lateQueueLimit())
+		w := l.queue.pop(now, l.lateQueueLimit(), l.bindingInterval())
 		if w == nil {
 			return
 		}
@@ -391,7 +409,7 @@
 	defer l.mu.Unlock()
 	l.draining = true
 	now := time.Now()
-	for w := l.queue.pop(now, 0); w != nil; w = l.queue.pop(now, 0) {
+	for w := l.queue.pop(now, 0, 0); w != nil; w = l.queue.pop(now, 0, 0) {
 		w.decision <- ReasonDraining
 	}
 }
@@ -415,7 +433,7 @@
 // limit, refused calls are told times that are as far apart as the limit allows, in the
 // order of their refusals.
 func (l *Limiter) retryAfter(now time.Time) time.Duration {
-	delay := max(MinRetryAfter, time.Duration(l.queue.len()+1)*l.turnTime())
+	delay := max(MinRetryAfter, l.timeForTurns(l.queue.len()+1, now))
 	if !l.rate.bounded() {
 		return delay
 	}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -83,6 +83,15 @@
 // time is known.
 const minTurnTime = time.Millisecond
 
+// turnCost returns what a turn counts with: the time of the slot or, when a rate limit
+// is scarcer than the slots, the same for each call.
+func turnCost(serviceTime, rateInterval time.Duration) time.Duration {
+	if rateInterval > 0 {
+		return rateInterval
+	}
+	return max(minTurnTime, serviceTime)
+}
+
 // turnInterval measures the time between the turns of a class that has queued
 // calls.
 type turnInterval struct {
@@ -144,7 +153,8 @@
 
 // pop removes and returns the next call, or nil. Calls that have become late are
 // requeued behind all others, or refused when more than lateLimit calls wait.
-func (q *queue) pop(now time.Time, lateLimit int) *waiter {
+// rateInterval is the time between two calls when a rate limit sets it, or 0.
+func (q *queue) pop(now time.Time, lateLimit int, rateInterval time.Duration) *waiter {
 	for {
 		next := -1
 		for c := range q.heaps {
@@ -167,7 +177,7 @@
 			continue
 		}
 		q.globalPass = max(q.globalPass, q.pass[next])
-		q.pass[next] += max(minTurnTime, w.serviceTime).Seconds() / classWeights[next]
+		q.pass[next] += turnCost(w.serviceTime, rateInterval).Seconds() / classWeights[next]
 		return w
 	}
 	if q.late.Len() == 0 {
@@ -187,11 +197,21 @@
 	return true
 }
 
-// estimateWait estimates how long a call that arrives now waits if each turn takes
-// turnTime. It counts the calls of the same class that are due earlier, and the
-// turns of other classes meanwhile. The measured turn interval of the class
-// accounts for calls of other classes that arrive later.
-func (q *queue) estimateWait(req *Request, serviceTime, turnTime time.Duration, now time.Time) time.Duration {
+// turnEstimate is what the limiter knows of the turns of the queue.
+type turnEstimate struct {
+	cost time.Duration // of a turn of the call that waits, see turnCost
+	// timeFor returns the time until a number of queued calls has had their turns.
+	timeFor func(turns int) time.Duration
+	// sinceLastTurn is the part of the time between two turns that has passed, when a
+	// rate limit sets their times.
+	sinceLastTurn time.Duration
+}
+
+// estimateWait estimates how long a call that arrives now waits. It counts the calls of
+// the same class that are due earlier, and the turns of other classes meanwhile. The
+// measured turn interval of the class accounts for calls of other classes that arrive
+// later.
+func (q *queue) estimateWait(req *Request, e turnEstimate, now time.Time) time.Duration {
 	ahead := 0
 	due := req.dueAt()
 	class := req.queueClass()
@@ -212,9 +232,9 @@
 		pass = max(pass, q.globalPass-idleCredit[class])
 	}
 	// The class takes this many turns before any other.
-	first := min(float64(ahead+1), max(0, (othersPass-pass)*classWeights[class]/max(minTurnTime, serviceTime).Seconds()))
+	first := min(float64(ahead+1), max(0, (othersPass-pass)*classWeights[class]/e.cost.Seconds()))
 	turns := min(q.length, int(first+(float64(ahead+1)-first)*activeWeight/classWeights[class])-1) + 1
-	return max(time.Duration(turns)*turnTime, time.Duration(ahead+1)*q.turns[class].expected(now))
+	return max(e.timeFor(turns), time.Duration(ahead+1)*q.turns[class].expected(now)-e.sinceLastTurn)
 }
 
 // dueHeap is a min-heap of waiters by dueAt.
--- a/pkg/admission/rate_test.go
+++ b/pkg/admission/rate_test.go
@@ -138,24 +138,38 @@
 	}
 }
 
+// Guards, under a limit of a few calls a second, against urgent calls that get no more
+// than their part of the arrivals.
+func TestLowRateLimitServesUrgentCallsFirst(t *testing.T) {
+	const urgent, normal, perSecond = 0, 1, 3
+	r := playStreamsAt(t, []stream{
+		{Request{Kind: "orders", Class: mesh.ClassUrgent}, 20, 78 * time.Millisecond, 250 * time.Millisecond, 600 * time.Millisecond},
+		{Request{Kind: "prices", Class: mesh.ClassNormal}, 100, 60 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond},
+	}, named(perSecond))
+	served := func(i int) float64 { return float64(r[i].inTime + r[i].late) }
+	if all := served(urgent) + served(normal); served(urgent) < 0.7*all || all < 0.9*20*perSecond {
+		t.Errorf("%.0f urgent calls of %.0f that were served: %+v", served(urgent), all, r)
+	}
+}
+
 // Guards against refused callers that are all told to return at the same moment, which
 // has room for one of them.
 func TestRefusalsSpreadReturnsAtTheRateLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := New(Config{Slots: 9, Connections: 9, FixedLimit: true, NamesRate: true})
 		l.TellRate(10)
-		var returns []time.Duration
+		var returns []time.Time
 		for range 20 {
 			if err := l.Admit(t.Context(), Request{Class: mesh.ClassNormal, Deadline: time.Now().Add(80 * time.Millisecond)}); err != nil {
-				returns = append(returns, err.(*Refusal).RetryAfter)
+				returns = append(returns, time.Now().Add(err.(*Refusal).RetryAfter))
 			}
 		}
 		if len(returns) < 15 {
 			t.Fatalf("%d of 20 calls refused", len(returns))
 		}
 		for i := 1; i < len(returns); i++ {
-			if returns[i]-returns[i-1] < 99*time.Millisecond {
-				t.Errorf("refused callers are told to return after %s", returns)
+			if returns[i].Sub(returns[i-1]) < 99*time.Millisecond {
+				t.Errorf("refused callers are told to return at %s", returns)
 				break
 			}
 		}
