--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -32,6 +32,9 @@
 type Store interface {
 	platform.Table
 	platform.Feed
+	// Era returns the era of the store's history. It rises each time that the store is
+	// restored from an older copy.
+	Era() uint64
 }
 
 // RowCodec defines where the operators' rows are stored, and decodes and encodes
--- a/pkg/platform/platformtest/store.go
+++ b/pkg/platform/platformtest/store.go
@@ -54,6 +54,9 @@
 	return s
 }
 
+// Era returns the era of the store's history.
+func (s *Store) Era() uint64 { return 1 }
+
 // Get returns a row.
 func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
 	if err := s.beforeRead(ctx, &s.tableLimits, key); err != nil {
