Give versions of the store the era that they belong to

After the store is restored from an older copy it gives out versions again. A feed that went on at its old position got no 410 when the store had come past it, and left out what was written at the versions in between; a write on the condition of a lost version could be applied to another row's history. Cause: a version was the store's counter alone, which is no name once it goes back.

--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -42,7 +42,9 @@
 }
 
 // Row is one row of the table. Version increases with each write of the row and
-// is never reused, even after a delete.
+// is never reused, even after a delete. When the platform has been restored from an
+// older copy, each row has a higher version than before, whether it was written since
+// or not, and writes of the lost time are gone.
 type Row struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
@@ -78,7 +80,8 @@
 	// sorts after the key given by after.
 	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit applies a transaction, or returns ErrConflict when a condition does
-	// not hold. ErrOutcomeUnknown means that it may have taken effect.
+	// not hold. ErrOutcomeUnknown means that it may have taken effect, and ErrRestored,
+	// which comes with ErrConflict, that it did on a condition that another history met.
 	Commit(ctx context.Context, txn Txn) error
 }
 
@@ -101,7 +104,8 @@
 	// Rows returns all rows of a table and the version to pass to Changes.
 	Rows(ctx context.Context, table string) ([]Row, uint64, error)
 	// Changes returns the changes after a version. It waits until there is one,
-	// for at most wait. After ErrHistoryGone the caller must call Rows again.
+	// for at most wait. After ErrHistoryGone, which it returns for a version of an
+	// earlier era too, the caller must call Rows again.
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
 }
 
--- a/pkg/platform/platformtest/feed.go
+++ b/pkg/platform/platformtest/feed.go
@@ -31,8 +31,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := Page{Version: s.sequence}
+	p := Page{Version: platform.MakeVersion(s.era, s.sequence)}
 	p.Rows, p.Truncated = s.readableRows().inRange(table+"/", from, to, limit)
+	p.Rows = s.allInEra(p.Rows)
 	return p, nil
 }
 
@@ -65,13 +66,13 @@
 	if s.faults.Down {
 		return platform.Changes{}, nil, fmt.Errorf("feed of %s: %w", table, platform.ErrUnavailable)
 	}
-	if after < s.droppedVersion {
+	if counter := platform.CounterOf(after); platform.EraOf(after) != s.era || counter < s.droppedVersion || counter > s.sequence {
 		return platform.Changes{}, nil, fmt.Errorf("feed of %s: %w", table, platform.ErrHistoryGone)
 	}
-	c := platform.Changes{Version: s.sequence}
+	c := platform.Changes{Version: platform.MakeVersion(s.era, s.sequence)}
 	for _, change := range s.history {
-		if change.Version > after && strings.HasPrefix(change.Key, table+"/") {
-			change.Row = copyRow(change.Row)
+		if change.Version > platform.CounterOf(after) && strings.HasPrefix(change.Key, table+"/") {
+			change.Row = s.inEra(copyRow(change.Row))
 			c.Rows = append(c.Rows, change)
 		}
 	}
--- a/pkg/platform/platformtest/store.go
+++ b/pkg/platform/platformtest/store.go
@@ -20,9 +20,10 @@
 	rows           *rows
 	staleRows      *rows // returned by reads while Faults.StaleReads is set, else nil
 	objects        map[string][]byte
-	sequence       uint64 // last assigned row version; never reused
+	era            uint64 // rises with each Restore
+	sequence       uint64 // last counter given out; goes back with Restore
 	history        []platform.Change
-	droppedVersion uint64        // the history up to this version was dropped
+	droppedVersion uint64        // counter; the history up to it was dropped
 	changed        chan struct{} // closed at the next change
 	faults         Faults
 	tableLimits    rateLimits
@@ -45,6 +46,7 @@
 func NewWithRates(writesPerSecond, readsPerSecond int) *Store {
 	s := &Store{
 		writesPerSecond: writesPerSecond, readsPerSecond: readsPerSecond,
+		era:     1,
 		rows:    newRows(),
 		objects: make(map[string][]byte),
 		changed: make(chan struct{}),
@@ -55,7 +57,11 @@
 }
 
 // Era returns the era of the store's history.
-func (s *Store) Era() uint64 { return 1 }
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
 
 // Get returns a row.
 func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
@@ -68,7 +74,20 @@
 	if !ok {
 		return platform.Row{}, fmt.Errorf("row %q: %w", key, platform.ErrNotFound)
 	}
-	return row, nil
+	return s.inEra(row), nil
+}
+
+// inEra returns a row with its version in the present era; s.mu must be held.
+func (s *Store) inEra(r platform.Row) platform.Row {
+	r.Version = platform.MakeVersion(s.era, r.Version)
+	return r
+}
+
+func (s *Store) allInEra(list []platform.Row) []platform.Row {
+	for i := range list {
+		list[i] = s.inEra(list[i])
+	}
+	return list
 }
 
 // List returns rows in key order.
@@ -81,7 +100,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.readableRows().page(prefix, after, limit), nil
+	return s.allInEra(s.readableRows().page(prefix, after, limit)), nil
 }
 
 // Commit applies a transaction completely or not at all.
@@ -104,7 +123,7 @@
 // must hold the lock.
 func (s *Store) apply(txn platform.Txn) error {
 	for _, c := range txn.Conditions {
-		if s.rows.version(c.Key) != c.Version {
+		if present := s.rows.version(c.Key); c.Version == 0 && present != 0 || c.Version != 0 && platform.MakeVersion(s.era, present) != c.Version {
 			return fmt.Errorf("row %q: %w", c.Key, platform.ErrConflict)
 		}
 	}
