Recognize rollout orders across restores of the store

The other way round, an order that is written again at another version would have counted as new, and a version that was taken back would have got calls again. Cause: orders were ordered by the version of their row, across two histories of the store.

A log of each service's orders recognizes what is written again by its content, once in each era, and what the copy brings back; an order that nobody has seen before waits until the store has settled. A host that has just started takes the revision that the known progress names, and claims a rollout only when it has heard its neighbours: the store alone may have lost the end of one.

TestOrdersAfterARestore failed before (the status of the new order stays that of the lost one), and again with eras alone (the version that was taken back got calls). TestConfigurationsAfterARestore passes before too: other hosts help out.

--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -120,12 +120,14 @@
 	if p != nil {
 		s.Revision, s.To = p.Revision, p.To
 	}
-	if o, ok := a.orders[name]; ok && o.Revision > s.Revision {
-		// No coordinator has started on the newest order yet.
-		s.Revision, s.To, s.Rollout = o.Revision, o.To, nil
+	if l := a.orders[name]; l != nil {
+		if o, _, ok := l.Newest(p); ok && o.Revision > s.Revision {
+			// No coordinator has started on the newest order yet.
+			s.Revision, s.To, s.Rollout = o.Revision, o.To, nil
+		}
 	}
 	stable, next := partitionTargets(s, targets)
-	_, vetoed := a.vetoes[rolloutID{name, s.Revision}]
+	_, vetoed := a.vetoOf(name, s.Revision)
 	now := time.Now()
 	s.Stable = a.newTargetSet(stable, now)
 	if s.Rollout != nil && s.Rollout.State == rollout.Running && !vetoed {
@@ -134,6 +136,18 @@
 	return s
 }
 
+// vetoOf returns the evidence of a veto on an order, under each of the revisions by which
+// the order is known; a.mu must be held.
+func (a *Agent) vetoOf(service mesh.ServiceName, revision uint64) (evidence string, vetoed bool) {
+	if l := a.orders[service]; l != nil {
+		if evidence, vetoed = a.vetoes[rolloutID{service, l.Canonical(revision)}]; vetoed {
+			return evidence, true
+		}
+	}
+	evidence, vetoed = a.vetoes[rolloutID{service, revision}]
+	return evidence, vetoed
+}
+
 // partitionTargets separates the stable targets from those of the version that a
 // rollout moves to. Without a rollout, the oldest target's version is the stable
 // one: targets of other versions were started for a rollout whose order has not
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -32,9 +32,6 @@
 type Store interface {
 	platform.Table
 	platform.Feed
-	// Era returns the era of the store's history. It rises each time that the store is
-	// restored from an older copy.
-	Era() uint64
 }
 
 // RowCodec defines where the operators' rows are stored, and decodes and encodes
@@ -86,9 +83,10 @@
 	mu      sync.Mutex
 	config  *traffic.Config
 	matcher *traffic.Matcher
-	orders  map[mesh.ServiceName]seenOrder
+	orders  map[mesh.ServiceName]*rollout.OrderLog
 	vetoes  map[rolloutID]string // evidence of each veto
 
+	history     *storeHistory
 	monitor     *RolloutMonitor
 	coordinator *coordinator
 	stall       stallGuard
@@ -100,19 +98,14 @@
 	revision uint64
 }
 
-// seenOrder is an order with the time at which this node first received it.
-type seenOrder struct {
-	rollout.Order
-	at time.Time
-}
-
 // New returns an agent that does not run yet.
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{
 		cfg: cfg, tracker: routing.NewTracker(),
 		members: membership.NewTable(cfg.Self, membership.Options{}),
-		orders:  make(map[mesh.ServiceName]seenOrder), vetoes: make(map[rolloutID]string),
+		orders:  make(map[mesh.ServiceName]*rollout.OrderLog), vetoes: make(map[rolloutID]string),
 	}
+	a.history = newStoreHistory(a)
 	var err error
 	a.gossip, err = distribution.New(distribution.Config{
 		Members: a.members, Transport: cfg.Transport, ActiveVersion: a.activeVersion, OnHead: a.handleHead, OnVeto: a.handleVeto,
@@ -251,7 +244,8 @@
 	a.mu.Lock()
 	a.vetoes[rolloutID{v.Service, uint64(v.Attempt)}] = v.Evidence
 	a.mu.Unlock()
-	a.cfg.Log.Warn().Str("service", string(v.Service)).Str("version", string(v.Version)).Int("order", v.Attempt).
+	a.cfg.Log.Warn().Str("service", string(v.Service)).Str("version", string(v.Version)).
+		Uint64("era", platform.EraOf(uint64(v.Attempt))).Uint64("order", platform.CounterOf(uint64(v.Attempt))).
 		Str("evidence", v.Evidence).Str("by", string(v.Host)).Msg("version is bad; it gets no calls")
 	a.buildSnapshot()
 	wake(a.coordinator.wakeup)
@@ -261,23 +255,28 @@
 	a.cfg.Log.Warn().Str("fault", string(f)).Str("peer", string(peer)).Err(err).Msg("link fault")
 }
 
-// handleOrder records an operators' rollout order, unless this revision or a newer
-// one is known.
+// handleOrder applies an operators' rollout order that was read from the store.
 func (a *Agent) handleOrder(o rollout.Order) {
+	settled := a.history.settled()
 	a.mu.Lock()
-	old, known := a.orders[o.Service]
-	newer := !known || o.Revision > old.Revision
-	if newer {
-		a.orders[o.Service] = seenOrder{o, time.Now()}
+	l := a.orders[o.Service]
+	if l == nil {
+		l = &rollout.OrderLog{}
+		a.orders[o.Service] = l
 	}
+	verdict := l.Observe(o, settled, time.Now())
 	a.mu.Unlock()
-	if !newer {
-		return
+	switch verdict {
+	case rollout.OrderUnclear:
+		if !a.history.hold(o) {
+			a.handleOrder(o) // the store has settled meanwhile
+		}
+	case rollout.OrderNew:
+		a.cfg.Log.Info().Str("service", string(o.Service)).Str("to", string(o.To)).Dur("within", o.Within).
+			Uint64("era", platform.EraOf(o.Revision)).Uint64("order", platform.CounterOf(o.Revision)).Msg("rollout ordered")
+		a.buildSnapshot()
+		wake(a.coordinator.wakeup)
 	}
-	a.cfg.Log.Info().Str("service", string(o.Service)).Str("to", string(o.To)).Dur("within", o.Within).
-		Uint64("order", o.Revision).Msg("rollout ordered")
-	a.buildSnapshot()
-	wake(a.coordinator.wakeup)
 }
 
 func wake(c chan struct{}) {
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -30,6 +30,10 @@
 	claimDelay = 500 * time.Millisecond
 	// writeBackoff is the delay before a failed write is retried.
 	writeBackoff = 300 * time.Millisecond
+	// catchUpDelay is how long after it has heard the first neighbour a host takes to know
+	// what has become of the rollouts. A host that hears none claims after soloDelay.
+	catchUpDelay = time.Second
+	soloDelay    = 4 * time.Second
 	// forceCompleteFrom is the part of a rollout's time from which hosts that have
 	// not confirmed the full share no longer delay its completion.
 	forceCompleteFrom = 0.95
@@ -58,6 +62,9 @@
 	// stepsSeen holds the newest step received of each service's rollout. It is
 	// accessed only from run's goroutine.
 	stepsSeen map[mesh.ServiceName]seenStep
+	// started is when this host began, and heardAt when it first knew that it had heard a
+	// neighbour. Both are accessed only from run's goroutine.
+	started, heardAt time.Time
 }
 
 // seenStep is a step of a rollout with the time at which this host received it.
@@ -87,6 +94,7 @@
 }
 
 func (c *coordinator) run(ctx context.Context) {
+	c.started = time.Now()
 	for {
 		busy := c.reconcile(ctx)
 		wait := time.Minute
@@ -108,15 +116,10 @@
 // reconcile advances or claims each rollout that is not settled, and reports
 // whether there is one.
 func (c *coordinator) reconcile(ctx context.Context) bool {
-	c.agent.mu.Lock()
-	orders := make([]seenOrder, 0, len(c.agent.orders))
-	for _, o := range c.agent.orders {
-		orders = append(orders, o)
-	}
-	c.agent.mu.Unlock()
 	hosts := c.agent.members.Hosts()
 	progress := newestProgress(hosts)
 	c.recordSteps(progress)
+	orders := c.agent.newestOrders(progress)
 	busy := false
 	for _, o := range orders {
 		p := progress[o.Service]
@@ -139,6 +142,25 @@
 	return busy
 }
 
+// seenOrder is an order with the time at which this node first received it.
+type seenOrder struct {
+	rollout.Order
+	at time.Time
+}
+
+// newestOrders returns the newest order of each service.
+func (a *Agent) newestOrders(progress map[mesh.ServiceName]*rollout.Progress) []seenOrder {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	orders := make([]seenOrder, 0, len(a.orders))
+	for service, l := range a.orders {
+		if o, at, ok := l.Newest(progress[service]); ok {
+			orders = append(orders, seenOrder{o, at})
+		}
+	}
+	return orders
+}
+
 // recordSteps records when the steps of rollouts were received. A host that learns
 // of an order only when it claims the rollout needs this to compute how much of
 // the rollout's time has passed.
@@ -170,6 +192,9 @@
 // host coordinates. Its turn comes after those of the hosts that follow the store
 // and have a lower hash of host and service.
 func (c *coordinator) mayClaim(o rollout.Order, p *rollout.Progress, hosts []membership.Host) bool {
+	if !c.hasCaughtUp(time.Now()) {
+		return false
+	}
 	self := c.agent.cfg.Self.ID
 	rank, holderAlive := 0, false
 	ownHash := xxhash.Sum64String(string(self) + "\x00" + string(o.Service))
@@ -201,6 +226,15 @@
 	return time.Since(since) >= time.Duration(rank)*claimDelay
 }
 
+// hasCaughtUp reports whether this host knows what its neighbours know of the rollouts.
+// The store alone may have lost the end of one.
+func (c *coordinator) hasCaughtUp(now time.Time) bool {
+	if c.heardAt.IsZero() && !c.agent.gossip.LastReceived().IsZero() {
+		c.heardAt = now
+	}
+	return !c.heardAt.IsZero() && now.Sub(c.heardAt) >= catchUpDelay || now.Sub(c.started) >= soloDelay
+}
+
 // storeFollowers returns the hosts that follow the store for their data centre:
 // of the live hosts there that reach it, the one with the lowest hash. They
 // receive the orders first.
@@ -231,7 +265,7 @@
 // it writes is the fencing token.
 func (c *coordinator) claim(ctx context.Context, o seenOrder, p *rollout.Progress) {
 	key := rolloutTable + "/" + string(o.Service)
-	row, err := c.agent.cfg.Store.Get(ctx, key)
+	row, err := c.readRow(ctx, key)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		c.claimFailed(o.Service, err)
 		return
@@ -246,7 +280,9 @@
 			c.agent.cfg.Log.Error().Err(err).Str("row", key).Msg("rollout row cannot be read; writing it anew")
 		}
 		next.Epoch = old.Epoch + 1
-		if old.Revision == o.Revision {
+		// The order may be known by a revision of an earlier era.
+		next.Revision = c.agent.revisionOf(o.Order, &old.Progress)
+		if old.Revision == next.Revision {
 			if old.State.IsFinal() {
 				c.publish(old.Progress)
 				return
@@ -270,6 +306,7 @@
 		c.claimFailed(o.Service, err)
 		return
 	}
+	o.Revision = next.Revision
 	r := &activeRollout{order: o.Order, acceptedAt: acceptedAt, rowVersion: version, progress: next.Progress, tallies: make(map[mesh.HostID]*rollout.Tally)}
 	c.mu.Lock()
 	c.active[o.Service] = r
@@ -280,6 +317,19 @@
 	c.publish(next.Progress)
 }
 
+// revisionOf returns the revision of an order, which a progress read from the store may
+// name.
+func (a *Agent) revisionOf(o rollout.Order, stored *rollout.Progress) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if l := a.orders[o.Service]; l != nil {
+		if named, _, ok := l.Newest(stored); ok && named.To == o.To && stored.Revision == named.Revision {
+			return named.Revision
+		}
+	}
+	return o.Revision
+}
+
 // earlierAcceptance returns the earlier of acceptedAt and the time elapsedMs before
 // now. At least elapsedMs have passed since the order was accepted.
 func earlierAcceptance(acceptedAt time.Time, elapsedMs int64) time.Time {
@@ -297,6 +347,15 @@
 	c.orphanedSince[service] = time.Now().Add(writeBackoff)
 }
 
+// readRow reads a row of the rollout table.
+func (c *coordinator) readRow(ctx context.Context, key string) (platform.Row, error) {
+	row, err := c.agent.cfg.Store.Get(ctx, key)
+	if err == nil {
+		c.agent.history.observe(platform.EraOf(row.Version))
+	}
+	return row, err
+}
+
 // writeRow writes the rollout row and the operators' status row in one
 // transaction, on the condition that the rollout row has the given version. It
 // returns the row's new version. A write whose answer was lost is read back.
@@ -317,7 +376,7 @@
 		return 0, err
 	}
 	// The transaction's answer does not contain the row's new version.
-	readBack, readErr := c.agent.cfg.Store.Get(ctx, key)
+	readBack, readErr := c.readRow(ctx, key)
 	if readErr != nil {
 		return 0, errors.Join(err, readErr)
 	}
@@ -362,7 +421,7 @@
 		c.agent.addVeto(service, r.order.To, r.order.Revision, reason)
 	}
 	c.agent.mu.Lock()
-	evidence, vetoed := c.agent.vetoes[rolloutID{service, r.order.Revision}]
+	evidence, vetoed := c.agent.vetoOf(service, r.order.Revision)
 	c.agent.mu.Unlock()
 	next := r.progress
 	next.ElapsedMs = elapsed.Milliseconds()
@@ -419,7 +478,7 @@
 // store, written by another coordinator or by a write of this host whose answer
 // was lost.
 func (c *coordinator) publishStored(ctx context.Context, key string, revision uint64) {
-	row, err := c.agent.cfg.Store.Get(ctx, key)
+	row, err := c.readRow(ctx, key)
 	var stored rolloutRow
 	if err == nil {
 		err = json.Unmarshal(row.Value, &stored)
--- /dev/null
+++ b/internal/control/history.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	_ "embed"
+	"sync"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/chart"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/rollout"
+)
+
+// settleTime is how long after the era of the store has risen an order that nobody has
+// seen before is left alone. Operators write again at once what the store has lost.
+const settleTime = time.Second
+
+//go:embed history.toml
+var historyChartFile []byte
+
+const (
+	historyEraKnown   chart.Event = "era-known"
+	historyEraRisen   chart.Event = "era-risen"
+	historySettleOver chart.Event = "settle-time-over"
+
+	historySettle        chart.Action = "settle"
+	historyObserveOrders chart.Action = "observe-orders"
+
+	historySettling chart.State = "settling"
+)
+
+var historyChart = chart.MustLoad("history.toml", historyChartFile, chart.Vocabulary{
+	Events:  []chart.Event{historyEraKnown, historyEraRisen, historySettleOver},
+	Actions: []chart.Action{historySettle, historyObserveOrders},
+})
+
+// storeHistory is the state of the store's history on this node, as history.toml
+// defines it.
+type storeHistory struct {
+	agent *Agent
+
+	mu       sync.Mutex
+	state    chart.State
+	era      uint64                             // highest that this host has seen
+	unclear  map[mesh.ServiceName]rollout.Order // orders to be observed once the store has settled
+	settleAt *time.Timer
+}
+
+func newStoreHistory(a *Agent) *storeHistory {
+	return &storeHistory{agent: a, state: historyChart.Initial(), unclear: make(map[mesh.ServiceName]rollout.Order)}
+}
+
+// observe records an era that this host has read from the store.
+func (h *storeHistory) observe(era uint64) {
+	h.mu.Lock()
+	known := h.era
+	if era <= known {
+		h.mu.Unlock()
+		return
+	}
+	h.era = era
+	event := historyEraRisen
+	if known == 0 {
+		event = historyEraKnown
+	}
+	actions := h.fire(event)
+	h.mu.Unlock()
+	if event == historyEraRisen {
+		h.agent.count("store.restored")
+		h.agent.cfg.Log.Warn().Uint64("era", era).Uint64("era_before", known).Msg("store was restored from an older copy")
+	}
+	h.run(actions)
+}
+
+// fire applies an event to the chart and returns the actions to run; h.mu must be held.
+// The error of Next can be ignored: each state handles or ignores each event.
+func (h *storeHistory) fire(e chart.Event) []chart.Action {
+	next, err := historyChart.Next(h.state, e)
+	if err != nil {
+		return nil
+	}
+	h.state = next.To
+	return next.Actions
+}
+
+func (h *storeHistory) run(actions []chart.Action) {
+	for _, action := range actions {
+		switch action {
+		case historySettle:
+			h.startSettling()
+		case historyObserveOrders:
+			h.observeUnclear()
+		}
+	}
+}
+
+func (h *storeHistory) startSettling() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.settleAt != nil {
+		h.settleAt.Stop()
+	}
+	h.settleAt = time.AfterFunc(settleTime, func() {
+		h.mu.Lock()
+		actions := h.fire(historySettleOver)
+		h.mu.Unlock()
+		h.run(actions)
+	})
+}
+
+// hold keeps an order until the store has settled. It reports false when it has.
+func (h *storeHistory) hold(o rollout.Order) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state != historySettling {
+		return false
+	}
+	if old, ok := h.unclear[o.Service]; !ok || o.Revision > old.Revision {
+		h.unclear[o.Service] = o
+	}
+	return true
+}
+
+func (h *storeHistory) observeUnclear() {
+	h.mu.Lock()
+	orders := h.unclear
+	h.unclear = make(map[mesh.ServiceName]rollout.Order)
+	h.mu.Unlock()
+	for _, o := range orders {
+		h.agent.handleOrder(o)
+	}
+}
+
+func (h *storeHistory) settled() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state != historySettling
+}
--- /dev/null
+++ b/internal/control/restore_test.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
+	"nutmeghoist.example/nutmeghoist/pkg/platform/platformtest"
+	"nutmeghoist.example/nutmeghoist/pkg/rollout"
+)
+
+// restore takes the store away for a moment and brings it back from a copy. The
+// operators write again what they had written.
+func (m *testMesh) restore(c *platformtest.Copy, again ...[2]string) {
+	m.t.Helper()
+	m.store.SetFaults(platformtest.Faults{Down: true})
+	time.Sleep(time.Second)
+	m.store.Restore(c)
+	m.store.SetFaults(platformtest.Faults{})
+	for _, row := range again {
+		m.put(row[0], row[1])
+	}
+}
+
+// targetsOf returns a target of each version on a host, the first version the oldest.
+func targetsOf(id mesh.HostID, versions ...mesh.TargetVersion) []membership.Target {
+	var out []membership.Target
+	for i, v := range versions {
+		out = append(out, membership.Target{
+			ID: mesh.TargetID(string(id) + string(v)), Service: "orderdesk", Version: v, State: membership.TargetReady, Slots: 9,
+			ReadySince: time.Now().Add(time.Duration(i-len(versions)) * time.Minute),
+		})
+	}
+	return out
+}
+
+// fillVersions writes rows, so that the counter of the store rises.
+func (m *testMesh) fillVersions(n int) {
+	for i := range n {
+		m.put("other/row", fmt.Sprint(i))
+	}
+}
+
+// Guards against a configuration that is passed over after a restore, since its row has a
+// version that was given out before, and against an older one that the copy brings back,
+// also on a host that starts meanwhile.
+func TestConfigurationsAfterARestore(t *testing.T) {
+	const bound = 2 * time.Second
+	for name, cut := range map[string]int{"some hosts are cut from the store": 4, "all are": 9} {
+		meshTest(t, func(t *testing.T) {
+			m := startMesh(t)
+			defer m.stopAll()
+			time.Sleep(5 * time.Second)
+			copied := m.store.Copy()
+			m.fillVersions(30)
+			m.put("op/config", "5")
+			time.Sleep(bound)
+			m.wantVersion(5)
+			for _, id := range m.order[:cut] {
+				m.nodes[id].store.setUnavailable(true)
+			}
+			time.Sleep(feedWait + time.Second) // ends the calls in progress
+			if cut < 9 {
+				m.stopNode("h8")
+			}
+			m.restore(copied)
+			if cut < 9 {
+				m.start("h8", "west")
+			}
+			time.Sleep(bound)
+			m.wantVersion(5)
+			m.put("op/config", "5")
+			m.put("op/config", "6")
+			m.fillVersions(60)
+			for _, id := range m.order[:cut] {
+				m.nodes[id].store.setUnavailable(false)
+			}
+			time.Sleep(bound)
+			if late := m.hostsWithout(6); len(late) > 0 {
+				t.Errorf("%s: %v do not serve version 6", name, late)
+			}
+		})
+	}
+}
+
+// Guards against rollout orders of two histories that are mixed up: a new order that is
+// passed over, and one that is written again and starts a second rollout, which would
+// send calls to a version that was taken back.
+func TestOrdersAfterARestore(t *testing.T) {
+	orders := func(m *testMesh) map[mesh.HostID]rollout.Progress {
+		out := make(map[mesh.HostID]rollout.Progress)
+		for _, id := range m.order {
+			if s := m.nodes[id].Snapshot(); m.nodes[id].stop != nil && s.Services["orderdesk"].Rollout != nil {
+				out[id] = *s.Services["orderdesk"].Rollout
+			}
+		}
+		return out
+	}
+	meshTest(t, func(t *testing.T) {
+		m := startMesh(t)
+		defer m.stopAll()
+		for _, id := range m.order {
+			m.nodes[id].SetTargets(targetsOf(id, "v1"))
+		}
+		time.Sleep(5 * time.Second)
+		copied := m.store.Copy()
+		m.fillVersions(20)
+		for _, id := range m.order {
+			m.nodes[id].SetTargets(targetsOf(id, "v1", "v2"))
+		}
+		m.put("op/rollout/orderdesk", "v2 16")
+		m.sendCalls(8*time.Second, true)
+		if got := m.status(); got != "v2 rolled_back" {
+			t.Fatalf("the status is %q", got)
+		}
+		m.stopNode("h4")
+		m.restore(copied, [2]string{"op/rollout/orderdesk", "v2 16"})
+		m.start("h4", "south").SetTargets(targetsOf("h4", "v1", "v2"))
+		if n := m.sendCalls(8*time.Second, true); n > 0 {
+			t.Errorf("the version that was taken back got %d calls after the restore", n)
+		}
+		for id, p := range orders(m) {
+			if p.State != rollout.RolledBack {
+				t.Errorf("%s: %+v", id, p)
+			}
+		}
+		for _, id := range m.order {
+			m.nodes[id].SetTargets(targetsOf(id, "v1", "v3"))
+		}
+		m.put("op/rollout/orderdesk", "v3 16")
+		if row, err := m.store.Get(t.Context(), "op/rollout/orderdesk"); err != nil || platform.CounterOf(row.Version) > 20 {
+			t.Fatalf("the new order does not have a lower counter than the lost one: %+v, %v", row, err)
+		}
+		m.sendCalls(17*time.Second, false)
+		if got := m.status(); got != "v3 completed" {
+			t.Errorf("the status of the new order is %q", got)
+		}
+	})
+}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -60,7 +60,6 @@
 	// hosts' rows again, and hostsReadAt when it last read them.
 	rejoinDelay time.Duration
 	hostsReadAt time.Time
-	era         uint64 // of the store at the last answer
 }
 
 // storeLoop reads the store until the context ends. One host of each data centre
@@ -189,7 +188,7 @@
 	}
 	changes, err := f.agent.cfg.Store.Changes(ctx, f.agent.cfg.Codec.Table, f.version, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
-		f.agent.cfg.Log.Info().Str("table", f.agent.cfg.Codec.Table).Uint64("position", f.version).Uint64("era", f.agent.cfg.Store.Era()).
+		f.agent.cfg.Log.Info().Str("table", f.agent.cfg.Codec.Table).Uint64("position", platform.CounterOf(f.version)).Uint64("era", platform.EraOf(f.version)).
 			Msg("history of the store is gone; reading the table again")
 		f.version = 0
 		return f.readAll(ctx)
@@ -198,7 +197,8 @@
 		return err
 	}
 	if len(changes.Rows) > 0 {
-		f.agent.cfg.Log.Info().Uint64("after", f.version).Uint64("position", changes.Version).Uint64("era", f.agent.cfg.Store.Era()).Int("rows", len(changes.Rows)).Msg("changes of the store")
+		f.agent.cfg.Log.Info().Uint64("after", platform.CounterOf(f.version)).Uint64("position", platform.CounterOf(changes.Version)).
+			Uint64("era", platform.EraOf(changes.Version)).Int("rows", len(changes.Rows)).Msg("changes of the store")
 	}
 	f.version = changes.Version
 	for _, row := range changes.Rows {
@@ -225,10 +225,12 @@
 	if err != nil {
 		return err
 	}
+	f.agent.cfg.Log.Info().Str("table", f.agent.cfg.Codec.Table).Int("rows", len(rows)).Uint64("position", platform.CounterOf(version)).
+		Uint64("era", platform.EraOf(version)).Msg("table read")
+	f.agent.history.observe(platform.EraOf(version))
 	for _, row := range rows {
 		f.agent.cfg.Guard.Run("row", func() { f.agent.handleRow(row) })
 	}
-	f.agent.cfg.Log.Info().Str("table", f.agent.cfg.Codec.Table).Int("rows", len(rows)).Uint64("position", version).Uint64("era", f.agent.cfg.Store.Era()).Msg("table read")
 	f.version = version
 	return nil
 }
@@ -349,13 +351,6 @@
 
 // handleSuccess resets the back-off and marks this host as attached again.
 func (f *follower) handleSuccess() {
-	if era := f.agent.cfg.Store.Era(); era != f.era {
-		if f.era > 0 {
-			f.agent.count("store.restored")
-			f.agent.cfg.Log.Warn().Uint64("era", era).Uint64("era_before", f.era).Uint64("position", f.version).Msg("store was restored from an older copy")
-		}
-		f.era = era
-	}
 	if f.backoff == 0 {
 		return
 	}
