Write again what a restored store has lost of the system's own rows

After a restore nobody wrote again what the system itself had written: the state that operators had read of a rollout was gone from its row, a running rollout had no claim, and a host that started later found nobody, since the rows of the hosts were gone (TestOwnRowsAreWrittenAgainAfterARestore failed before: no status row, nine rows missing, a new host that knew 1 host of 10). Each of these had been written once and acknowledged, and was taken to be there for good.

Hosts announce the era that they have seen in their records. When it rises, the followers of the store check the rows of hosts, the coordinator claims its rollout anew at the share that it has, and a final state is written again if it is missing; Progress.StoredEra says in which era it was last found.

In the logs all hosts know of the new era 0.4 s after the first.

--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -30,6 +30,11 @@
 		if former, ok := a.members.Former(); ok && a.cfg.OnFormer != nil {
 			a.cfg.OnFormer(former)
 		}
+		for _, h := range a.members.Hosts() {
+			if h.StoreEra > 0 {
+				a.history.observe(h.StoreEra, string(h.ID))
+			}
+		}
 		built := time.Now()
 		a.buildSnapshot()
 		wake(a.coordinator.wakeup)
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -124,7 +124,14 @@
 	for _, o := range orders {
 		p := progress[o.Service]
 		if p != nil && (p.Revision > o.Revision || p.Revision == o.Revision && p.State.IsFinal()) {
-			c.drop(o.Service)
+			if p.Revision > o.Revision || p.StoredEra >= c.agent.history.newestEra() {
+				c.drop(o.Service)
+				continue
+			}
+			busy = true
+			if c.endActive(o.Service); c.mayClaim(o.Order, p, hosts) {
+				c.storeAgain(ctx, *p)
+			}
 			continue
 		}
 		busy = true
@@ -132,7 +139,13 @@
 			p = nil
 		}
 		if r := c.activeFor(o.Service, o.Revision); r != nil {
-			c.advance(ctx, r, p, hosts)
+			if platform.EraOf(r.rowVersion) >= c.agent.history.newestEra() {
+				c.advance(ctx, r, p, hosts)
+				continue
+			}
+			// The claim may be lost, and its row version means nothing any more.
+			c.drop(o.Service)
+			c.claim(ctx, o, p)
 			continue
 		}
 		if c.mayClaim(o.Order, p, hosts) {
@@ -181,6 +194,7 @@
 	return nil
 }
 
+// drop ends this host's work on a rollout.
 func (c *coordinator) drop(service mesh.ServiceName) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -188,6 +202,13 @@
 	delete(c.orphanedSince, service)
 }
 
+// endActive ends this host's coordination of a rollout that is over.
+func (c *coordinator) endActive(service mesh.ServiceName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.active, service)
+}
+
 // mayClaim reports whether it is this host's turn to claim a rollout that no live
 // host coordinates. Its turn comes after those of the hosts that follow the store
 // and have a lower hash of host and service.
@@ -284,7 +305,7 @@
 		next.Revision = c.agent.revisionOf(o.Order, &old.Progress)
 		if old.Revision == next.Revision {
 			if old.State.IsFinal() {
-				c.publish(old.Progress)
+				c.publishFinal(old.Progress, row.Version)
 				return
 			}
 			if h, ok := c.agent.members.Get(old.Holder); ok && old.Holder != c.agent.cfg.Self.ID && h.Status == membership.StatusAlive && !h.Detached {
@@ -351,7 +372,7 @@
 func (c *coordinator) readRow(ctx context.Context, key string) (platform.Row, error) {
 	row, err := c.agent.cfg.Store.Get(ctx, key)
 	if err == nil {
-		c.agent.history.observe(platform.EraOf(row.Version))
+		c.agent.history.observe(platform.EraOf(row.Version), "store")
 	}
 	return row, err
 }
@@ -456,10 +477,10 @@
 	}
 	next.Step++
 	key := rolloutTable + "/" + string(next.Service)
-	_, err := c.writeRow(ctx, key, r.rowVersion, rolloutRow{Progress: next, Nonce: rand.Uint64()})
+	version, err := c.writeRow(ctx, key, r.rowVersion, rolloutRow{Progress: next, Nonce: rand.Uint64()})
 	switch {
 	case err == nil:
-		c.publish(next)
+		c.publishFinal(next, version)
 		c.drop(next.Service)
 		c.agent.count("rollouts." + string(next.State))
 		c.agent.cfg.Log.Info().Str("service", string(next.Service)).Str("to", string(next.To)).Str("state", string(next.State)).
@@ -489,8 +510,41 @@
 		return
 	}
 	if stored.Revision == revision && stored.State.IsFinal() {
-		c.publish(stored.Progress)
+		c.publishFinal(stored.Progress, row.Version)
+	}
+}
+
+// publishFinal publishes a final state that the store holds in a row of the given
+// version.
+func (c *coordinator) publishFinal(p rollout.Progress, version uint64) {
+	p.StoredEra = platform.EraOf(version)
+	c.publish(p)
+}
+
+// storeAgain makes sure that a final state is in the store after a restore, and writes
+// it again if it is not: the operators read it there.
+func (c *coordinator) storeAgain(ctx context.Context, p rollout.Progress) {
+	key := rolloutTable + "/" + string(p.Service)
+	row, err := c.readRow(ctx, key)
+	var stored rolloutRow
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
+		c.claimFailed(p.Service, err)
+		return
+	case json.Unmarshal(row.Value, &stored) == nil && stored.Revision == p.Revision && stored.State == p.State:
+		c.publishFinal(p, row.Version)
+		return
+	}
+	version, err := c.writeRow(ctx, key, row.Version, rolloutRow{Progress: p, Nonce: rand.Uint64()})
+	if err != nil {
+		c.claimFailed(p.Service, err)
+		return
 	}
+	c.agent.count("rollouts.stored_again")
+	c.agent.cfg.Log.Info().Str("service", string(p.Service)).Str("to", string(p.To)).Str("state", string(p.State)).
+		Uint64("era", platform.EraOf(version)).Msg("final state of a rollout written again")
+	c.publishFinal(p, version)
 }
 
 // judge evaluates the counts of all hosts. It returns the evidence that the new
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/chart"
+	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/rollout"
 )
@@ -22,7 +23,10 @@
 	historyEraRisen   chart.Event = "era-risen"
 	historySettleOver chart.Event = "settle-time-over"
 
+	historyAnnounceEra   chart.Action = "announce-era"
 	historySettle        chart.Action = "settle"
+	historyCheckRows     chart.Action = "check-rows"
+	historyCheckRollouts chart.Action = "check-rollouts"
 	historyObserveOrders chart.Action = "observe-orders"
 
 	historySettling chart.State = "settling"
@@ -30,7 +34,7 @@
 
 var historyChart = chart.MustLoad("history.toml", historyChartFile, chart.Vocabulary{
 	Events:  []chart.Event{historyEraKnown, historyEraRisen, historySettleOver},
-	Actions: []chart.Action{historySettle, historyObserveOrders},
+	Actions: []chart.Action{historyAnnounceEra, historySettle, historyCheckRows, historyCheckRollouts, historyObserveOrders},
 })
 
 // storeHistory is the state of the store's history on this node, as history.toml
@@ -40,17 +44,20 @@
 
 	mu       sync.Mutex
 	state    chart.State
-	era      uint64                             // highest that this host has seen
+	era      uint64                             // highest that this host or another one has seen
 	unclear  map[mesh.ServiceName]rollout.Order // orders to be observed once the store has settled
 	settleAt *time.Timer
+	// rowsUnchecked means that the rows of hosts have not been read since the era rose.
+	rowsUnchecked bool
 }
 
 func newStoreHistory(a *Agent) *storeHistory {
 	return &storeHistory{agent: a, state: historyChart.Initial(), unclear: make(map[mesh.ServiceName]rollout.Order)}
 }
 
-// observe records an era that this host has read from the store.
-func (h *storeHistory) observe(era uint64) {
+// observe records an era that this host has read from the store or that another host
+// reports.
+func (h *storeHistory) observe(era uint64, from string) {
 	h.mu.Lock()
 	known := h.era
 	if era <= known {
@@ -66,9 +73,9 @@
 	h.mu.Unlock()
 	if event == historyEraRisen {
 		h.agent.count("store.restored")
-		h.agent.cfg.Log.Warn().Uint64("era", era).Uint64("era_before", known).Msg("store was restored from an older copy")
+		h.agent.cfg.Log.Warn().Uint64("era", era).Uint64("era_before", known).Str("from", from).Msg("store was restored from an older copy")
 	}
-	h.run(actions)
+	h.run(actions, era)
 }
 
 // fire applies an event to the chart and returns the actions to run; h.mu must be held.
@@ -82,17 +89,37 @@
 	return next.Actions
 }
 
-func (h *storeHistory) run(actions []chart.Action) {
+func (h *storeHistory) run(actions []chart.Action, era uint64) {
 	for _, action := range actions {
 		switch action {
+		case historyAnnounceEra:
+			h.announce(era)
 		case historySettle:
 			h.startSettling()
+		case historyCheckRows:
+			h.mu.Lock()
+			h.rowsUnchecked = true
+			h.mu.Unlock()
+		case historyCheckRollouts:
+			wake(h.agent.coordinator.wakeup)
 		case historyObserveOrders:
 			h.observeUnclear()
 		}
 	}
 }
 
+// announce tells the other hosts of an era, unless one of them has done so or it is the
+// first. Each change of a record costs all hosts.
+func (h *storeHistory) announce(era uint64) {
+	announced := uint64(1)
+	for _, host := range h.agent.members.Hosts() {
+		announced = max(announced, host.StoreEra)
+	}
+	if era > announced {
+		h.agent.members.UpdateSelf(func(self *membership.Host) { self.StoreEra = era })
+	}
+}
+
 func (h *storeHistory) startSettling() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -101,9 +128,9 @@
 	}
 	h.settleAt = time.AfterFunc(settleTime, func() {
 		h.mu.Lock()
-		actions := h.fire(historySettleOver)
+		actions, era := h.fire(historySettleOver), h.era
 		h.mu.Unlock()
-		h.run(actions)
+		h.run(actions, era)
 	})
 }
 
@@ -135,3 +162,19 @@
 	defer h.mu.Unlock()
 	return h.state != historySettling
 }
+
+func (h *storeHistory) newestEra() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.era
+}
+
+// takeRowsUnchecked reports whether the rows of hosts are to be checked, once for each
+// restore.
+func (h *storeHistory) takeRowsUnchecked() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	unchecked := h.rowsUnchecked
+	h.rowsUnchecked = false
+	return unchecked
+}
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -122,6 +123,9 @@
 		if n := m.sendCalls(8*time.Second, true); n > 0 {
 			t.Errorf("the version that was taken back got %d calls after the restore", n)
 		}
+		if got := m.status(); got != "v2 rolled_back" {
+			t.Errorf("the status after the restore is %q", got)
+		}
 		for id, p := range orders(m) {
 			if p.State != rollout.RolledBack {
 				t.Errorf("%s: %+v", id, p)
@@ -140,3 +144,47 @@
 		}
 	})
 }
+
+// Guards against what the system itself has written and the store has lost: the rows by
+// which hosts find each other, the claim of a rollout, and a final state that was
+// acknowledged.
+func TestOwnRowsAreWrittenAgainAfterARestore(t *testing.T) {
+	meshTest(t, func(t *testing.T) {
+		m := newMesh(t)
+		defer m.stopAll()
+		m.put("op/config", "1")
+		empty := m.store.Copy()
+		m.startAll()
+		for _, id := range m.order {
+			m.nodes[id].SetTargets(targetsOf(id, "v1", "v2"))
+		}
+		time.Sleep(6 * time.Second)
+		m.put("op/rollout/orderdesk", "v2 12")
+		m.sendCalls(4*time.Second, false)
+		running := *m.progress()
+		m.restore(empty, [2]string{"op/rollout/orderdesk", "v2 12"})
+		m.sendCalls(3*time.Second, false)
+		if got := m.status(); got != "v2 running" || m.progress().Revision != running.Revision || m.progress().Permille < running.Permille {
+			t.Errorf("after a restore during the rollout the status is %q, the progress %+v; before it %+v", got, m.progress(), running)
+		}
+		m.sendCalls(8*time.Second, false)
+		if got := m.status(); got != "v2 completed" {
+			t.Fatalf("the status is %q", got)
+		}
+		m.restore(empty, [2]string{"op/rollout/orderdesk", "v2 12"})
+		time.Sleep(4 * time.Second)
+		if got := m.status(); got != "v2 completed" {
+			t.Errorf("after a restore after the rollout the status is %q", got)
+		}
+		for _, id := range m.order {
+			if _, err := m.store.Get(t.Context(), hostTable+"/"+string(id)); errors.Is(err, platform.ErrNotFound) {
+				t.Errorf("the row of %s is missing", id)
+			}
+		}
+		late := m.start("late", "north")
+		time.Sleep(2 * time.Second)
+		if n := late.LiveHosts(); n != 10 {
+			t.Errorf("a host that starts after the restore knows %d hosts of 10", n)
+		}
+	})
+}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/pause"
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
 )
@@ -60,6 +61,9 @@
 	// hosts' rows again, and hostsReadAt when it last read them.
 	rejoinDelay time.Duration
 	hostsReadAt time.Time
+	// checkRows means that the rows of other hosts are to be checked at the next join,
+	// since the store was restored.
+	checkRows bool
 }
 
 // storeLoop reads the store until the context ends. One host of each data centre
@@ -71,6 +75,9 @@
 	for ctx.Err() == nil {
 		f.rejoinIfIsolated()
 		following := a.isStoreFollower()
+		if following && f.joined && a.history.takeRowsUnchecked() {
+			f.joined, f.checkRows = false, true
+		}
 		if wait := time.Until(nextBackup); !following && f.joined && wait > 0 {
 			if !a.awaitChange(ctx, min(wait, maxFollowerCheckPeriod)) {
 				return
@@ -227,7 +234,7 @@
 	}
 	f.agent.cfg.Log.Info().Str("table", f.agent.cfg.Codec.Table).Int("rows", len(rows)).Uint64("position", platform.CounterOf(version)).
 		Uint64("era", platform.EraOf(version)).Msg("table read")
-	f.agent.history.observe(platform.EraOf(version))
+	f.agent.history.observe(platform.EraOf(version), "store")
 	for _, row := range rows {
 		f.agent.cfg.Guard.Run("row", func() { f.agent.handleRow(row) })
 	}
@@ -267,17 +274,19 @@
 // join reads the rows of all hosts and writes the row of this host if it is
 // missing or out of date. Of two hosts that start at the same time, at least one
 // must see the other's row, so a host that saw none reads again after it has
-// written its own.
+// written its own. After a restore of the store it writes the rows of other hosts too.
 func (f *follower) join(ctx context.Context) error {
-	rowPresent := false
-	if !f.agent.cfg.FirstStart {
+	var rows map[mesh.HostID]hostRow
+	if !f.agent.cfg.FirstStart || f.checkRows {
 		var err error
-		if rowPresent, err = f.readHosts(ctx); err != nil {
+		if rows, err = f.readHosts(ctx); err != nil {
 			return err
 		}
 	}
+	self := f.agent.members.Self()
+	rowPresent := rows[self.ID].callAddress == self.CallAddress
 	if !rowPresent {
-		if err := f.writeOwnRow(ctx); err != nil {
+		if err := f.writeRow(ctx, &self); err != nil {
 			return err
 		}
 		if len(f.agent.members.Hosts()) == 1 {
@@ -286,23 +295,34 @@
 			}
 		}
 	}
+	if f.checkRows {
+		if err := f.restoreRows(ctx, rows); err != nil {
+			return err
+		}
+		f.checkRows = false
+	}
 	f.joined = true
 	f.agent.hostsLearned.Store(true)
 	f.agent.cfg.Log.Info().Int("hosts", len(f.agent.members.Hosts())).Bool("row_written", !rowPresent).Msg("joined through the store")
 	return nil
 }
 
-// readHosts merges the rows of all hosts into the host records, and reports
-// whether the row of this host exists with its present call address.
-func (f *follower) readHosts(ctx context.Context) (bool, error) {
-	rows, _, err := f.agent.cfg.Store.Rows(ctx, hostTable)
+// hostRow is what a follower needs to know of a host's row.
+type hostRow struct {
+	callAddress string
+	version     uint64
+}
+
+// readHosts merges the rows of all hosts into the host records and returns them.
+func (f *follower) readHosts(ctx context.Context) (map[mesh.HostID]hostRow, error) {
+	rows, version, err := f.agent.cfg.Store.Rows(ctx, hostTable)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
+	f.agent.history.observe(platform.EraOf(version), "store")
 	f.hostsReadAt = time.Now()
-	self := f.agent.members.Self()
 	var hosts []membership.Host
-	rowPresent := false
+	present := make(map[mesh.HostID]hostRow, len(rows))
 	for _, row := range rows {
 		var h membership.Host
 		if err := json.Unmarshal(row.Value, &h); err != nil || hostTable+"/"+string(h.ID) != row.Key {
@@ -310,19 +330,48 @@
 			f.agent.cfg.Log.Error().Str("row", row.Key).AnErr("cause", err).Msg("host row cannot be read")
 			continue
 		}
-		if h.ID == self.ID {
-			rowPresent = h.CallAddress == self.CallAddress
-		}
+		present[h.ID] = hostRow{h.CallAddress, row.Version}
 		hosts = append(hosts, h)
 	}
 	f.agent.members.Merge(hosts)
-	return rowPresent, nil
+	return present, nil
+}
+
+// restoreRows writes the rows of live hosts that the store has lost: those of this data
+// centre, and of data centres in which no host can reach the store. A host that starts
+// later finds the mesh by them.
+func (f *follower) restoreRows(ctx context.Context, rows map[mesh.HostID]hostRow) error {
+	hosts := f.agent.members.Hosts()
+	attached := make(map[mesh.DataCentre]bool)
+	for i := range hosts {
+		if hosts[i].Status == membership.StatusAlive && !hosts[i].Detached {
+			attached[hosts[i].DataCentre] = true
+		}
+	}
+	self := f.agent.cfg.Self
+	for i := range hosts {
+		h := &hosts[i]
+		if h.ID == self.ID || h.Status != membership.StatusAlive || rows[h.ID].callAddress == h.CallAddress ||
+			h.DataCentre != self.DataCentre && attached[h.DataCentre] {
+			continue
+		}
+		condition := platform.Condition{Key: hostTable + "/" + string(h.ID), Version: rows[h.ID].version}
+		err := f.writeRow(ctx, h, condition)
+		switch {
+		case errors.Is(err, platform.ErrConflict):
+			continue // the host or another one has written it
+		case err != nil:
+			return err
+		}
+		f.agent.count("hosts.rows_restored")
+		f.agent.cfg.Log.Info().Str("of", string(h.ID)).Msg("row of a host written again")
+	}
+	return nil
 }
 
-// writeOwnRow writes the row of this host. The row is the same at each attempt, so
-// a write whose answer was lost can be repeated.
-func (f *follower) writeOwnRow(ctx context.Context) error {
-	h := f.agent.members.Self()
+// writeRow writes the row of a host. The row is the same at each attempt, so a write
+// whose answer was lost can be repeated.
+func (f *follower) writeRow(ctx context.Context, h *membership.Host, conditions ...platform.Condition) error {
 	value, err := json.Marshal(membership.Host{
 		ID: h.ID, DataCentre: h.DataCentre, PeerAddress: h.PeerAddress, CallAddress: h.CallAddress,
 		Incarnation: h.Incarnation, Status: membership.StatusAlive,
@@ -330,7 +379,9 @@
 	if err != nil {
 		return err
 	}
-	return f.agent.cfg.Store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: hostTable + "/" + string(h.ID), Value: value}}})
+	return f.agent.cfg.Store.Commit(ctx, platform.Txn{
+		Conditions: conditions, Writes: []platform.Write{{Key: hostTable + "/" + string(h.ID), Value: value}},
+	})
 }
 
 // handleFailure marks this host as detached from the store and waits for the
--- a/pkg/membership/record.go
+++ b/pkg/membership/record.go
@@ -61,6 +61,9 @@
 	Rollouts []rollout.Progress `cbor:"9,keyasint,omitempty" json:"rollouts,omitempty"`
 	// Detached means that the host cannot reach the platform's store.
 	Detached bool `cbor:"10,keyasint,omitempty" json:"detached,omitempty"`
+	// StoreEra is the era of the platform's history that the host has seen; it rises
+	// when the platform is restored from an older copy.
+	StoreEra uint64 `cbor:"11,keyasint,omitempty" json:"store_era,omitempty"`
 }
 
 // HasLeavingTarget reports whether a target of the host is draining.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -45,17 +45,21 @@
 	// step. A new coordinator continues from it.
 	ElapsedMs int64       `cbor:"8,keyasint" json:"elapsed_ms"`
 	Holder    mesh.HostID `cbor:"9,keyasint" json:"holder"` // the coordinator
+	// StoredEra is the era of the platform's history in which a final state was last
+	// found or written in the platform's table.
+	StoredEra uint64 `cbor:"10,keyasint,omitempty" json:"-"`
 }
 
 // Compare orders the progress of one service's rollouts by the order's revision,
 // then by a final state, then by the coordinator's epoch and step. Of two final
-// states, the roll-back takes precedence.
+// states, the roll-back takes precedence, and then the era in which it is stored.
 func (p *Progress) Compare(o *Progress) int {
 	return cmp.Or(
 		cmp.Compare(p.Revision, o.Revision),
 		cmp.Compare(rank(p.State), rank(o.State)),
 		cmp.Compare(p.Epoch, o.Epoch),
 		cmp.Compare(p.Step, o.Step),
+		cmp.Compare(p.StoredEra, o.StoredEra),
 	)
 }
 
