Keep accepted revisions of nutmeghoistd through a restore of the platform

The next edit got the number of a lost revision, which the nodes are already at, and never came into force; a veto whose row had been written once was not written again.

A node whose head is newer than that of a restored platform writes it again, and forgets which vetoes are stored. An edit that was accepted on the restored history is not overwritten but reported. apply and check refuse while the platform is behind the node that they ask.

--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -108,11 +108,19 @@
 		return o, err
 	}
 	status, err := a.nodeStatus(ctx)
+	if err != nil {
+		return o, err
+	}
+	// Read after the node's status, so that an edit in between is not taken for a loss.
+	newestRevision, err := a.newestRevision(ctx)
 	switch {
 	case err != nil:
 		return o, err
 	case status == nil:
 		a.notef("no --node is set, so it was not checked which versions have targets")
+	case status.Head.Revision > newestRevision:
+		return o, fmt.Errorf("the platform is at revision %d, but the hosts are at revision %d: it was restored from an older copy, and the hosts write the lost revision again; nothing was accepted, try again in some seconds",
+			newestRevision, status.Head.Revision)
 	// No node can be ready before the first revision.
 	case !status.Ready && e.base.Revision > 0:
 		return o, fmt.Errorf("node %s is not ready and may not have all targets yet", a.Node)
@@ -125,6 +133,15 @@
 	return o, nil
 }
 
+// newestRevision returns the revision of the platform's head, 0 before the first.
+func (a *app) newestRevision(ctx context.Context) (uint64, error) {
+	head, err := a.source.Head(ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	return head.Revision, err
+}
+
 // vetoedBy returns a function that reports whether an attempt at a service
 // version is vetoed. A veto also applies to all earlier attempts.
 func vetoedBy(vetoes []source.Veto) func(mesh.ServiceName, mesh.TargetVersion, int) bool {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -133,6 +133,30 @@
 	b.run(exitOK, []string{"Usage"}, "--help")
 }
 
+// Guards against an edit that is accepted on a restored platform under a revision that
+// the hosts are already beyond, where it would never come into force.
+func TestApplyWaitsForARestoredPlatform(t *testing.T) {
+	b := newTestbed(t)
+	b.run(0, []string{"accepted as revision 1"}, "apply", "--base", "0", b.writeFile(initialRules))
+	lost := b.store.Copy()
+	b.run(0, []string{"accepted as revision 2"}, "apply", "--base", "1", b.writeFile(strings.Replace(initialRules, "orders\n", "orders first\n", 1)))
+	b.status.Head = b.head()
+	b.store.Restore(lost)
+	edited := b.writeFile(strings.Replace(initialRules, "menus\n", "new menus\n", 1))
+	b.run(1, []string{"platform is at revision 1, but the hosts are at revision 2", "nothing was accepted"}, "apply", "--base", "1", edited)
+	if got := b.head().Revision; got != 1 {
+		t.Errorf("the head is revision %d", got)
+	}
+	text, err := b.source.Text(t.Context(), b.status.Head.Hash)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if written, err := b.source.WriteAgain(t.Context(), b.status.Head, text); !written || err != nil {
+		t.Fatalf("written %v, %v", written, err)
+	}
+	b.run(0, []string{"accepted as revision 3"}, "apply", "--base", "2", edited)
+}
+
 // Guards against a lost update, and against a conflict that shows only one of
 // the edits.
 func TestApplyConflict(t *testing.T) {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -207,6 +207,9 @@
 		if err == nil {
 			err = n.adoptHead(ctx, head)
 		}
+		if err == nil || errors.Is(err, platform.ErrNotFound) {
+			n.repairPlatform(ctx, head)
+		}
 		cancel()
 		switch {
 		case err == nil:
@@ -222,6 +225,37 @@
 	}
 }
 
+// repairPlatform writes again what a restored platform has lost of what was accepted:
+// the vetoes, and a head that is newer than the one just read there (stored). Before the first
+// restore, an older head is a stale read.
+func (n *Node) repairPlatform(ctx context.Context, stored source.Head) {
+	era := n.table.Era()
+	if era <= platform.FirstEra {
+		return
+	}
+	n.storedVetoesMu.Lock()
+	if era > n.storedVetoesEra {
+		n.log.Warn().Uint64("era", era).Msg("platform was restored from an older copy")
+		n.storedVetoes, n.storedVetoesEra = map[source.VetoKey]bool{}, era
+	}
+	n.storedVetoesMu.Unlock()
+	head, text, ok := n.gossip.Head()
+	if !ok || head.Revision < stored.Revision || head.Token == stored.Token {
+		return
+	}
+	written, err := n.source.WriteAgain(ctx, head, text)
+	switch {
+	case errors.Is(err, source.ErrOtherHistory):
+		n.count("config.other_history")
+		n.log.Error().Err(err).Msg("accepted revisions conflict; apply the rules again until their revision is the highest")
+	case err != nil:
+		n.log.Debug().Err(err).Uint64("revision", head.Revision).Msg("head not written again yet")
+	case written:
+		n.count("config.written_again")
+		n.log.Warn().Uint64("revision", head.Revision).Msg("accepted revision written to the restored platform again")
+	}
+}
+
 func (n *Node) pollDelay() time.Duration {
 	live := 0
 	for _, h := range n.members.Hosts() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,8 @@
 
 	storedVetoesMu sync.Mutex
 	storedVetoes   map[source.VetoKey]bool // vetoes whose row exists in the store
+	// storedVetoesEra is the era of the platform's history to which storedVetoes applies.
+	storedVetoesEra uint64
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
@@ -96,8 +98,8 @@
 		vetoesChanged:  make(chan struct{}, 1),
 		targetsChanged: make(chan struct{}, 1),
 		pollNow:        make(chan struct{}, 1),
-		storedVetoes:   map[source.VetoKey]bool{},
-		rng:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		storedVetoes:   map[source.VetoKey]bool{}, storedVetoesEra: platform.FirstEra,
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	// The start time in milliseconds exceeds the incarnations of the host's
 	// earlier processes, unless its clock was set back. In that case the node
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -315,6 +315,36 @@
 	check(m.t, m.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "config/head", Value: old.Value}}}))
 }
 
+// Guards against an accepted revision that a restored platform has lost, so that the next
+// one gets its number and never comes into force, and against a veto that is lost.
+func TestAcceptedRevisionsOutliveARestoreOfThePlatform(t *testing.T) {
+	m := newTestMesh(t)
+	n := m.start(m.settings("host-a"))
+	for name, copyAfter := range map[string]int{"before the first revision": 0, "after the first revision": 1} {
+		var copied *platformtest.Copy
+		accepted := m.head.Revision
+		for i := range 3 {
+			if i == copyAfter {
+				copied = m.store.Copy()
+			}
+			m.acceptConfig(fmt.Sprintf("route GET /menus to orderdesk tray-%d # Oyuna: menus\n", i+1))
+		}
+		m.waitFor(activationBound, "revisions in force", func() bool { return n.activeVersion().Revision == accepted+3 })
+		n.publishVeto(source.Veto{Service: "orderdesk", Version: "tray-9", Attempt: int(accepted) + 1, Route: "GET /menus", Evidence: "errors", Host: "host-a", At: time.Now()})
+		vetoes := func() int { list, _ := m.source.Vetoes(t.Context()); return len(list) }
+		stored := int(accepted)/4 + 1
+		m.waitFor(activationBound, "veto stored", func() bool { return vetoes() == stored })
+		m.store.Restore(copied)
+		m.waitFor(activationBound, name+": head written again", func() bool {
+			head, err := m.source.Head(t.Context())
+			return err == nil && head.Hash == m.head.Hash && head.Revision == m.head.Revision
+		})
+		m.waitFor(activationBound, name+": vetoes stored again", func() bool { return vetoes() == stored })
+		m.acceptConfig("route GET /menus to orderdesk tray-9 # Oyuna: menus\n")
+		m.waitFor(activationBound, name+": the next revision in force", func() bool { return n.activeVersion().Revision == accepted+4 })
+	}
+}
+
 // Guards against activating a configuration before the floor is established, or
 // one below the floor.
 func TestNothingBelowTheFloorComesIntoForce(t *testing.T) {
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -83,6 +83,9 @@
 	// not hold. ErrOutcomeUnknown means that it may have taken effect, and ErrRestored,
 	// which comes with ErrConflict, that it did on a condition that another history met.
 	Commit(ctx context.Context, txn Txn) error
+	// Era returns the highest era of the platform's history that an answer has shown, 0
+	// before the first answer. It rises when the platform is restored from an older copy.
+	Era() uint64
 }
 
 // Change is a row that was written, or deleted when Removed is set.
--- a/pkg/platform/version.go
+++ b/pkg/platform/version.go
@@ -11,6 +11,8 @@
 	MaxEra = 1<<(64-eraShift) - 1
 	// MaxCounter is the highest counter that a version can hold.
 	MaxCounter = 1<<eraShift - 1
+	// FirstEra is the era of a platform that has never been restored.
+	FirstEra = 1
 )
 
 // ErrRestored means that the store was restored from an older copy between the read of
