Play restored stores in the soak

The store of the soak goes away for a moment at random times and comes back from a copy of 0.3 to 4.3 s before; the operator writes its newest configuration and its orders again. The soak checks that the final state of a rollout which operators have read is in the store at the end, beside the checks on configurations and bad versions.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -110,7 +110,7 @@
 // times, except faults of the given kinds.
 func (j *journal) hadFault(n *node, from, to time.Time, except map[string]bool) bool {
 	for _, f := range j.faults {
-		affectsAllNodes := f.kind == "store-down" || f.kind == "store-lost"
+		affectsAllNodes := f.kind == "store-down" || f.kind == "store-lost" || f.kind == "store-restored"
 		if except[f.kind] || !affectsAllNodes && f.node != n && f.other != n {
 			continue
 		}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -213,9 +213,7 @@
 	pause.For(ctx, time.Second)
 	key, value := platformwire.EncodeOrder(rollout.Order{Service: service, To: "v2", Within: rolloutTime})
 	began := time.Now()
-	for c.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: key, Value: value}}}) != nil && ctx.Err() == nil {
-		pause.For(ctx, 200*time.Millisecond)
-	}
+	c.config.putOrder(ctx, key, value)
 	state := rollout.Running
 	for time.Since(began) < 2*rolloutTime && !state.IsFinal() && ctx.Err() == nil {
 		pause.For(ctx, 50*time.Millisecond)
@@ -251,6 +249,7 @@
 	version uint64               // the newest acknowledged one
 	acked   map[uint64]time.Time // time of the acknowledgement of each version
 	written uint64               // the newest one that may have taken effect
+	orders  []platform.Write     // rollout orders that were written
 }
 
 func (c *configWriter) newestAcked() uint64 {
@@ -296,6 +295,32 @@
 	return nil
 }
 
+// putOrder writes a rollout order.
+func (c *configWriter) putOrder(ctx context.Context, key string, value []byte) {
+	order := platform.Write{Key: key, Value: value}
+	c.mu.Lock()
+	c.orders = append(c.orders, order)
+	c.mu.Unlock()
+	c.put(ctx, order)
+}
+
+// put repeats a write until the store has acknowledged it.
+func (c *configWriter) put(ctx context.Context, w platform.Write) {
+	for c.cluster.store.Commit(ctx, platform.Txn{Writes: []platform.Write{w}}) != nil && ctx.Err() == nil {
+		pause.For(ctx, 200*time.Millisecond)
+	}
+}
+
+// writeAgain writes the newest configuration and the orders to a restored store.
+func (c *configWriter) writeAgain(ctx context.Context) {
+	c.mu.Lock()
+	again := append([]platform.Write{{Key: platformwire.ConfigKey, Value: platformwire.EncodeConfig(buildConfig(c.version))}}, c.orders...)
+	c.mu.Unlock()
+	for _, w := range again {
+		c.put(ctx, w)
+	}
+}
+
 // addedRouteVersions is the range of versions that contain an added route.
 const addedRouteVersions = 40
 
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -22,4 +22,8 @@
 		Options: Options{Seed: 9000, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true},
 		Cause:   "targets that named a rate limit got as many calls as before",
 	},
+	{
+		Options: Options{Seed: 9101, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true, StoreRestores: true},
+		Cause:   "the final state of a rollout was lost with a restored store and not written again",
+	},
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,6 +33,8 @@
 	Slot     int           // 0 to 255; concurrent runs need different slots
 	// AnswerFaults adds targets that send bytes without end, or an answer twice.
 	AnswerFaults bool
+	// StoreRestores adds a store that comes back from older copies.
+	StoreRestores bool
 	// RateLimits adds targets that name a rate limit for some time.
 	RateLimits bool
 }
@@ -105,6 +107,9 @@
 	if o.AnswerFaults {
 		wg.Go(func() { c.injectAnswerFaults(ctx) })
 	}
+	if o.StoreRestores {
+		wg.Go(func() { c.injectRestores(ctx) })
+	}
 	if o.RateLimits {
 		wg.Go(func() { c.injectRateLimits(ctx) })
 	}
@@ -117,6 +122,7 @@
 	for _, n := range c.nodes {
 		n.checkMemory()
 	}
+	c.checkStatusRows(ctx)
 	violations := c.journal.check(healedAt.Add(recoveryTime), time.Now())
 	totals := c.journal.counts()
 	fmt.Fprintf(out, "seed=%d nodes=%d calls=%d answered=%d refused=%d unknown=%d runs=%d faults=%d broken=%d\n",
