Hand a rollout over when its coordinator cannot reach the store

A failed call of the coordinator now marks the host as detached, as a failed poll does, so that another one claims the rollout; the store loop finds out when the store can be reached again.

TestRollouts, case 'coordinator is cut from the store', failed before (no final state, all hosts still split the calls). TestFinalStateOutlivesItsCoordinatorAndARestore passes before too.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -79,6 +79,7 @@
 	// together; see SharingHosts.
 	sharingHosts atomic.Int64
 	hostsLearned atomic.Bool // from the store or from another host
+	storeDoubted atomic.Bool // see doubtStore
 
 	mu      sync.Mutex
 	config  *traffic.Config
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -533,6 +533,16 @@
 			m.stopNode(p.Holder)
 		}
 	}
+	// The coordinator does not follow the store when it is cut from it, since new hosts
+	// have come before it. Only its writes fail.
+	cutCoordinator := func(m *testMesh) {
+		holder := m.nodes[m.progress().Holder]
+		for i := 0; holder.isStoreFollower(); i++ {
+			m.start(mesh.HostID(fmt.Sprint("new", i)), holder.cfg.Self.DataCentre)
+			time.Sleep(time.Second)
+		}
+		holder.store.setUnavailable(true)
+	}
 	// Every host that has received the order dies. The host that takes over learns
 	// of the order late, and must not restart the rollout's time.
 	killFollowers := func(m *testMesh) {
@@ -550,13 +560,14 @@
 		injectFault func(m *testMesh) // a third into the rollout
 		want        string
 	}{
-		"good":                       {false, func(*testMesh) {}, "v2 completed"},
-		"bad":                        {true, func(*testMesh) {}, "v2 rolled_back"},
-		"good, coordinator dies":     {false, killCoordinator, "v2 completed"},
-		"good, followers die":        {false, killFollowers, "v2 completed"},
-		"bad, coordinator dies":      {true, killCoordinator, "v2 rolled_back"},
-		"good, store's answers lost": {false, func(m *testMesh) { m.store.SetFaults(platformtest.Faults{LoseAfter: 3}) }, "v2 completed"},
-		"good, store's writes lost":  {false, func(m *testMesh) { m.store.SetFaults(platformtest.Faults{LoseBefore: 3}) }, "v2 completed"},
+		"good":                   {false, func(*testMesh) {}, "v2 completed"},
+		"bad":                    {true, func(*testMesh) {}, "v2 rolled_back"},
+		"good, coordinator dies": {false, killCoordinator, "v2 completed"},
+		"good, followers die":    {false, killFollowers, "v2 completed"},
+		"good, coordinator is cut from the store": {false, cutCoordinator, "v2 completed"},
+		"bad, coordinator dies":                   {true, killCoordinator, "v2 rolled_back"},
+		"good, store's answers lost":              {false, func(m *testMesh) { m.store.SetFaults(platformtest.Faults{LoseAfter: 3}) }, "v2 completed"},
+		"good, store's writes lost":               {false, func(m *testMesh) { m.store.SetFaults(platformtest.Faults{LoseBefore: 3}) }, "v2 completed"},
 		"good, store down for a time": {false, func(m *testMesh) {
 			m.store.SetFaults(platformtest.Faults{Down: true})
 			time.AfterFunc(4*time.Second, func() { m.store.SetFaults(platformtest.Faults{}) })
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -361,6 +361,7 @@
 }
 
 func (c *coordinator) claimFailed(service mesh.ServiceName, err error) {
+	c.noteFailure(err)
 	c.agent.cfg.Log.Warn().Str("service", string(service)).Err(err).Msg("rollout not claimed")
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -377,6 +378,13 @@
 	return row, err
 }
 
+// noteFailure makes other hosts take over while this one cannot reach the store.
+func (c *coordinator) noteFailure(err error) {
+	if errors.Is(err, platform.ErrUnavailable) {
+		c.agent.doubtStore()
+	}
+}
+
 // writeRow writes the rollout row and the operators' status row in one
 // transaction, on the condition that the rollout row has the given version. It
 // returns the row's new version. A write whose answer was lost is read back.
@@ -490,6 +498,7 @@
 		c.drop(next.Service)
 		c.publishStored(ctx, key, next.Revision)
 	default:
+		c.noteFailure(err)
 		r.retryAt = time.Now().Add(writeBackoff)
 		c.agent.cfg.Log.Warn().Str("service", string(next.Service)).Err(err).Msg("rollout state not written")
 	}
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -188,3 +188,38 @@
 		}
 	})
 }
+
+// Guards against a final state that is lost for good when the host that wrote it is
+// started again, or is gone, at the moment of the restore.
+func TestFinalStateOutlivesItsCoordinatorAndARestore(t *testing.T) {
+	for name, startAgain := range map[string]bool{"coordinator starts again": true, "coordinator is gone": false} {
+		for _, want := range []string{"v2 rolled_back", "v2 completed"} {
+			meshTest(t, func(t *testing.T) {
+				m := startMesh(t)
+				defer m.stopAll()
+				for _, id := range m.order {
+					m.nodes[id].SetTargets(targetsOf(id, "v1", "v2"))
+				}
+				time.Sleep(5 * time.Second)
+				copied := m.store.Copy()
+				m.put("op/rollout/orderdesk", "v2 12")
+				m.sendCalls(11*time.Second, want == "v2 rolled_back")
+				if got := m.status(); got != want {
+					t.Fatalf("%s: the status is %q, want %q", name, got, want)
+				}
+				holder := m.progress().Holder
+				dc := m.nodes[holder].cfg.Self.DataCentre
+				m.restore(copied, [2]string{"op/rollout/orderdesk", "v2 12"})
+				m.stopNode(holder)
+				if startAgain {
+					time.Sleep(time.Second)
+					m.start(holder, dc).SetTargets(targetsOf(holder, "v1", "v2"))
+				}
+				time.Sleep(9 * time.Second)
+				if got := m.status(); got != want {
+					t.Errorf("%s: 9 s after the restore the status is %q, want %q", name, got, want)
+				}
+			})
+		}
+	}
+}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -74,6 +74,10 @@
 	nextBackup := time.Now()
 	for ctx.Err() == nil {
 		f.rejoinIfIsolated()
+		if a.storeDoubted.Swap(false) {
+			f.markLost(nil)
+			nextBackup = time.Now()
+		}
 		following := a.isStoreFollower()
 		if following && f.joined && a.history.takeRowsUnchecked() {
 			f.joined, f.checkRows = false, true
@@ -390,16 +394,30 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if f.backoff == 0 {
-		f.backoff = minBackoff
-		f.agent.cfg.Log.Warn().Err(err).Msg("store lost")
-		f.agent.setDetached(true)
-	}
+	f.markLost(err)
 	wait := f.backoff/2 + rand.N(f.backoff)
 	f.backoff = min(maxBackoff, 2*f.backoff)
 	pause.For(ctx, wait)
 }
 
+// markLost marks this host as detached from the store.
+func (f *follower) markLost(err error) {
+	if f.backoff > 0 {
+		return
+	}
+	f.backoff = minBackoff
+	f.agent.cfg.Log.Warn().Err(err).Msg("store lost")
+	f.agent.setDetached(true)
+}
+
+// doubtStore marks this host as detached after a call outside of storeLoop has failed,
+// so that another host can take over what needs the store. storeLoop finds out when the
+// store can be reached again.
+func (a *Agent) doubtStore() {
+	a.storeDoubted.Store(true)
+	a.setDetached(true)
+}
+
 // handleSuccess resets the back-off and marks this host as attached again.
 func (f *follower) handleSuccess() {
 	if f.backoff == 0 {
