Let two hosts of each data centre follow the store

Trace: sidecar-si-central-a-4, b-15 and c-22, the followers of the three data centres, were among the 15 of 72 hosts that were cut off at 21.37 s, silently. The configuration that was acknowledged at 21.92 s was read by nobody until 25.9 s: a silent long poll ends after 3.7 s, a silent host is suspected after 3 s, and the bound is 2.5 s. Other hosts could reach the store all the while.

Two hosts of each data centre follow the store now, so that all of them have to be cut off before nobody reads it.

TestConfigurationIsReadWhileFollowersAreCutOff failed before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,6 +1,6 @@
 // Package control maintains a node's state of the mesh: the configuration in
-// force, the other hosts and their targets, and the rollouts. One host of each
-// data centre follows the platform's store. The nodes gossip with each other, so
+// force, the other hosts and their targets, and the rollouts. Two hosts of each
+// data centre follow the platform's store. The nodes gossip with each other, so
 // that the mesh keeps working while the store is unavailable.
 package control
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -348,8 +348,8 @@
 	})
 }
 
-// Guards against store reads that grow with the number of hosts: only one host of
-// each data centre follows the store.
+// Guards against store reads that grow with the number of hosts: only two hosts of
+// each data centre follow the store.
 func TestFewHostsFollowTheStore(t *testing.T) {
 	meshTest(t, func(t *testing.T) {
 		m := startMesh(t)
@@ -363,6 +363,35 @@
 	})
 }
 
+// Guards against a configuration that nobody reads because the hosts that follow the
+// store in each data centre are cut off, and the others have not noticed yet.
+func TestConfigurationIsReadWhileFollowersAreCutOff(t *testing.T) {
+	meshTest(t, func(t *testing.T) {
+		m := startMesh(t)
+		defer m.stopAll()
+		time.Sleep(8 * time.Second)
+		first := make(map[mesh.DataCentre]mesh.HostID)
+		for _, id := range m.order {
+			if dc := m.nodes[id].cfg.Self.DataCentre; first[dc] == "" {
+				first[dc] = m.nodes[id].localHosts()[0].ID
+			}
+		}
+		cut := make(map[mesh.HostID]bool)
+		for _, id := range first {
+			cut[id] = true
+			m.nodes[id].store.setUnavailable(true)
+		}
+		m.net.SetImpairment(func(from, to mesh.HostID) memnet.Impairment { return memnet.Impairment{Lost: cut[from] || cut[to]} })
+		m.put("op/config", "2")
+		time.Sleep(2 * time.Second)
+		for _, id := range m.hostsWithout(2) {
+			if !cut[id] {
+				t.Errorf("%s does not serve version 2 although it can reach the store", id)
+			}
+		}
+	})
+}
+
 // Guards against all hosts of a data centre retrying an unavailable store, and
 // against a mesh that does not notice within two seconds that it is back.
 func TestFewHostsRetryAnUnavailableStore(t *testing.T) {
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -66,8 +66,8 @@
 	checkRows bool
 }
 
-// storeLoop reads the store until the context ends. One host of each data centre
-// follows the changes. The others receive them by gossip and read the store
+// storeLoop reads the store until the context ends. Two hosts of each data centre
+// follow the changes. The others receive them by gossip and read the store
 // rarely, as a backup.
 func (a *Agent) storeLoop(ctx context.Context) {
 	f := &follower{agent: a, rejoinDelay: minRejoinDelay}
@@ -160,8 +160,13 @@
 // retrying it.
 const maxDetached = 3
 
-// isStoreFollower reports whether this host follows the store: it is the first
-// host of its data centre that can reach it. While the store is unavailable, up
+// followersPerDataCentre is the number of hosts that follow the store in each data
+// centre. The others notice only after seconds that one of them has been cut off, and
+// changes must be read meanwhile.
+const followersPerDataCentre = 2
+
+// isStoreFollower reports whether this host follows the store: it is one of the first
+// hosts of its data centre that can reach it. While the store is unavailable, up
 // to maxDetached detached hosts keep retrying.
 func (a *Agent) isStoreFollower() bool {
 	self, detached := a.cfg.Self.ID, 0
@@ -174,7 +179,8 @@
 			}
 		}
 	}
-	return detached < maxDetached && (len(peers) == 0 || peers[0].ID == self)
+	first := peers[:min(len(peers), followersPerDataCentre)]
+	return detached < maxDetached && slices.ContainsFunc(first, func(h membership.Host) bool { return h.ID == self })
 }
 
 // poll reads the tables in full once, and then the changes. When the whole system
