Notice a restore of a store that named no era before

The first era that a host heard of counted as the start. Some stores name no era until they have been restored: a host that had read versions without one took the first named era for its start, and checked no rows of hosts.

TestEraThatAppearsLater failed before on 'named after the restore'.

--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -8,6 +8,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/chart"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/rollout"
 )
 
@@ -24,6 +25,7 @@
 	historySettleOver chart.Event = "settle-time-over"
 
 	historyAnnounceEra   chart.Action = "announce-era"
+	historyAnnounceLater chart.Action = "announce-later-era" // unless it is the first
 	historySettle        chart.Action = "settle"
 	historyCheckRows     chart.Action = "check-rows"
 	historyCheckRollouts chart.Action = "check-rollouts"
@@ -34,7 +36,7 @@
 
 var historyChart = chart.MustLoad("history.toml", historyChartFile, chart.Vocabulary{
 	Events:  []chart.Event{historyEraKnown, historyEraRisen, historySettleOver},
-	Actions: []chart.Action{historyAnnounceEra, historySettle, historyCheckRows, historyCheckRollouts, historyObserveOrders},
+	Actions: []chart.Action{historyAnnounceEra, historyAnnounceLater, historySettle, historyCheckRows, historyCheckRollouts, historyObserveOrders},
 })
 
 // storeHistory is the state of the store's history on this node, as history.toml
@@ -44,7 +46,8 @@
 
 	mu       sync.Mutex
 	state    chart.State
-	era      uint64                             // highest that this host or another one has seen
+	known    bool                               // era has been read, or heard of
+	era      uint64                             // highest that this host or another one has seen; 0 if the store names none
 	unclear  map[mesh.ServiceName]rollout.Order // orders to be observed once the store has settled
 	settleAt *time.Timer
 	// rowsUnchecked means that the rows of hosts have not been read since the era rose.
@@ -59,16 +62,15 @@
 // reports.
 func (h *storeHistory) observe(era uint64, from string) {
 	h.mu.Lock()
-	known := h.era
-	if era <= known {
+	known, event := h.era, historyEraRisen
+	switch {
+	case !h.known:
+		h.known, event = true, historyEraKnown
+	case era <= known:
 		h.mu.Unlock()
 		return
 	}
 	h.era = era
-	event := historyEraRisen
-	if known == 0 {
-		event = historyEraKnown
-	}
 	actions := h.fire(event)
 	h.mu.Unlock()
 	if event == historyEraRisen {
@@ -93,7 +95,9 @@
 	for _, action := range actions {
 		switch action {
 		case historyAnnounceEra:
-			h.announce(era)
+			h.announce(era, 0)
+		case historyAnnounceLater:
+			h.announce(era, platform.FirstEra)
 		case historySettle:
 			h.startSettling()
 		case historyCheckRows:
@@ -108,10 +112,9 @@
 	}
 }
 
-// announce tells the other hosts of an era, unless one of them has done so or it is the
-// first. Each change of a record costs all hosts.
-func (h *storeHistory) announce(era uint64) {
-	announced := uint64(1)
+// announce tells the other hosts of an era above announced, unless one of them has done
+// so. Each change of a record costs all hosts.
+func (h *storeHistory) announce(era, announced uint64) {
 	for _, host := range h.agent.members.Hosts() {
 		announced = max(announced, host.StoreEra)
 	}
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -223,3 +223,32 @@
 		}
 	}
 }
+
+// Guards against a restore that goes unnoticed since the store named no era before, and
+// against a start that is taken for one.
+func TestEraThatAppearsLater(t *testing.T) {
+	meshTest(t, func(t *testing.T) {
+		m := startMesh(t)
+		defer m.stopAll()
+		agent := m.nodes["h0"].Agent
+		for name, tc := range map[string]struct {
+			eras    []uint64
+			settled bool
+		}{
+			"first era": {[]uint64{1}, true}, "later era at the start": {[]uint64{3}, true}, "same era": {[]uint64{2, 2}, true},
+			"named after the restore": {[]uint64{0, 1}, false}, "risen": {[]uint64{1, 2}, false}, "an earlier answer": {[]uint64{2, 1}, true},
+		} {
+			h := newStoreHistory(agent)
+			for _, era := range tc.eras {
+				h.observe(era, "store")
+			}
+			if h.settled() != tc.settled {
+				t.Errorf("%s: settled is %v", name, h.settled())
+			}
+			time.Sleep(2 * settleTime)
+			if !h.settled() {
+				t.Errorf("%s: not settled after the settle time", name)
+			}
+		}
+	})
+}
