Recognize an order that is written again although the copy holds it

Operators saw a rollout that they had read as completed run once more. An order was recognized once in each era, so that the second row counted as a new order of the same version.

Until the store has settled, a second after its era has risen, any row with the content of the newest order is that order. An order that repeats it later in the era is new as before.

--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -26,4 +26,8 @@
 		Options: Options{Seed: 9101, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true, StoreRestores: true},
 		Cause:   "the final state of a rollout was lost with a restored store and not written again",
 	},
+	{
+		Options: Options{Seed: 9213, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true, StoreRestores: true},
+		Cause:   "an order that a restored store held and that was written again all the same was taken for a new one",
+	},
 }
--- a/pkg/rollout/orders.go
+++ b/pkg/rollout/orders.go
@@ -48,18 +48,21 @@
 // Observe applies an order that was read from its row. In an era in which the newest
 // order has not been recognized yet, a row with the same content is that order, and one
 // with the content of an earlier order comes from the copy. Another one is new once the
-// platform has settled: until then the operators may still write again what was lost.
+// platform has settled: until then the operators may still write again what was lost,
+// and also what the copy holds.
 func (l *OrderLog) Observe(o Order, settled bool, now time.Time) Verdict {
 	if o.Revision <= l.seen {
 		return OrderKnown
 	}
-	if era := platform.EraOf(o.Revision); l.seen > 0 && era > l.era {
+	era := platform.EraOf(o.Revision)
+	if l.seen > 0 && (era > l.era || !settled) && o.content() == l.newest.content() {
+		l.seen, l.era = o.Revision, era
+		l.aliases = append(l.aliases, o.Revision)
+		l.aliases = l.aliases[max(0, len(l.aliases)-maxEarlierOrders):]
+		return OrderKnown
+	}
+	if l.seen > 0 && era > l.era {
 		switch {
-		case o.content() == l.newest.content():
-			l.seen, l.era = o.Revision, era
-			l.aliases = append(l.aliases, o.Revision)
-			l.aliases = l.aliases[max(0, len(l.aliases)-maxEarlierOrders):]
-			return OrderKnown
 		case slices.Contains(l.earlier, o.content()):
 			l.seen = o.Revision
 			return OrderKnown
@@ -70,11 +73,11 @@
 	if l.seen > 0 {
 		l.earlier = append([]content{l.newest.content()}, l.earlier...)
 		l.earlier = l.earlier[:min(len(l.earlier), maxEarlierOrders)]
-		if l.before > 0 || platform.EraOf(l.newest.Revision) < platform.EraOf(o.Revision) {
+		if l.before > 0 || platform.EraOf(l.newest.Revision) < era {
 			l.before = l.newest.Revision
 		}
 	}
-	l.newest, l.at, l.seen, l.era, l.aliases = o, now, o.Revision, platform.EraOf(o.Revision), nil
+	l.newest, l.at, l.seen, l.era, l.aliases = o, now, o.Revision, era, nil
 	return OrderNew
 }
 
--- a/pkg/rollout/orders_test.go
+++ b/pkg/rollout/orders_test.go
@@ -28,6 +28,8 @@
 		"written again lower":               {first, {"v2", at(2, 12), false, OrderKnown, at(1, 28)}},
 		"written again higher":              {first, {"v2", at(2, 90), true, OrderKnown, at(1, 28)}},
 		"unchanged in the copy":             {first, {"v2", at(2, 28), false, OrderKnown, at(1, 28)}},
+		"copied, and written again":         {first, {"v2", at(2, 28), false, OrderKnown, at(1, 28)}, {"v2", at(2, 30), false, OrderKnown, at(1, 28)}, {"v2", at(2, 44), true, OrderNew, at(2, 44)}},
+		"copied, and written again twice":   {first, {"v2", at(2, 28), false, OrderKnown, at(1, 28)}, {"v2", at(2, 30), false, OrderKnown, at(1, 28)}, {"v2", at(3, 30), false, OrderKnown, at(1, 28)}, {"v2", at(3, 31), false, OrderKnown, at(1, 28)}},
 		"written again in two eras":         {first, {"v2", at(2, 12), true, OrderKnown, at(1, 28)}, {"v2", at(3, 5), true, OrderKnown, at(1, 28)}},
 		"new after the restore":             {first, {"v2", at(2, 12), true, OrderKnown, at(1, 28)}, {"v3", at(2, 13), true, OrderNew, at(2, 13)}},
 		"the same version ordered anew":     {first, {"v2", at(2, 12), true, OrderKnown, at(1, 28)}, {"v2", at(2, 20), true, OrderNew, at(2, 20)}},
