Do not wait for a coordinator that a restored store still names

The store had come back with the claim of an earlier coordinator, whose host had been started again meanwhile and coordinated nothing. The coordinator in force claimed anew, read the row, found that another live host held the rollout, and went on waiting for it, until that host was killed; all others left it to the coordinator in force.

A row can be ahead of what gossip has told, so that a claim in it is respected. It is not when it is older than the progress that is known: then it comes from the copy.

--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -308,8 +308,7 @@
 				c.publishFinal(old.Progress, row.Version)
 				return
 			}
-			if h, ok := c.agent.members.Get(old.Holder); ok && old.Holder != c.agent.cfg.Self.ID && h.Status == membership.StatusAlive && !h.Detached {
-				// That host's progress has not arrived here by gossip yet.
+			if c.isClaimInForce(&old, p) {
 				c.claimFailed(o.Service, errCoordinated)
 				return
 			}
@@ -338,6 +337,17 @@
 	c.publish(next.Progress)
 }
 
+// isClaimInForce reports whether the host that a row names coordinates the rollout,
+// although its progress has not arrived here by gossip yet. A row that is not newer than
+// the known progress comes from a copy of the store.
+func (c *coordinator) isClaimInForce(row *rolloutRow, known *rollout.Progress) bool {
+	if row.Holder == c.agent.cfg.Self.ID || known != nil && row.Epoch <= known.Epoch {
+		return false
+	}
+	h, ok := c.agent.members.Get(row.Holder)
+	return ok && h.Status == membership.StatusAlive && !h.Detached
+}
+
 // revisionOf returns the revision of an order, which a progress read from the store may
 // name.
 func (a *Agent) revisionOf(o rollout.Order, stored *rollout.Progress) uint64 {
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -189,6 +189,35 @@
 	})
 }
 
+// Guards against a rollout without a coordinator: the store comes back with the claim of
+// an earlier one, whose host has been started again since and coordinates nothing.
+func TestClaimOfAnEarlierCoordinatorAfterARestore(t *testing.T) {
+	meshTest(t, func(t *testing.T) {
+		m := startMesh(t)
+		defer m.stopAll()
+		for _, id := range m.order {
+			m.nodes[id].SetTargets(targetsOf(id, "v1", "v2"))
+		}
+		time.Sleep(5 * time.Second)
+		m.put("op/rollout/orderdesk", "v2 60")
+		m.sendCalls(5*time.Second, false)
+		copied, first := m.store.Copy(), m.progress().Holder
+		m.stopNode(first)
+		m.sendCalls(10*time.Second, false)
+		second := *m.progress()
+		if second.Holder == first {
+			t.Fatalf("%s still coordinates", first)
+		}
+		m.start(first, m.nodes[first].cfg.Self.DataCentre).SetTargets(targetsOf(first, "v1", "v2"))
+		m.sendCalls(5*time.Second, false)
+		m.restore(copied)
+		m.sendCalls(3*time.Second, false)
+		if p := m.progress(); p.Epoch <= second.Epoch {
+			t.Errorf("nobody has claimed the rollout since the restore: %+v, before it %+v", p, second)
+		}
+	})
+}
+
 // Guards against a final state that is lost for good when the host that wrote it is
 // started again, or is gone, at the moment of the restore.
 func TestFinalStateOutlivesItsCoordinatorAndARestore(t *testing.T) {
