Watch a late rollout at the full share, with counts

The coordinator had changed twice within 0.2 s, since the store had been restored. A new one starts with no counts of the hosts, and raised the share at once; and from 95% of its time on a rollout completed as soon as it had the full share, which for a late one is a tenth of a second.

A coordinator that has claimed a rollout keeps a share above zero, and completes nothing, for MinStageTime, in which the hosts' counts arrive. The full share is watched for 12% of the rollout's time, as on schedule; MinStageTime is enough only when the rollout would be late otherwise. A rollout that is late already has no reason to hurry.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -640,6 +640,41 @@
 	}
 }
 
+// Guards against a bad version that is completed because nobody has watched it at the
+// full share: the rollout had no coordinator until its time was over, and hurries.
+func TestLateRolloutIsWatchedAtTheFullShare(t *testing.T) {
+	meshTest(t, func(t *testing.T) {
+		m := startMesh(t)
+		defer m.stopAll()
+		for _, id := range m.order {
+			m.nodes[id].SetTargets(targetsOf(id, "v1", "v2"))
+		}
+		time.Sleep(5 * time.Second)
+		m.put("op/rollout/orderdesk", "v2 8")
+		time.Sleep(3 * time.Second)
+		m.store.SetFaults(platformtest.Faults{Down: true})
+		first := m.progress().Holder
+		m.stopNode(first)
+		time.Sleep(6 * time.Second)
+		m.store.SetFaults(platformtest.Faults{})
+		caller := m.nodes[m.order[0]]
+		if first == m.order[0] {
+			caller = m.nodes[m.order[1]]
+		}
+		failed := false // every second call of the new version, which gets calls only at the full share
+		for until := time.Now().Add(15 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+			service := caller.Snapshot().Services["orderdesk"]
+			isNew := service.Next != nil && service.Rollout.Permille == 1000
+			failed = isNew && !failed
+			caller.Observer().Begin(service, isNew)
+			caller.Observer().End(service, isNew, "menus", failed, 50*time.Millisecond)
+		}
+		if got := m.status(); got != "v2 rolled_back" {
+			t.Errorf("the status of the bad version is %q", got)
+		}
+	})
+}
+
 // Guards against a rollout row from which another process cannot continue.
 func TestRolloutRowRoundTrip(t *testing.T) {
 	in := rolloutRow{Progress: rollout.Progress{Service: "s", To: "v2", Revision: 3, Epoch: 2, Step: 1, Permille: 40, State: rollout.Running, ElapsedMs: 900, Holder: "h"}, Nonce: 7}
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -82,6 +82,7 @@
 	tallies        map[mesh.HostID]*rollout.Tally
 	history        rollout.History
 	shareChangedAt time.Time
+	claimedAt      time.Time
 	retryAt        time.Time // earliest time of the next write
 }
 
@@ -315,9 +316,11 @@
 			acceptedAt = earlierAcceptance(acceptedAt, old.ElapsedMs)
 		}
 	}
+	shareChangedAt := time.Now()
 	if p != nil {
 		next.Epoch = max(next.Epoch, p.Epoch+1)
 		next.Permille = p.Permille
+		shareChangedAt = c.stepsSeen[o.Service].at
 		acceptedAt = earlierAcceptance(acceptedAt, p.ElapsedMs+time.Since(c.stepsSeen[o.Service].at).Milliseconds())
 	}
 	next.ElapsedMs = time.Since(acceptedAt).Milliseconds()
@@ -327,7 +330,10 @@
 		return
 	}
 	o.Revision = next.Revision
-	r := &activeRollout{order: o.Order, acceptedAt: acceptedAt, rowVersion: version, progress: next.Progress, tallies: make(map[mesh.HostID]*rollout.Tally)}
+	r := &activeRollout{
+		order: o.Order, acceptedAt: acceptedAt, rowVersion: version, progress: next.Progress, tallies: make(map[mesh.HostID]*rollout.Tally),
+		shareChangedAt: shareChangedAt, claimedAt: time.Now(),
+	}
 	c.mu.Lock()
 	c.active[o.Service] = r
 	delete(c.orphanedSince, o.Service)
@@ -468,7 +474,9 @@
 	case vetoed:
 		next.State, next.Permille = rollout.RolledBack, 0
 		c.settle(ctx, r, next, evidence)
-	case !doubtful && r.progress.Permille == 1000 && rollout.MayComplete(&r.order, elapsed) && c.allConfirmed(r, hosts, elapsed):
+	case r.progress.Permille > 0 && time.Since(r.claimedAt) < rollout.MinStageTime:
+		// The hosts have not had the time to send their counts to this coordinator.
+	case !doubtful && r.progress.Permille == 1000 && rollout.MayComplete(&r.order, elapsed, time.Since(r.shareChangedAt)) && c.allConfirmed(r, hosts, elapsed):
 		next.State = rollout.Completed
 		c.settle(ctx, r, next, "")
 	default:
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -30,4 +30,8 @@
 		Options: Options{Seed: 9213, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true, StoreRestores: true},
 		Cause:   "an order that a restored store held and that was written again all the same was taken for a new one",
 	},
+	{
+		Options: Options{Seed: 9322, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true, StoreRestores: true},
+		Cause:   "a late rollout of a bad version was completed 0.1 s after its full share, by a coordinator that had no counts yet",
+	},
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -126,13 +126,25 @@
 	return current
 }
 
-// minCompletePart is the part of Order.Within after which a rollout may complete,
-// so that the version is watched at the full share.
-const minCompletePart = 0.80
+const (
+	// minCompletePart is the part of Order.Within after which a rollout may complete,
+	// and watchPart the part for which the version is watched at the full share.
+	minCompletePart = 0.80
+	watchPart       = 0.12
+	// hurryPart is the part of Order.Within from which MinStageTime is enough, since the
+	// rollout would be late otherwise. One that is late already does not hurry.
+	hurryPart = 0.95
+)
 
-// MayComplete reports whether the full share has been watched for long enough.
-func MayComplete(o *Order, elapsed time.Duration) bool {
-	return float64(elapsed) >= minCompletePart*float64(o.Within)
+// MayComplete reports whether the full share, which has been in force for inForce, has
+// been watched for long enough.
+func MayComplete(o *Order, elapsed, inForce time.Duration) bool {
+	part := float64(elapsed) / float64(max(o.Within, 1))
+	watch := time.Duration(watchPart * float64(o.Within))
+	if part >= hurryPart && part < 1 {
+		watch = min(watch, MinStageTime)
+	}
+	return part >= minCompletePart && inForce >= watch
 }
 
 // maxHoldPart is the part of Order.Within up to which a rollout may be on hold and
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -30,8 +30,30 @@
 	if total := exposed + 0.7/16; total > 0.1 {
 		t.Errorf("a bad version gets %.3f of the calls", total)
 	}
-	if !MayComplete(o, 13*time.Second) || full > 12*time.Second {
-		t.Errorf("full share at %s, complete at 13 s: %v", full, MayComplete(o, 13*time.Second))
+	if inForce := 13*time.Second - full; !MayComplete(o, 13*time.Second, inForce) || full > 12*time.Second {
+		t.Errorf("full share at %s, complete at 13 s: %v", full, MayComplete(o, 13*time.Second, inForce))
+	}
+}
+
+// Guards against a version that is completed without having been watched at the full
+// share, and against a rollout that is late although it could be in time.
+func TestMayComplete(t *testing.T) {
+	o := &Order{Within: 10 * time.Second}
+	for _, c := range []struct {
+		elapsed, inForce time.Duration
+		want             bool
+	}{
+		{7900 * time.Millisecond, 5 * time.Second, false},
+		{8100 * time.Millisecond, 1300 * time.Millisecond, true},
+		{8100 * time.Millisecond, 1100 * time.Millisecond, false},
+		{9600 * time.Millisecond, 500 * time.Millisecond, true},
+		{9600 * time.Millisecond, 100 * time.Millisecond, false},
+		{12 * time.Second, 500 * time.Millisecond, false},
+		{12 * time.Second, 1300 * time.Millisecond, true},
+	} {
+		if got := MayComplete(o, c.elapsed, c.inForce); got != c.want {
+			t.Errorf("after %s with the full share for %s: %v", c.elapsed, c.inForce, got)
+		}
 	}
 }
 
@@ -230,7 +252,7 @@
 		if h.Judge() != "" || doubtful && !MayHold(o, elapsed) {
 			return float64(exposed) / calls, true
 		}
-		if permille == 1000 && !doubtful && MayComplete(o, elapsed) {
+		if permille == 1000 && !doubtful && MayComplete(o, elapsed, elapsed-changed) {
 			return float64(exposed) / calls, false
 		}
 		if next := NextShare(o, permille, elapsed, elapsed-changed, doubtful); next != permille {
