Wait for the calls of the rate test before reading what they sent

The test read the calls that had been sent after two seconds of the simulated clock, without the lock, while nothing ordered the read after the last append. The fault is in the test alone: the race report names lines 91 and 102 of rate_test.go, not the limiter.

The test now waits until each call has ended; a call that never ends is found as well.

--- a/pkg/admission/rate_test.go
+++ b/pkg/admission/rate_test.go
@@ -74,6 +74,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			l := New(Config{Slots: 9, Connections: 9, FixedLimit: true, NamesRate: true})
 			l.TellRate(perSecond)
+			var calls sync.WaitGroup
 			var mu sync.Mutex
 			var sent []time.Time
 			begin := time.Now()
@@ -83,7 +84,7 @@
 					time.Sleep(2 * time.Second) // a pause of the process
 					pauseAt = 0
 				}
-				go func() {
+				calls.Go(func() {
 					if l.Admit(t.Context(), Request{Class: mesh.ClassNormal, Deadline: time.Now().Add(time.Second)}) != nil {
 						return
 					}
@@ -95,9 +96,9 @@
 					}
 					time.Sleep(service)
 					l.Release(Result{Answered: true, ServiceTime: service, Rate: named(perSecond)})
-				}()
+				})
 			}
-			time.Sleep(2 * time.Second)
+			calls.Wait()
 			first := 0
 			for last := range sent {
 				for sent[last].Sub(sent[first]) >= 4*time.Second {
