Tell a restarted host what had left although a newer record of it is queued

Seen: the restarted host got no record of its earlier process that names the leaving target, so that it could pass calls to that target until the first answer with the news.

Cause, from a trace of each link's first message: a link queues records by host, and the record of the peer's earlier process shared the entry with the peer's own new record. A newer record that came from another neighbour before the first frame replaced it. A peer that had become suspect meanwhile was sent the suspicion instead of its former record. The class of fault: a queue that keeps the newest version of an item held an item that is old on purpose.

The record of the earlier process now has its own place in the queue.

--- a/pkg/distribution/link.go
+++ b/pkg/distribution/link.go
@@ -80,13 +80,22 @@
 func (l *link) queueInitialState() {
 	g := l.g
 	hosts := []membership.Host{g.cfg.Members.Self()}
-	if h, ok := g.cfg.Members.GetRetained(l.peer); ok && (h.Status != membership.StatusAlive || h.HasLeavingTarget()) {
-		hosts = append(hosts, h)
-	} else if h, ok := g.cfg.Members.FormerOf(l.peer); ok {
-		hosts = append(hosts, h)
+	former, hasFormer := g.cfg.Members.FormerOf(l.peer)
+	if h, ok := g.cfg.Members.GetRetained(l.peer); ok {
+		if h.Status != membership.StatusAlive {
+			hosts = append(hosts, h)
+		}
+		if h.HasLeavingTarget() { // the peer may have been started again meanwhile
+			former, hasFormer = h, true
+		}
 	}
 	l.enqueueHosts(hosts)
-	l.enqueue(func(o *outbox) { o.heartbeat, o.head = true, true })
+	l.enqueue(func(o *outbox) {
+		o.heartbeat, o.head = true, true
+		if hasFormer {
+			o.former = &former
+		}
+	})
 }
 
 // readLoop handles the peer's frames until the link ends.
--- a/pkg/distribution/link_test.go
+++ b/pkg/distribution/link_test.go
@@ -147,3 +147,50 @@
 		})
 	}
 }
+
+// Guards against a host that is started again and is not told which of its targets
+// were leaving, because a newer record of it is sent instead.
+func TestNewerRecordDoesNotReplaceWhatLeft(t *testing.T) {
+	const peer = mesh.HostID("b")
+	old := membership.Host{ID: peer, DataCentre: "north", Status: membership.StatusAlive, Incarnation: 1, Sequence: 7, Targets: []membership.Target{{ID: "gone", State: membership.TargetDraining}}}
+	restarted := membership.Host{ID: peer, DataCentre: "north", Status: membership.StatusAlive, Incarnation: 2}
+	suspect, failed := restarted, old
+	suspect.Status, failed.Status, failed.Targets = membership.StatusSuspect, membership.StatusFailed, nil
+	for name, c := range map[string]struct {
+		before []membership.Host // known when the link opens
+		queued []membership.Host // before its first message
+	}{
+		"restart not yet known":     {before: []membership.Host{old}},
+		"restart known":             {before: []membership.Host{old, restarted}},
+		"restart known while open":  {before: []membership.Host{old}, queued: []membership.Host{restarted}},
+		"restarted and suspect":     {before: []membership.Host{old, restarted, suspect}},
+		"failed, then started":      {before: []membership.Host{old, failed, restarted}},
+		"failed and not yet known":  {before: []membership.Host{old, failed}},
+		"suspect when it is queued": {before: []membership.Host{old, restarted}, queued: []membership.Host{suspect}},
+	} {
+		table := membership.NewTable(membership.Host{ID: "a", DataCentre: "north"}, membership.Options{})
+		for _, h := range c.before {
+			table.Merge([]membership.Host{h})
+		}
+		g, err := New(Config{Members: table, Transport: newStubLink("", false), ActiveVersion: func() (v mesh.ConfigVersion) { return }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := &link{g: g, conn: newStubLink(peer, false), peer: peer, wakeup: make(chan struct{}, 1)}
+		l.queueInitialState()
+		l.enqueueHosts(c.queued)
+		told := false
+		for m := l.nextMessage(); m != nil; m = l.nextMessage() {
+			for _, raw := range m.Hosts {
+				h, err := decodeHost(raw)
+				if err != nil {
+					t.Fatal(err)
+				}
+				told = told || h.ID == peer && h.Incarnation == old.Incarnation && h.HasLeavingTarget()
+			}
+		}
+		if !told {
+			t.Errorf("%s: the peer is not told", name)
+		}
+	}
+}
--- a/pkg/distribution/outbox.go
+++ b/pkg/distribution/outbox.go
@@ -33,8 +33,11 @@
 	head      bool
 	ack       uint64
 	hosts     map[mesh.HostID]membership.Host
-	vetoes    map[source.VetoKey]source.Veto
-	repair    *repair // sent with the last records
+	// former is a record of an earlier process of the peer. It is not in hosts, where a
+	// newer record of the peer would replace it.
+	former *membership.Host
+	vetoes map[source.VetoKey]source.Veto
+	repair *repair // sent with the last records
 }
 
 func (l *link) enqueue(change func(*outbox)) {
@@ -75,7 +78,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := &l.out
-	return len(o.hosts) > 0 && !o.heartbeat && !o.head && o.ack == 0 && len(o.vetoes) == 0 && o.repair == nil
+	return (len(o.hosts) > 0 || o.former != nil) && !o.heartbeat && !o.head && o.ack == 0 && len(o.vetoes) == 0 && o.repair == nil
 }
 
 func sameRecord(a, b *membership.Host) bool {
@@ -109,7 +112,7 @@
 			delete(o.hosts, id)
 		}
 	}
-	if !o.heartbeat && !o.head && o.ack == 0 && len(o.hosts) == 0 && len(o.vetoes) == 0 && o.repair == nil {
+	if !o.heartbeat && !o.head && o.ack == 0 && len(o.hosts) == 0 && o.former == nil && len(o.vetoes) == 0 && o.repair == nil {
 		return nil
 	}
 	m := &message{Ack: o.ack}
@@ -138,17 +141,24 @@
 		m.Vetoes = append(m.Vetoes, v)
 		delete(o.vetoes, k)
 	}
+	add := func(h *membership.Host) {
+		raw, err := encMode().Marshal(h)
+		if err != nil {
+			return
+		}
+		size += len(raw)
+		m.Hosts = append(m.Hosts, cbor.RawMessage(raw))
+	}
+	if o.former != nil && size <= frameBudgetBytes {
+		add(o.former)
+		o.former = nil
+	}
 	for id, h := range o.hosts {
 		if size > frameBudgetBytes {
 			return false
 		}
-		raw, err := encMode().Marshal(&h)
 		delete(o.hosts, id)
-		if err != nil {
-			continue
-		}
-		size += len(raw)
-		m.Hosts = append(m.Hosts, cbor.RawMessage(raw))
+		add(&h)
 	}
-	return true
+	return o.former == nil
 }
