Do not count an attempt as failed that was abandoned for a hedge

An attempt was taken for abandoned when its own context had ended and the call's had not; but the call ends as soon as the hedge has succeeded, and the attempt looks at both later. The class of fault: a reason that is derived from state which goes on changing.

The attempt's context is now cancelled with its reason, and the attempt reads that. TestAbandonedAttemptIsNoFailure failed before (attempts failed [false true]) and passes; it would hang when run alone, as the first meter of a process starts a goroutine that never ends, so that one is made outside of the bubbles.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -355,8 +355,9 @@
 	started := time.Now()
 	resp := c.send(ctx, t, &r)
 	t.Stat.End()
-	// An attempt that was abandoned for another still counts with its duration.
-	abandoned := ctx.Err() != nil && c.ctx.Err() == nil
+	// An attempt that was abandoned for another still counts with its duration. The
+	// call may have ended by now.
+	abandoned := errors.Is(context.Cause(ctx), errAbandoned)
 	failed := resp.Outcome == hop.Unknown && !abandoned && c.callerCtx.Err() == nil ||
 		resp.Outcome == hop.Answered && resp.Status >= http.StatusInternalServerError
 	route := ""
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,11 +25,15 @@
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
 
+// The first meter starts a goroutine that never ends. It must not belong to a bubble.
+var _ = metrics.NewMeter()
+
 // scriptedOwner responds to the n-th call, from 0, as its script says.
 type scriptedOwner struct {
 	mu     sync.Mutex
 	calls  []hop.Request
 	script func(n int, r *hop.Request) *hop.Response
+	delay  time.Duration // until a cancelled call returns, as over a hop
 }
 
 func (o *scriptedOwner) Call(ctx context.Context, r *hop.Request) *hop.Response {
@@ -39,6 +44,7 @@
 	resp := o.script(n, r)
 	if resp == nil { // the target never responds
 		<-ctx.Done()
+		time.Sleep(o.delay)
 		return &hop.Response{Outcome: hop.Unknown, Reason: "cancelled", SentToTarget: true}
 	}
 	return resp
@@ -267,6 +273,54 @@
 	}
 }
 
+// attemptObserver records the attempts of a call, true for those that failed.
+type attemptObserver struct {
+	nopObserver
+	mu     sync.Mutex
+	failed []bool
+}
+
+func (o *attemptObserver) End(_ *view.Service, _ bool, _ string, failed bool, _ time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failed = append(o.failed, failed)
+}
+
+// Guards against an attempt that counts as a failure of its target's version because
+// it was cancelled after a hedge had succeeded and the call had ended.
+func TestAbandonedAttemptIsNoFailure(t *testing.T) {
+	for name, c := range map[string]struct {
+		hedgeAnswers bool
+		want         []bool
+	}{
+		"hedge succeeds":  {true, []bool{false, false}},
+		"neither answers": {false, []bool{true, true}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			owner := &scriptedOwner{delay: 5 * time.Millisecond, script: func(n int, r *hop.Request) *hop.Response {
+				if n == 1 && c.hedgeAnswers {
+					return successResponse(r)
+				}
+				return nil
+			}}
+			e, observer := newEntry(owner, 4), &attemptObserver{}
+			e.cfg.Observer = observer
+			for range 20 {
+				e.routes.record("menus", 40*time.Millisecond, 10)
+			}
+			r := requestFor("/menus/1")
+			r.Header.Set("Left-Ms", "900")
+			e.Handle(t.Context(), r)
+			time.Sleep(time.Second)
+			observer.mu.Lock()
+			defer observer.mu.Unlock()
+			if !slices.Equal(observer.failed, c.want) {
+				t.Errorf("%s: attempts failed %v, want %v", name, observer.failed, c.want)
+			}
+		})
+	}
+}
+
 // Guards against calls that are refused while a node that has just started has
 // no configuration or targets yet, against a wait longer than half of the
 // caller's timeout, and against a wait long after the start.
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -19,6 +20,9 @@
 	hedgeTimeFactor = 1.3
 )
 
+// errAbandoned is why an attempt is cancelled after another one has succeeded.
+var errAbandoned = errors.New("another attempt has succeeded")
+
 // attempt is a finished attempt at a target.
 type attempt struct {
 	target *routing.Candidate
@@ -60,8 +64,8 @@
 	if delay == 0 {
 		return t, c.callTarget(c.ctx, service, t, isNew)
 	}
-	ctx, cancel := context.WithCancel(c.ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(errAbandoned)
 	ended := make(chan attempt, 2)
 	run := func(t *routing.Candidate) { ended <- attempt{t, c.callTarget(ctx, service, t, isNew)} }
 	go run(t)
