Count abandoned attempts apart, as evidence against slow versions

Hedges hide how long its calls take, and until then the attempts that had been taken for failures made up for it.

Abandoned attempts are counted on their own now. A verdict compares failures, and failures together with abandoned attempts by a larger excess, since cold targets are abandoned more often; a share is held for failures alone.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -121,6 +121,13 @@
 	EncodeStatus: func(to mesh.TargetVersion, s rollout.State) []byte { return []byte(string(to) + " " + string(s)) },
 }
 
+func resultOf(failed bool) rollout.Result {
+	if failed {
+		return rollout.Failed
+	}
+	return rollout.Succeeded
+}
+
 func newMesh(t testing.TB) *testMesh {
 	return &testMesh{t: t, store: platformtest.NewWithRates(-1, -1), net: memnet.New(), nodes: make(map[mesh.HostID]*testNode), running: make(map[string]*Agent)}
 }
@@ -494,7 +501,7 @@
 			for i := range 5 {
 				isNew := service.Next != nil && service.Rollout.Permille > 0 && time.Now().UnixNano()/1e6*7919%1000+int64(i) < int64(service.Rollout.Permille)
 				n.Observer().Begin(service, isNew)
-				n.Observer().End(service, isNew, "menus", isNew && bad, 50*time.Millisecond)
+				n.Observer().End(service, isNew, "menus", resultOf(isNew && bad), 50*time.Millisecond)
 				if isNew {
 					newCalls++
 				}
@@ -667,7 +674,7 @@
 			isNew := service.Next != nil && service.Rollout.Permille == 1000
 			failed = isNew && !failed
 			caller.Observer().Begin(service, isNew)
-			caller.Observer().End(service, isNew, "menus", failed, 50*time.Millisecond)
+			caller.Observer().End(service, isNew, "menus", resultOf(failed), 50*time.Millisecond)
 		}
 		if got := m.status(); got != "v2 rolled_back" {
 			t.Errorf("the status of the bad version is %q", got)
--- a/internal/control/monitor.go
+++ b/internal/control/monitor.go
@@ -59,7 +59,7 @@
 
 // End counts the end of a call. route is empty when the outcome says nothing
 // about the target.
-func (m *RolloutMonitor) End(s *view.Service, isNew bool, route string, failed bool, took time.Duration) {
+func (m *RolloutMonitor) End(s *view.Service, isNew bool, route string, result rollout.Result, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !isNew {
@@ -74,7 +74,7 @@
 		m.tallies[s.Name] = t
 	}
 	if t.Revision == s.Revision {
-		t.Observe(route, isNew, failed, took)
+		t.Observe(route, isNew, result, took)
 	}
 }
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -21,6 +21,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/retry"
+	"nutmeghoist.example/nutmeghoist/pkg/rollout"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
@@ -73,7 +74,7 @@
 // target.
 type Observer interface {
 	Begin(s *view.Service, isNew bool)
-	End(s *view.Service, isNew bool, route string, failed bool, took time.Duration)
+	End(s *view.Service, isNew bool, route string, result rollout.Result, took time.Duration)
 }
 
 // Config holds the settings and dependencies of an Entry.
@@ -368,7 +369,14 @@
 	if took == 0 {
 		took = time.Since(started)
 	}
-	c.entry.cfg.Observer.End(service, isNew, route, failed, took)
+	result := rollout.Succeeded
+	switch {
+	case failed:
+		result = rollout.Failed
+	case abandoned:
+		result = rollout.Abandoned
+	}
+	c.entry.cfg.Observer.End(service, isNew, route, result, took)
 	if resp.Outcome == hop.Answered && resp.Status < http.StatusBadRequest {
 		c.entry.routes.record(c.route.Name, took, len(resp.Body))
 	}
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -54,8 +54,8 @@
 
 type nopObserver struct{}
 
-func (nopObserver) Begin(*view.Service, bool)                            {}
-func (nopObserver) End(*view.Service, bool, string, bool, time.Duration) {}
+func (nopObserver) Begin(*view.Service, bool)                                      {}
+func (nopObserver) End(*view.Service, bool, string, rollout.Result, time.Duration) {}
 
 const drainTime = 200 * time.Millisecond
 
@@ -273,17 +273,17 @@
 	}
 }
 
-// attemptObserver records the attempts of a call, true for those that failed.
+// attemptObserver records the results of the attempts of a call.
 type attemptObserver struct {
 	nopObserver
-	mu     sync.Mutex
-	failed []bool
+	mu      sync.Mutex
+	results []rollout.Result
 }
 
-func (o *attemptObserver) End(_ *view.Service, _ bool, _ string, failed bool, _ time.Duration) {
+func (o *attemptObserver) End(_ *view.Service, _ bool, _ string, result rollout.Result, _ time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.failed = append(o.failed, failed)
+	o.results = append(o.results, result)
 }
 
 // Guards against an attempt that counts as a failure of its target's version because
@@ -291,10 +291,10 @@
 func TestAbandonedAttemptIsNoFailure(t *testing.T) {
 	for name, c := range map[string]struct {
 		hedgeAnswers bool
-		want         []bool
+		want         []rollout.Result
 	}{
-		"hedge succeeds":  {true, []bool{false, false}},
-		"neither answers": {false, []bool{true, true}},
+		"hedge succeeds":  {true, []rollout.Result{rollout.Succeeded, rollout.Abandoned}},
+		"neither answers": {false, []rollout.Result{rollout.Failed, rollout.Failed}},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			owner := &scriptedOwner{delay: 5 * time.Millisecond, script: func(n int, r *hop.Request) *hop.Response {
@@ -314,8 +314,8 @@
 			time.Sleep(time.Second)
 			observer.mu.Lock()
 			defer observer.mu.Unlock()
-			if !slices.Equal(observer.failed, c.want) {
-				t.Errorf("%s: attempts failed %v, want %v", name, observer.failed, c.want)
+			if !slices.Equal(observer.results, c.want) {
+				t.Errorf("%s: results %v, want %v", name, observer.results, c.want)
 			}
 		})
 	}
--- a/pkg/rollout/history.go
+++ b/pkg/rollout/history.go
@@ -43,10 +43,13 @@
 
 // sub returns c-d, or c when a count of c is lower than in d.
 func (c Counts) sub(d Counts) Counts {
-	if c.Calls < d.Calls || c.Answers < d.Answers || c.Failed < d.Failed {
+	if c.Calls < d.Calls || c.Answers < d.Answers || c.Failed < d.Failed || c.Abandoned < d.Abandoned {
 		return c
 	}
-	return Counts{Calls: c.Calls - d.Calls, Failed: c.Failed - d.Failed, LogLatencySum: c.LogLatencySum - d.LogLatencySum, Answers: c.Answers - d.Answers}
+	return Counts{
+		Calls: c.Calls - d.Calls, Failed: c.Failed - d.Failed, Abandoned: c.Abandoned - d.Abandoned,
+		LogLatencySum: c.LogLatencySum - d.LogLatencySum, Answers: c.Answers - d.Answers,
+	}
 }
 
 // matchedCounts returns the counts of a route with the old version's counts
@@ -63,11 +66,12 @@
 		return total
 	}
 	rate := float64(total.Old.Failed) / float64(total.Old.Calls)
+	abandonedRate := float64(total.Old.Abandoned) / float64(total.Old.Calls)
 	meanLog := 0.0
 	if total.Old.Answers > 0 {
 		meanLog = total.Old.LogLatencySum / float64(total.Old.Answers)
 	}
-	var expectedFailed, logSum, inverseSample, sample float64
+	var expectedFailed, expectedAbandoned, logSum, inverseSample, sample float64
 	for _, w := range windows {
 		// When the old version has few calls in this window, the rates of the previous
 		// windows prevail.
@@ -77,10 +81,12 @@
 			continue
 		}
 		rate = (float64(w.Old.Failed) + carried*rate) / sample
+		abandonedRate = (float64(w.Old.Abandoned) + carried*abandonedRate) / sample
 		if answers := float64(w.Old.Answers) + carried; answers > 0 {
 			meanLog = (w.Old.LogLatencySum + carried*meanLog) / answers
 		}
 		expectedFailed += float64(w.New.Calls) * rate
+		expectedAbandoned += float64(w.New.Calls) * abandonedRate
 		logSum += float64(w.New.Answers) * meanLog
 		inverseSample += float64(w.New.Calls) / sample
 	}
@@ -92,7 +98,8 @@
 	}
 	out := VersionCounts{New: total.New}
 	out.Old.Calls = int64(n / inverseSample)
-	out.Old.Failed = int64(expectedFailed / n * n / inverseSample)
+	out.Old.Failed = int64(expectedFailed / inverseSample)
+	out.Old.Abandoned = int64(expectedAbandoned / inverseSample)
 	out.Old.Answers = min(total.Old.Answers, out.Old.Calls)
 	if total.New.Answers > 0 {
 		out.Old.LogLatencySum = logSum / float64(total.New.Answers) * float64(out.Old.Answers)
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -18,11 +18,25 @@
 	// in microseconds. A few slow calls hardly change its mean.
 	LogLatencySum float64 `cbor:"3,keyasint"`
 	Answers       int64   `cbor:"4,keyasint"` // number of answers in LogLatencySum
+	// Abandoned is the number of calls that were given up because a second attempt had
+	// an answer first. They have taken long, which cold targets do as well.
+	Abandoned int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Result is the result of a call for its target's version.
+type Result uint8
+
+// The results.
+const (
+	Succeeded Result = iota
+	Failed
+	Abandoned
+)
+
 func (c *Counts) add(d Counts) {
 	c.Calls += d.Calls
 	c.Failed += d.Failed
+	c.Abandoned += d.Abandoned
 	c.LogLatencySum += d.LogLatencySum
 	c.Answers += d.Answers
 }
@@ -48,11 +62,15 @@
 }
 
 // Observe adds one call.
-func (t *Tally) Observe(route string, isNew, failed bool, latency time.Duration) {
+func (t *Tally) Observe(route string, isNew bool, result Result, latency time.Duration) {
 	d := Counts{Calls: 1}
-	if failed {
+	switch result {
+	case Failed:
 		d.Failed = 1
-	} else if latency > 0 {
+	case Abandoned:
+		d.Abandoned = 1
+	}
+	if result != Failed && latency > 0 {
 		d.LogLatencySum, d.Answers = math.Log(float64(latency.Microseconds()+1)), 1
 	}
 	v := t.Routes[route]
@@ -84,6 +102,9 @@
 	// minExcessFailureRate is the least difference between the failure rates of a
 	// bad version and the old version.
 	minExcessFailureRate = 0.12
+	// minAbandonedExcess is the same for calls that fail or are abandoned. Calls to cold
+	// targets are abandoned more often than others.
+	minAbandonedExcess = 0.40
 	// minDoubtfulExcess is the same for a version that is held. A hold costs only time,
 	// while a share that is raised too early exposes many calls.
 	minDoubtfulExcess = 0.03
@@ -121,14 +142,14 @@
 		all.New.add(v.New)
 		all.Old.add(v.Old)
 	}
-	if evidence := all.judgeFailures(); evidence != "" {
+	if evidence := all.judgeEnds(); evidence != "" {
 		return "all routes: " + evidence
 	}
 	return ""
 }
 
 func (v *VersionCounts) judge() string {
-	if evidence := v.judgeFailures(); evidence != "" {
+	if evidence := v.judgeEnds(); evidence != "" {
 		return evidence
 	}
 	if v.New.Answers < minSlowAnswers || v.Old.Answers < minSlowAnswers {
@@ -152,12 +173,26 @@
 	return (rate + z2/(2*n) + z*math.Sqrt(rate*(1-rate)/n+z2/(4*n*n))) / (1 + z2/n)
 }
 
+// judgeEnds returns the evidence that too many calls to the new version fail, or fail or
+// are abandoned, or "". Calls that are abandoned hide how slow a version is.
+func (v *VersionCounts) judgeEnds() string {
+	if evidence := v.judgeFailures(minExcessFailureRate); evidence != "" {
+		return evidence
+	}
+	ends := *v
+	ends.New.Failed += v.New.Abandoned
+	ends.Old.Failed += v.Old.Abandoned
+	if evidence := ends.judgeFailures(minAbandonedExcess); evidence != "" {
+		return evidence + ", abandoned ones included"
+	}
+	return ""
+}
+
 // judgeFailures returns the evidence that the new version fails too often, or "".
 // It is a sequential likelihood ratio test: it compares the upper bound of the old
-// version's failure rate with a rate that is higher by minExcessFailureRate or
-// more.
-func (v *VersionCounts) judgeFailures() string {
-	if v.New.Failed < 3 || v.logLikelihoodRatio(wilsonUpperBound(float64(v.Old.Failed), float64(v.Old.Calls), wilsonZ), minExcessFailureRate) < math.Log(badVersionRatio) {
+// version's failure rate with a rate that is higher by minExcess or more.
+func (v *VersionCounts) judgeFailures(minExcess float64) string {
+	if v.New.Failed < 3 || v.logLikelihoodRatio(wilsonUpperBound(float64(v.Old.Failed), float64(v.Old.Calls), wilsonZ), minExcess) < math.Log(badVersionRatio) {
 		return ""
 	}
 	return fmt.Sprintf("%d of %d calls failed, of the old version %d of %d", v.New.Failed, v.New.Calls, v.Old.Failed, v.Old.Calls)
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -124,6 +124,18 @@
 	failRate    float64
 	meanLatency time.Duration
 	onlyRoute   string // "" means all
+	// abandonRate is the part of the calls that are given up for a second attempt.
+	abandonRate float64
+}
+
+func (v *version) result(rng *rand.Rand) Result {
+	switch x := rng.Float64(); {
+	case x < v.failRate:
+		return Failed
+	case x < v.failRate+v.abandonRate:
+		return Abandoned
+	}
+	return Succeeded
 }
 
 // simulate sends 200 calls a second to both versions until the new one is judged
@@ -147,7 +159,7 @@
 			}
 		}
 		took := time.Duration((0.4 + 1.2*rng.Float64()) * float64(b.meanLatency))
-		t.Observe(route, isNew, rng.Float64() < b.failRate, took)
+		t.Observe(route, isNew, b.result(rng), took)
 		now = now.Add(5 * time.Millisecond)
 		if i%20 == 0 {
 			h.Add(now, maps.Clone(t.Routes))
@@ -163,14 +175,16 @@
 // about good ones. A bad version may give 50 bad answers before its calls must
 // end; here it is judged within 60 calls on the routes on which it fails.
 func TestJudge(t *testing.T) {
-	good := version{failRate: 0.01, meanLatency: 60 * time.Millisecond}
+	good := version{failRate: 0.01, meanLatency: 60 * time.Millisecond, abandonRate: 0.02}
 	always := func(v version) func(float64) version { return func(float64) version { return v } }
 	flat := func(share float64) func(float64) float64 { return func(float64) float64 { return share } }
 	bad := map[string]version{
-		"errors":           {failRate: 0.3, meanLatency: 60 * time.Millisecond},
-		"many errors":      {failRate: 0.6, meanLatency: 60 * time.Millisecond},
-		"slow":             {failRate: 0.01, meanLatency: 480 * time.Millisecond},
-		"errors on orders": {failRate: 0.5, meanLatency: 60 * time.Millisecond, onlyRoute: "orders"},
+		"errors":      {failRate: 0.3, meanLatency: 60 * time.Millisecond},
+		"many errors": {failRate: 0.6, meanLatency: 60 * time.Millisecond},
+		"slow":        {failRate: 0.01, meanLatency: 480 * time.Millisecond},
+		// Second attempts hide how long the calls would have taken.
+		"slow and abandoned": {failRate: 0.01, meanLatency: 150 * time.Millisecond, abandonRate: 0.35},
+		"errors on orders":   {failRate: 0.5, meanLatency: 60 * time.Millisecond, onlyRoute: "orders"},
 	}
 	for name, v := range bad {
 		for seed := range uint64(40) {
@@ -179,7 +193,7 @@
 			}
 		}
 	}
-	cold := version{failRate: 0.01, meanLatency: 120 * time.Millisecond}
+	cold := version{failRate: 0.01, meanLatency: 120 * time.Millisecond, abandonRate: 0.06}
 	// Faults of other services that begin while the share rises.
 	failing := version{failRate: 0.4, meanLatency: 60 * time.Millisecond}
 	slow := version{failRate: 0.01, meanLatency: 400 * time.Millisecond}
@@ -243,7 +257,7 @@
 			exposed++
 			rate = v
 		}
-		tally.Observe([]string{"menus", "orders"}[i%2], isNew, rng.Float64() < rate, 60*time.Millisecond)
+		tally.Observe([]string{"menus", "orders"}[i%2], isNew, (&version{failRate: rate}).result(rng), 60*time.Millisecond)
 		if i%100 != 0 {
 			continue
 		}
