Serve the texts that newer ones have replaced

Configurations followed each other by 0.2 to 0.5 s; 70 hosts put each in force, si-central-a-21 and -c-20 none from version 12 or 23 to 36, while they served calls.

Cause: a host asks a neighbour for the text of the newest head that it knows. A neighbour kept the current text and what it had made of the one before, so that a host whose question takes longer than two heads is refused, asks for the next one, and is refused again. The class of fault: progress that is only made between two changes.

The last 16 texts are kept, at most 8 MB, and served in any form. TestFaults, 'a slow host gets no head while heads follow quickly', failed before (nothing active after 2.6 s) and passes. TestPreviousTextIsServed held that the text before the previous one is not served, which was the fault; TestReplacedTextsAreServed and TestReplacedTextsAreBoundedInSize replace it: all kept texts are served whole, the oldest beyond the bounds is not kept.

--- a/pkg/distribution/faults_test.go
+++ b/pkg/distribution/faults_test.go
@@ -63,6 +63,7 @@
 		"an activated head is lost when its host crashes":             crashAfterActivation,
 		"two hosts that dial each other at once keep reconnecting":    simultaneousDials,
 		"a reconnect storm makes live hosts suspects":                 reconnectStorm,
+		"a slow host gets no head while heads follow quickly":         quickHeads,
 		"hosts that start in two partitions stay apart after healing": partitionedStart,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -270,3 +271,20 @@
 		}
 	}
 }
+
+func quickHeads(m *testMesh) {
+	const inForce = 2500 * time.Millisecond // a change has to be in force after this time
+	m.startNodes(6, 1)
+	slow := m.ids[5]
+	m.update(func() { m.slow = map[mesh.HostID]time.Duration{slow: 150 * time.Millisecond} })
+	announced := make(map[uint64]time.Time)
+	for r := uint64(1); r <= 100; r++ {
+		m.announce(m.ids[0], r)
+		announced[r] = time.Now()
+		time.Sleep(100 * time.Millisecond)
+		if next := m.nodes[slow].active.Load() + 1; next <= r && time.Since(announced[next]) > inForce {
+			m.t.Errorf("revision %d is not active after %s, the newest is %d", next, time.Since(announced[next]), r)
+			return
+		}
+	}
+}
--- a/pkg/distribution/fetch_test.go
+++ b/pkg/distribution/fetch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -134,28 +135,45 @@
 	})
 }
 
-// Guards against a host that asks for a text just after its neighbour has received
-// the next one, and is refused.
-func TestPreviousTextIsServed(t *testing.T) {
+// Guards against a host that asks for a text after its neighbour has received newer
+// ones, and is refused, and against texts that are kept without bound.
+func TestReplacedTextsAreServed(t *testing.T) {
 	runEngine(t, nil, func(g *Gossip) {
-		texts := []string{"rules", "further rules", "last rules"}
-		for i, text := range texts {
-			if err := g.AnnounceHead(revision(uint64(i+1), text), []byte(text)); err != nil {
+		text := func(r int) string { return fmt.Sprintf("rules of revision %d", r) }
+		const newest = maxReplaced + 2
+		for r := 1; r <= newest; r++ {
+			if err := g.AnnounceHead(revision(uint64(r), text(r)), []byte(text(r))); err != nil {
 				t.Fatal(err)
 			}
-			if g.compressedText(revision(0, text).Hash, "") == nil {
-				t.Fatalf("revision %d is not served", i+1)
-			}
-		}
-		got, err := g.codec.decompressText(g.compressedText(revision(0, texts[1]).Hash, ""), nil)
-		if err != nil || string(got) != texts[1] {
-			t.Errorf("previous text: %q, %v", got, err)
-		}
-		if got := g.compressedText(revision(0, texts[0]).Hash, ""); got != nil {
-			t.Errorf("the text before is served: %q", got)
 		}
-		if got := g.compressedText(revision(0, texts[1]).Hash, "unknown"); got == nil {
-			t.Error("previous text is not served in full to a host with another text")
+		for r := 1; r <= newest; r++ {
+			for _, base := range []string{"", "unknown"} {
+				compressed := g.compressedText(revision(0, text(r)).Hash, base)
+				if r == 1 {
+					if compressed != nil {
+						t.Error("the oldest text is still kept")
+					}
+					continue
+				}
+				if got, err := g.codec.decompressText(compressed, nil); err != nil || string(got) != text(r) {
+					t.Errorf("revision %d with base %q: %q, %v", r, base, got, err)
+				}
+			}
 		}
 	})
 }
+
+// Guards against replaced texts that take all the memory.
+func TestReplacedTextsAreBoundedInSize(t *testing.T) {
+	var s headState
+	for range maxReplaced {
+		s.keepReplaced(&replacedText{text: make([]byte, maxReplacedBytes/4)})
+	}
+	if n := len(s.replaced); n != 4 {
+		t.Errorf("%d texts of a quarter of the bound are kept", n)
+	}
+	s.keepReplaced(&replacedText{text: make([]byte, maxReplacedBytes+1)})
+	if n := len(s.replaced); n != 1 {
+		t.Errorf("%d texts are kept beside one above the bound", n-1)
+	}
+}
--- a/pkg/distribution/heads.go
+++ b/pkg/distribution/heads.go
@@ -26,31 +26,39 @@
 	hasHead     bool
 	prevHash    string // hash of the previous text, which most neighbours hold
 	prevText    []byte
-	delta       []byte        // delta from prevText to text; made when first requested
-	served      servedText    // forms of the previous text
-	advertised  source.Head   // newest head advertised or accepted; its text may be missing
-	advertisers []*link       // links over which advertised was received
-	acked       chan struct{} // closed when a neighbour acknowledges a revision
+	delta       []byte          // delta from prevText to text; made when first requested
+	replaced    []*replacedText // the texts before, the last one first
+	advertised  source.Head     // newest head advertised or accepted; its text may be missing
+	advertisers []*link         // links over which advertised was received
+	acked       chan struct{}   // closed when a neighbour acknowledges a revision
 }
 
-// servedText holds the compressed forms of a text that was replaced, as far as they
-// were made. A neighbour may request it when the next text has already arrived.
-type servedText struct {
+// replacedText is a text that was replaced, with its compressed forms as far as they
+// were made. A slow neighbour may request it when newer ones have already arrived; if it
+// were refused, it would get no text while heads follow each other quickly.
+type replacedText struct {
 	hash, base  string // hashes of the text and of the one that delta refers to
+	text        []byte
 	full, delta []byte
 }
 
-// compressed returns the form that a neighbour with the given text can decode, or
-// nil.
-func (s *servedText) compressed(hash, base string) []byte {
-	switch {
-	case hash != s.hash:
-		return nil
-	case s.delta != nil && base == s.base:
-		return s.delta
-	default:
-		return s.full
+const (
+	// maxReplaced and maxReplacedBytes bound the replaced texts that are kept. The last
+	// one is always kept.
+	maxReplaced      = 16
+	maxReplacedBytes = 8 << 20
+)
+
+// keepReplaced adds a text to the replaced ones.
+func (s *headState) keepReplaced(r *replacedText) {
+	kept, size := []*replacedText{r}, len(r.text)
+	for _, old := range s.replaced {
+		if size += len(old.text); len(kept) == maxReplaced || size > maxReplacedBytes {
+			break
+		}
+		kept = append(kept, old)
 	}
+	s.replaced = kept
 }
 
 // Head returns the newest head whose text this host holds.
@@ -105,7 +113,9 @@
 // kept, so that it can be forwarded unchanged. The missing form is made when a
 // neighbour first requests it.
 func (s *headState) replaceText(result fetchResult) {
-	s.served = servedText{hash: s.head.Hash, base: s.prevHash, full: s.full, delta: s.delta}
+	if s.hasHead {
+		s.keepReplaced(&replacedText{hash: s.head.Hash, base: s.prevHash, text: s.text, full: s.full, delta: s.delta})
+	}
 	s.prevHash, s.prevText = s.head.Hash, s.text
 	s.text, s.full, s.delta = result.text, nil, nil
 	switch {
@@ -227,9 +237,9 @@
 	}
 }
 
-// compressedText returns the compressed form of the text with the given hash,
-// or nil if it is not the current text. The form is a delta when base is the
-// hash of the previous text.
+// compressedText returns the compressed form of the text with the given hash, or nil
+// if this host no longer keeps it. The form is a delta when base is the hash of the
+// text before and that one is at hand.
 func (g *Gossip) compressedText(hash, base string) []byte {
 	// An encoder takes megabytes, so simultaneous requests share one result.
 	g.compressMu.Lock()
@@ -238,7 +248,7 @@
 	s := g.heads
 	g.mu.Unlock()
 	if !s.hasHead || s.head.Hash != hash {
-		return s.served.compressed(hash, base)
+		return g.compressedReplaced(s.replaced, hash, base)
 	}
 	useDelta := base != "" && base == s.prevHash && s.prevText != nil
 	switch {
@@ -261,6 +271,23 @@
 	return compressed
 }
 
+// compressedReplaced is compressedText for a replaced text. g.compressMu must be held.
+func (g *Gossip) compressedReplaced(replaced []*replacedText, hash, base string) []byte {
+	for _, r := range replaced {
+		switch {
+		case r.hash != hash:
+		case r.delta != nil && base == r.base:
+			return r.delta
+		default:
+			if r.full == nil {
+				r.full = g.codec.compressText(r.text)
+			}
+			return r.full
+		}
+	}
+	return nil
+}
+
 // cacheCompressed stores a compressed form unless the text has changed
 // meanwhile.
 func (g *Gossip) cacheCompressed(hash string, compressed []byte) {
--- a/pkg/distribution/mesh_test.go
+++ b/pkg/distribution/mesh_test.go
@@ -65,6 +65,7 @@
 	partitioned func(a, b mesh.HostID) bool
 	lossRate    float64
 	maxDelay    time.Duration
+	slow        map[mesh.HostID]time.Duration // further delay of each message of a node
 	rng         *rand.Rand
 }
 
@@ -92,7 +93,7 @@
 	if m.down[from] || m.down[to] || m.partitioned != nil && m.partitioned(from, to) || m.rng.Float64() < m.lossRate {
 		return memnet.Impairment{Lost: true}
 	}
-	return memnet.Impairment{Delay: time.Duration(m.rng.Int64N(int64(m.maxDelay))) + 1}
+	return memnet.Impairment{Delay: time.Duration(m.rng.Int64N(int64(m.maxDelay))) + 1 + m.slow[from] + m.slow[to]}
 }
 
 func (m *testMesh) update(change func()) {
