Log which request a broken call was, and that its target has ended

The logs named the request ID, which is new at each attempt of a caller, so that nothing said that the same request was there each time; and nine broken connections could be nine lost answers.

A call now has a key of its method, host, path, caller and body. The line `target gave no answer` holds it. After a broken connection the node beside the target checks whether anything listens at its address; if not, it logs `target ended` with the calls that it ran. The connection of a check that finds a listener is kept for a call. Nothing is decided by either yet.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/internal/bounded"
@@ -23,6 +24,9 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
+	// listenCheckTimeout bounds a check whether the target listens, which the response
+	// to a call waits for.
+	listenCheckTimeout = 100 * time.Millisecond
 	// responseGrace is how long after the deadline a late response of the target
 	// is still accepted.
 	responseGrace = 50 * time.Millisecond
@@ -208,6 +212,18 @@
 	return &targetConn{Conn: raw, input: input, r: bufio.NewReaderSize(input, 4<<10), idleTimeout: maxIdleTime}, nil
 }
 
+// Listening reports whether something accepts connections at the target's address, or
+// whether that cannot be told. The connection that it opens is kept for a call.
+func (c *Client) Listening(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listenCheckTimeout)
+	defer cancel()
+	conn, err := c.dial(ctx)
+	if err == nil {
+		c.putIdle(conn)
+	}
+	return !errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (c *Client) putIdle(conn *targetConn) {
 	if conn.SetDeadline(time.Time{}) != nil {
 		_ = conn.Close() // it carries no call
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -59,7 +59,7 @@
 	resp.ServiceUs = took.Microseconds()
 	if res.Kind != exchange.Answered {
 		o.count("target." + string(res.Reason))
-		o.cfg.Log.Info().Str("id", r.ID).Str("target", string(r.Target)).Str("route", r.Route).Str("reason", string(res.Reason)).
+		o.cfg.Log.Info().Str("id", r.ID).Str("request", keyOf(r).String()).Str("target", string(r.Target)).Str("route", r.Route).Str("reason", string(res.Reason)).
 			Bool("sent", res.Sent).Dur("took", took).Dur("left", time.Until(deadline)).AnErr("cause", res.Err).Msg("target gave no answer")
 	}
 	return o.withLoad(t, resp)
@@ -94,6 +94,9 @@
 		},
 	})
 	o.observe(t, r.ID, &res)
+	if res.Reason == exchange.ConnectionBroken {
+		o.checkEnded(ctx, t)
+	}
 	return res, 0
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -95,6 +95,7 @@
 	drainTime     time.Duration // from drainStart until no call may reach it
 	silent        bool          // heartbeats stopped
 	saidLeaving   bool          // in an answer
+	end           endCheck
 	rate          rateAccount   // guarded by Owner.mu
 }
 
