Add a failing test of a request that ends each target that runs it

Ten nodes with their targets; a request that ends each target that runs it comes each 0.2 s, at any node, for 12 s.

--- /dev/null
+++ b/internal/sidecar/crash_test.go
@@ -0,0 +1,90 @@
+package sidecar_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	crashRunTime  = 12 * time.Second
+	crashInterval = 200 * time.Millisecond
+	otherCalls    = 40 // a second
+	touch         = 3 * time.Second
+	maxLateSends  = 3
+	minServed     = 0.95 // of the other calls
+)
+
+// TestRequestThatEndsTargetsIsStopped guards against a request that ends each target that runs it and is sent on and on.
+func TestRequestThatEndsTargetsIsStopped(t *testing.T) {
+	for i, tc := range []struct {
+		name, method, path, body string
+		chunked                  bool
+	}{
+		{"idempotent", "GET", "/lookups/crash", "", false},
+		{"not idempotent", "POST", "/orders/crash", "rope", false},
+		{"chunked body", "POST", "/lookups/crash?by=spool", "rope", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			m := newTestMesh(t, byte(1+i), 10)
+			served := m.sendOtherCalls(crashRunTime, func(k int) {
+				m.nodes[k%len(m.nodes)].call(tc.method, tc.path, tc.body, tc.chunked)
+			})
+			late, ends := m.crashes.sentLaterThan(touch)
+			t.Logf("%d ends, %d sends later than %s after the third; %.3f of the other calls served", ends, late, touch, served)
+			if ends < 3 {
+				t.Errorf("%d targets ended, want 3", ends)
+			}
+			if late > maxLateSends {
+				t.Errorf("sent %d times later than %s after the third end, want at most %d", late, touch, maxLateSends)
+			}
+			if served < minServed {
+				t.Errorf("%.3f of the other calls were served, want %.2f", served, minServed)
+			}
+		})
+	}
+}
+
+// sendOtherCalls sends calls on another path to all nodes in turn, half of them with
+// a path of their own, and calls crash each crashInterval. It returns the share of
+// the calls on the other path that were served.
+func (m *testMesh) sendOtherCalls(duration time.Duration, crash func(k int)) float64 {
+	ctx, cancel := context.WithTimeout(m.t.Context(), duration)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	sent, served := 0, 0
+	every := func(interval time.Duration, f func(k int)) {
+		wg.Go(func() {
+			tick := time.NewTicker(interval)
+			defer tick.Stop()
+			for k := 0; ; k++ {
+				select {
+				case <-ctx.Done():
+					return
+				case <-tick.C:
+					wg.Go(func() { f(k) })
+				}
+			}
+		})
+	}
+	every(crashInterval, crash)
+	every(time.Second/otherCalls, func(k int) {
+		path := "/lookups/stock"
+		if k%2 == 0 {
+			path = fmt.Sprint("/lookups/", k)
+		}
+		ok := m.nodes[k%len(m.nodes)].call("GET", path, "", false).status == 200
+		mu.Lock()
+		defer mu.Unlock()
+		sent++
+		if ok {
+			served++
+		}
+	})
+	wg.Wait()
+	return float64(served) / float64(max(1, sent))
+}
