Stop requests that end each target that runs them

Cause: each send was decided from that one call. Nothing recognized a request that came again, and no process counted what had ended under it. The class: a bound on what comes again, without an identity of what comes and without a process that counts.

The node beside a target now records under which requests it ended, the nodes tell each other, and pkg/suspect decides: after one end a request is tried at one target at a time, the same from all nodes, and no other suspect beside it; after two it is held for 5 s, after three rejected for 10 minutes. A request that completes is cleared everywhere.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -25,6 +25,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/rollout"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
 
@@ -59,6 +60,9 @@
 	// OnFormer is called with the newest record that an earlier process of this host
 	// has made, when other hosts send it.
 	OnFormer func(membership.Host)
+	// Suspects are the requests under which targets have ended, which hosts tell each
+	// other.
+	Suspects *suspect.Table
 	// Send sends a one-way message to the node at a call address.
 	Send    func(ctx context.Context, address string, message []byte) error
 	Guard   *guard.Guard
@@ -110,7 +114,8 @@
 	var err error
 	a.gossip, err = distribution.New(distribution.Config{
 		Members: a.members, Transport: cfg.Transport, ActiveVersion: a.activeVersion, OnHead: a.handleHead, OnVeto: a.handleVeto,
-		OnFault: a.logLinkFault, Guard: a.cfg.Guard.Run, Counters: counters{cfg.Metrics}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Suspects: cfg.Suspects,
+		OnFault:  a.logLinkFault, Guard: a.cfg.Guard.Run, Counters: counters{cfg.Metrics}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -23,6 +23,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/retry"
 	"nutmeghoist.example/nutmeghoist/pkg/rollout"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
 
@@ -58,7 +59,8 @@
 	reasonNodeUnreachable = "node_unreachable"
 	reasonNodeLost        = "node_lost"
 	reasonInternal        = "internal_error"
-	reasonNoMemory        = "memory" // no room for the body of the call
+	reasonNoMemory        = "memory"  // no room for the body of the call
+	reasonSuspect         = "suspect" // targets have ended under the request
 )
 
 // Local runs calls at the target of this host.
@@ -95,6 +97,9 @@
 	MayExpose func() bool
 	// DrainTime returns how long after a target has said that it leaves calls may reach it.
 	DrainTime func() time.Duration
+	// Suspects are the requests under which targets have ended. Without it, the entry
+	// keeps its own.
+	Suspects *suspect.Table
 	// RetryBurst returns the retries that this node may save up for a service.
 	RetryBurst func() int
 	// RemoteCost and RemoteByteCost are the cost of a call to another data centre,
@@ -133,6 +138,9 @@
 
 // New returns an entry.
 func New(cfg Config) *Entry {
+	if cfg.Suspects == nil {
+		cfg.Suspects = suspect.NewTable()
+	}
 	return &Entry{cfg: cfg, started: time.Now(), rng: rand.New(globalSource{}), pools: make(map[string]*hop.Pool), budgets: make(map[mesh.ServiceName]*retry.Budget)}
 }
 
@@ -200,12 +208,13 @@
 	reason       string
 	retryAfter   time.Duration // the earliest that a target named; 0 when none did
 	lastTarget   mesh.TargetID
+	suspectKey   func() suspect.Key
 }
 
 // Handle routes a call and returns the response for the caller.
 func (e *Entry) Handle(ctx context.Context, req *Request) *Response {
 	c := &call{entry: e, callerCtx: ctx, req: req, id: req.Header.Get(e.cfg.HeaderNames.RequestID), snapshot: e.cfg.Snapshot()}
-	c.nested = e.isNested(c.id)
+	c.nested, c.suspectKey = e.isNested(c.id), sync.OnceValue(c.computeKey)
 	e.count("calls.received")
 	c.awaitStartup()
 	response := c.prepare()
@@ -312,10 +321,7 @@
 		set, isNew = service.Stable, false
 	}
 	for {
-		var t *routing.Candidate
-		if set != nil {
-			t = set.PickCheapest(time.Now(), c.entry.rng, &c.tried, c.costParams())
-		}
+		t := c.pick(set)
 		if t == nil {
 			break
 		}
@@ -387,6 +393,7 @@
 			RateWait: time.Duration(resp.Load.RateWaitUs) * time.Microsecond,
 		}, time.Now())
 	}
+	c.recordTargetEnd(t, resp)
 	c.entry.signals.record(t, resp, c.entry.cfg.DrainTime())
 	c.recordSignal(t, resp)
 	return resp
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -10,6 +10,7 @@
 	"nutmeghoist.example/nutmeghoist/internal/view"
 	"nutmeghoist.example/nutmeghoist/pkg/retry"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 const (
@@ -95,6 +96,9 @@
 // hedgeTarget returns the target for a hedge beside the attempt at first, or
 // nil when no hedge is allowed.
 func (c *call) hedgeTarget(set *routing.Set, first *routing.Candidate) *routing.Candidate {
+	if c.suspicion().Verdict != suspect.Clear {
+		return nil // targets end under the request; a second one is not risked
+	}
 	tried := c.tried
 	tried.Targets = append(append([]*routing.Candidate(nil), tried.Targets...), first)
 	tried.Shed = true // limits the choice to targets expected to respond in time
--- a/internal/hop/fields.go
+++ b/internal/hop/fields.go
@@ -10,6 +10,7 @@
 	"golang.org/x/net/http2/hpack"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // Fields that recur from call to call are compressed with HPACK, as references
@@ -59,6 +60,7 @@
 	ServiceUs    int64   `cbor:"10,keyasint,omitempty"`
 
 	Signals *TargetSignals `cbor:"11,keyasint,omitempty"`
+	Ended   suspect.EndID  `cbor:"12,keyasint,omitempty"`
 }
 
 // fieldWriter encodes fields into header blocks, which must be sent in the order
@@ -168,7 +170,7 @@
 	}
 	return c.writeMessageLocked(frameResponse, &wireResponse{
 		Stream: r.Stream, Outcome: r.Outcome, RetryAfterMs: r.RetryAfterMs, SentToTarget: r.SentToTarget, Status: r.Status,
-		Stamp: r.Stamp, Fields: fields, Body: r.Body, Load: r.Load, ServiceUs: r.ServiceUs, Signals: r.Signals,
+		Stamp: r.Stamp, Fields: fields, Body: r.Body, Load: r.Load, ServiceUs: r.ServiceUs, Signals: r.Signals, Ended: r.Ended,
 	})
 }
 
@@ -183,6 +185,6 @@
 	}
 	return &Response{
 		Stream: w.Stream, Outcome: w.Outcome, Reason: f[fieldReason], RetryAfterMs: w.RetryAfterMs, SentToTarget: w.SentToTarget,
-		Status: w.Status, Stamp: w.Stamp, Header: h, Body: w.Body, Load: w.Load, ServiceUs: w.ServiceUs, Signals: w.Signals,
+		Status: w.Status, Stamp: w.Stamp, Header: h, Body: w.Body, Load: w.Load, ServiceUs: w.ServiceUs, Signals: w.Signals, Ended: w.Ended,
 	}, nil
 }
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -19,6 +19,7 @@
 	"nutmeghoist.example/nutmeghoist/internal/bounded"
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // Request is a call that is forwarded to the node on its target's host.
@@ -92,6 +93,9 @@
 	Load         *Load
 	ServiceUs    int64          // time at the target, in microseconds
 	Signals      *TargetSignals // in force at the owner; nil without any
+	// Ended identifies the end of the target's process while it ran the call; 0 if it
+	// has not ended.
+	Ended suspect.EndID
 }
 
 // The kinds of frames on call connections and gossip links.
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -13,6 +13,7 @@
 	"nutmeghoist.example/nutmeghoist/internal/hop"
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // The reasons for the owner's own refusals.
@@ -41,6 +42,13 @@
 		return &hop.Response{Outcome: hop.NotRun, Reason: reason}
 	}
 	o.applySignals(t, r.Signals)
+	endTrial, refusal := o.admitSuspect(ctx, t, r)
+	if refusal != nil {
+		return o.withLoad(t, refusal)
+	}
+	if endTrial != nil {
+		defer endTrial()
+	}
 	deadline := hop.TimeAt(r.DeadlineAt)
 	arrived := time.Now()
 	err := t.limiter.Admit(ctx, admission.Request{
@@ -49,14 +57,17 @@
 	if err != nil {
 		return o.refusalResponse(t, r, err, arrived)
 	}
-	res, took := o.runAdmitted(ctx, t, r, deadline)
+	res, end, took := o.runAdmitted(ctx, t, r, deadline, endTrial != nil)
+	if res.Reason == exchange.Withdrawn && !o.mayStillSend(r, endTrial != nil, 0) {
+		return o.withLoad(t, o.refuseSuspect(r, keyOf(r), reasonSuspectBusy, suspect.Decision{RetryAfter: trialRetryAfter}))
+	}
 	if res.Reason == exchange.Withdrawn {
 		o.count("refused." + reasonDraining)
 		return o.withLoad(t, &hop.Response{Outcome: hop.NotRun, Reason: reasonDraining})
 	}
 	metrics.GetOrRegisterTimer("target.time", o.cfg.Metrics).Update(took)
 	resp := o.response(&res)
-	resp.ServiceUs = took.Microseconds()
+	resp.ServiceUs, resp.Ended = took.Microseconds(), end
 	if res.Kind != exchange.Answered {
 		o.count("target." + string(res.Reason))
 		o.cfg.Log.Info().Str("id", r.ID).Str("request", keyOf(r).String()).Str("target", string(r.Target)).Str("route", r.Route).Str("reason", string(res.Reason)).
@@ -66,8 +77,8 @@
 }
 
 // runAdmitted sends an admitted call to its target and releases its slot. It returns
-// the outcome and the time at the target.
-func (o *Owner) runAdmitted(ctx context.Context, t *target, r *hop.Request, deadline time.Time) (res exchange.Result, took time.Duration) {
+// the outcome, the end of the target if it ended meanwhile, and the time at the target.
+func (o *Owner) runAdmitted(ctx context.Context, t *target, r *hop.Request, deadline time.Time, isTrial bool) (res exchange.Result, end suspect.EndID, took time.Duration) {
 	sent := time.Now()
 	o.countRunning(r.ID, 1)
 	defer func() {
@@ -79,11 +90,12 @@
 		})
 	}()
 	sends := 0
+	call := t.sent.begin(r)
 	res = t.client.Do(ctx, &exchange.Call{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Caller: r.Caller, Expect: r.Target, Idempotent: r.Idempotent, Deadline: deadline,
 		MaySend: func() bool {
-			if o.pastSendLimit(t) {
+			if o.pastSendLimit(t) || !o.mayStillSend(r, isTrial, sends) {
 				return false
 			}
 			if sends++; sends > 1 {
@@ -94,10 +106,7 @@
 		},
 	})
 	o.observe(t, r.ID, &res)
-	if res.Reason == exchange.ConnectionBroken {
-		o.checkEnded(ctx, t)
-	}
-	return res, 0
+	return res, o.endCall(ctx, t, r, call, &res), 0
 }
 
 // IsRunning reports whether a call with the request ID runs at a target of this
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -19,6 +19,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/pause"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
 
@@ -59,6 +60,9 @@
 	MaxConnections func(mesh.ServiceName) int
 	// OnChange is called with the targets of this host after each change.
 	OnChange func([]membership.Target)
+	// Suspects are the requests under which targets have ended. Without it, the owner
+	// keeps its own.
+	Suspects *suspect.Table
 	// Buffers is the memory for responses that are being read.
 	Buffers *bounded.Budget
 	Guard   *guard.Guard
@@ -95,12 +99,16 @@
 	drainTime     time.Duration // from drainStart until no call may reach it
 	silent        bool          // heartbeats stopped
 	saidLeaving   bool          // in an answer
-	end           endCheck
-	rate          rateAccount   // guarded by Owner.mu
+	sent          sentCalls
+	trials        trialSlot
+	rate          rateAccount // guarded by Owner.mu
 }
 
 // New returns an owner without targets.
 func New(cfg Config) *Owner {
+	if cfg.Suspects == nil {
+		cfg.Suspects = suspect.NewTable()
+	}
 	return &Owner{cfg: cfg, bounds: cfg.Bounds, targets: make(map[mesh.TargetID]*target), departed: make(map[mesh.TargetID]int64), running: make(map[string]int)}
 }
 
@@ -131,6 +139,7 @@
 	case t != nil && h.Started < t.Started:
 		return nil
 	case t != nil && h.Started > t.Started:
+		o.recordUnseenEnd(t)
 		o.remove(t, "restarted")
 		t = nil
 	case t != nil && h.Sequence < t.Sequence:
@@ -168,6 +177,7 @@
 		if other.Started > h.Started {
 			return false
 		}
+		o.recordUnseenEnd(other)
 		o.remove(other, "replaced")
 	}
 	return true
--- a/pkg/distribution/config.go
+++ b/pkg/distribution/config.go
@@ -9,6 +9,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // Timers of the protocol. The failure detector must replace a silent link
@@ -71,6 +72,9 @@
 	OnHead func(head source.Head, text []byte)
 	// OnVeto is called once for each new veto, one at a time.
 	OnVeto func(source.Veto)
+	// Suspects are the requests under which targets have ended. What this host learns of
+	// them is sent to all hosts. Without it, the records of other hosts are not kept.
+	Suspects *suspect.Table
 	// Fetch reads an object, the rules text with the given hash, from the object
 	// store. It is called only when no neighbour has supplied the object.
 	Fetch func(ctx context.Context, hash string) ([]byte, error)
@@ -101,6 +105,9 @@
 	if c.Guard == nil {
 		c.Guard = func(_ string, work func()) bool { work(); return false }
 	}
+	if c.Suspects == nil {
+		c.Suspects = suspect.NewTable()
+	}
 	if c.Counters == nil {
 		c.Counters = noCounters{}
 	}
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -13,6 +13,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/pause"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // Gossip is the distribution engine of one host. Its methods are safe for
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gossip{
+	g := &Gossip{
 		codec:         c,
 		created:       time.Now(),
 		cfg:           cfg,
@@ -70,7 +71,9 @@
 		vetoPending:   make(chan struct{}, 1),
 		fetchPending:  make(chan struct{}, 1),
 		relinkPending: make(chan struct{}, 1),
-	}, nil
+	}
+	g.cfg.Suspects.OnChange(func(records []suspect.Record) { g.spreadSuspects(records, nil) })
+	return g, nil
 }
 
 // Run runs the engine until the context ends, and then closes all links.
--- a/pkg/distribution/handle.go
+++ b/pkg/distribution/handle.go
@@ -28,6 +28,9 @@
 	if len(m.Vetoes) > 0 {
 		l.g.mergeVetoes(m.Vetoes, l)
 	}
+	if len(m.Suspects) > 0 {
+		l.g.spreadSuspects(l.g.cfg.Suspects.Merge(m.Suspects), l)
+	}
 	if m.Heartbeat != nil {
 		l.handleHeartbeat(m.Heartbeat)
 	}
--- a/pkg/distribution/message.go
+++ b/pkg/distribution/message.go
@@ -9,6 +9,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // message is one gossip frame. Parts that are not set take no bytes.
@@ -19,6 +20,7 @@
 	Vetoes    []source.Veto     `cbor:"4,keyasint,omitempty"`
 	Repair    *repair           `cbor:"5,keyasint,omitempty"`
 	Ack       uint64            `cbor:"6,keyasint,omitempty"` // revision of a head that the sender has received
+	Suspects  []suspect.Record  `cbor:"7,keyasint,omitempty"` // requests under which targets have ended
 }
 
 // heartbeat is sent on each link every HeartbeatPeriod.
--- a/pkg/distribution/outbox.go
+++ b/pkg/distribution/outbox.go
@@ -8,6 +8,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // frameBudgetBytes is the size above which no further records are added to a
@@ -38,6 +39,8 @@
 	former *membership.Host
 	vetoes map[source.VetoKey]source.Veto
 	repair *repair // sent with the last records
+	// suspects are the requests whose records are sent, with what is known of them then.
+	suspects map[suspect.Key]suspect.Record
 }
 
 func (l *link) enqueue(change func(*outbox)) {
@@ -78,7 +81,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := &l.out
-	return (len(o.hosts) > 0 || o.former != nil) && !o.heartbeat && !o.head && o.ack == 0 && len(o.vetoes) == 0 && o.repair == nil
+	return (len(o.hosts) > 0 || o.former != nil) && !o.heartbeat && !o.head && o.ack == 0 && len(o.vetoes) == 0 && len(o.suspects) == 0 && o.repair == nil
 }
 
 func sameRecord(a, b *membership.Host) bool {
@@ -112,7 +115,7 @@
 			delete(o.hosts, id)
 		}
 	}
-	if !o.heartbeat && !o.head && o.ack == 0 && len(o.hosts) == 0 && o.former == nil && len(o.vetoes) == 0 && o.repair == nil {
+	if !o.heartbeat && !o.head && o.ack == 0 && len(o.hosts) == 0 && o.former == nil && len(o.vetoes) == 0 && len(o.suspects) == 0 && o.repair == nil {
 		return nil
 	}
 	m := &message{Ack: o.ack}
@@ -133,6 +136,14 @@
 // reports whether none is left.
 func (o *outbox) moveRecords(m *message) bool {
 	size := 0
+	for k, r := range o.suspects {
+		if size > frameBudgetBytes {
+			return false
+		}
+		size += maxSuspectBytes
+		m.Suspects = append(m.Suspects, r)
+		delete(o.suspects, k)
+	}
 	for k, v := range o.vetoes {
 		if size > frameBudgetBytes {
 			return false
