Keep requests that end targets rejected when all hosts are started anew

Cause: what is known of such requests was in the memory of the processes alone. When all of them end at once, three more targets do.

A guilty request now has a row in the hosts' table of the store, which each host that is started again reads.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"nutmeghoist.example/nutmeghoist/internal/guard"
+	"nutmeghoist.example/nutmeghoist/internal/suspectstore"
 	"nutmeghoist.example/nutmeghoist/internal/view"
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
@@ -95,6 +96,7 @@
 	monitor     *RolloutMonitor
 	coordinator *coordinator
 	stall       stallGuard
+	guilty      *suspectstore.Keeper
 }
 
 // rolloutID identifies a rollout.
@@ -105,12 +107,16 @@
 
 // New returns an agent that does not run yet.
 func New(cfg Config) (*Agent, error) {
+	if cfg.Suspects == nil {
+		cfg.Suspects = suspect.NewTable()
+	}
 	a := &Agent{
 		cfg: cfg, tracker: routing.NewTracker(),
 		members: membership.NewTable(cfg.Self, membership.Options{}),
 		orders:  make(map[mesh.ServiceName]*rollout.OrderLog), vetoes: make(map[rolloutID]string),
 	}
 	a.history = newStoreHistory(a)
+	a.guilty = suspectstore.New(cfg.Store, guiltyPrefix, cfg.Suspects, cfg.Log)
 	var err error
 	a.gossip, err = distribution.New(distribution.Config{
 		Members: a.members, Transport: cfg.Transport, ActiveVersion: a.activeVersion, OnHead: a.handleHead, OnVeto: a.handleVeto,
@@ -136,6 +142,7 @@
 	var wg sync.WaitGroup
 	for name, loop := range map[string]func(context.Context){
 		"build_loop": a.buildLoop, "store_loop": a.storeLoop, "monitor_loop": a.monitor.run, "coordinator_loop": a.coordinator.run,
+		"guilty_requests_loop": a.guilty.Run,
 	} {
 		wg.Go(func() { a.cfg.Guard.Loop(ctx, name, loop) })
 	}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -19,6 +19,10 @@
 // hostTable holds a row for each host, by which hosts discover each other.
 const hostTable = "hosts"
 
+// guiltyPrefix begins the keys of the rows of requests that end targets. They are in the
+// hosts' table, since each host that starts anew reads that.
+const guiltyPrefix = hostTable + "/request/"
+
 const (
 	// feedWait is how long a feed call waits for a change. It also bounds the time
 	// until a silent connection is noticed.
@@ -332,8 +336,13 @@
 	f.agent.history.observe(platform.EraOf(version), "store")
 	f.hostsReadAt = time.Now()
 	var hosts []membership.Host
+	var guilty []platform.Row
 	present := make(map[mesh.HostID]hostRow, len(rows))
 	for _, row := range rows {
+		if f.agent.guilty.IsRow(&row) {
+			guilty = append(guilty, row)
+			continue
+		}
 		var h membership.Host
 		if err := json.Unmarshal(row.Value, &h); err != nil || hostTable+"/"+string(h.ID) != row.Key {
 			f.agent.count("hosts.unreadable")
@@ -343,6 +352,10 @@
 		present[h.ID] = hostRow{h.CallAddress, row.Version}
 		hosts = append(hosts, h)
 	}
+	f.agent.gossip.SpreadSuspects(f.agent.guilty.Load(guilty))
+	if f.checkRows {
+		f.agent.guilty.Restore(guilty)
+	}
 	f.agent.members.Merge(hosts)
 	return present, nil
 }
--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -88,3 +88,62 @@
 	wg.Wait()
 	return float64(served) / float64(max(1, sent))
 }
+
+// crashTargets sends the request that ends targets until it is rejected at the node, and
+// returns the answer.
+func (m *testMesh) crashTargets(n *testNode, path string) callResult {
+	m.t.Helper()
+	for until := time.Now().Add(3 * targetDowntime); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if r := n.call("GET", path, "", false); r.status == 503 && m.crashes.count() >= 3 {
+			return r
+		}
+	}
+	m.t.Fatalf("the request is not rejected after %d ends", m.crashes.count())
+	return callResult{}
+}
+
+// rejects waits until the node rejects the request, at most touch.
+func (n *testNode) rejects(path string) {
+	n.mesh.t.Helper()
+	var last callResult
+	for until := time.Now().Add(touch); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		if last = n.call("GET", path, "", false); last.status == 503 && last.retryAfter != "" {
+			if after, err := time.ParseDuration(last.retryAfter + "s"); err == nil && after > time.Minute {
+				return
+			}
+		}
+	}
+	n.mesh.t.Errorf("node %d: last answer %+v, want 503 and the time of the next try", n.index, last)
+}
+
+// TestGuiltyRequestStaysRejectedWhenNodesRestart guards against a request that ends targets again since nodes have forgotten it.
+func TestGuiltyRequestStaysRejectedWhenNodesRestart(t *testing.T) {
+	t.Parallel()
+	const path = "/lookups/crash"
+	m := newTestMesh(t, 11, 5)
+	r := m.crashTargets(m.nodes[0], path)
+	if r.took > 200*time.Millisecond {
+		t.Errorf("rejected after %s, want at once", r.took)
+	}
+	for _, n := range m.nodes {
+		n.rejects(path)
+	}
+	m.nodes[1].stop()
+	m.nodes[1].start()
+	m.nodes[1].rejects(path)
+	time.Sleep(500 * time.Millisecond) // until the row is written
+	var wg sync.WaitGroup
+	for _, n := range m.nodes {
+		wg.Go(n.stop)
+	}
+	wg.Wait()
+	for _, n := range m.nodes {
+		n.start()
+	}
+	for _, n := range m.nodes {
+		n.rejects(path)
+	}
+	if late, ends := m.crashes.sentLaterThan(0); ends != 3 || late > maxLateSends {
+		t.Errorf("%d ends, sent %d times after the third, want 3 and at most %d", ends, late, maxLateSends)
+	}
+}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -216,6 +216,12 @@
 	return late, len(c.ends)
 }
 
+func (c *crashes) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ends)
+}
+
 // testTarget is a target that a request with "crash" in its path ends. It is back under
 // a new ID after targetDowntime.
 type testTarget struct {
--- a/pkg/distribution/suspects.go
+++ b/pkg/distribution/suspects.go
@@ -5,6 +5,10 @@
 // maxSuspectBytes bounds the encoding of a record of pkg/suspect.
 const maxSuspectBytes = 128
 
+// SpreadSuspects sends records to all hosts that this one has learned of otherwise than
+// by gossip.
+func (g *Gossip) SpreadSuspects(records []suspect.Record) { g.spreadSuspects(records, nil) }
+
 // spreadSuspects queues records for all links except the one that they came from. A
 // link that opens later gets all records, so that a host that has just started, or was
 // cut off, needs nothing else.
--- a/pkg/suspect/table.go
+++ b/pkg/suspect/table.go
@@ -80,6 +80,7 @@
 	mu       sync.Mutex
 	records  map[Key]*entry
 	onChange func([]Record)
+	onGuilt  func(r Record, guilty bool)
 }
 
 // entry is a record with the time of its last end, or of its clearing.
@@ -98,6 +99,11 @@
 // by its own evidence, so that others learn of them. It is set before the first use.
 func (t *Table) OnChange(f func([]Record)) { t.onChange = f }
 
+// OnGuilt sets the function that is called when this process has added an end to a
+// request under which MaxEnds targets or more have ended, and when it has cleared one.
+// It is set before the first use.
+func (t *Table) OnGuilt(f func(r Record, guilty bool)) { t.onGuilt = f }
+
 // Observation is a request that a target ran when it ended. Proven means that the
 // request had completed before.
 type Observation struct {
@@ -139,13 +145,20 @@
 		t.mu.Unlock()
 		return false
 	}
+	wasGuilty := len(e.ends) >= MaxEnds
 	e.generation, e.ends, e.rounds, e.proven, e.at = e.generation+1, nil, 0, true, now
 	changed := []Record{e.record(key, now)}
 	t.mu.Unlock()
 	t.notify(changed)
+	if wasGuilty && t.onGuilt != nil {
+		t.onGuilt(changed[0], false)
+	}
 	return true
 }
 
+// IsForgotten reports whether a record is too old to count.
+func IsForgotten(r *Record) bool { return time.Duration(r.AgeMs)*time.Millisecond >= retention }
+
 // Merge adds records of another process. It returns those from which this process has
 // learned something.
 func (t *Table) Merge(records []Record) []Record {
@@ -208,6 +221,11 @@
 	if len(changed) > 0 && t.onChange != nil {
 		t.onChange(changed)
 	}
+	for _, r := range changed {
+		if len(r.Ends) >= MaxEnds && t.onGuilt != nil {
+			t.onGuilt(r, true)
+		}
+	}
 }
 
 // entry returns the entry of a key, which it adds if there is none; t.mu must be held.
