Stop requests that end targets in nutmeghoistd as well

The same cause in the other program: its call path recognized no request that came again. It now records the runs of its targets, tells the caller's node when a target ended (Nutmeghoist-Target-Ended), and asks pkg/suspect before each attempt. The bookkeeping of runs and trials moves to pkg/suspect and serves both programs; so does the check whether a target has ended (internal/listencheck), which no longer takes a process that closes its connections before its listener for a running one.

The Host header is not a part of the key there: callers may address each node by its own name.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,19 +14,16 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/internal/bounded"
+	"nutmeghoist.example/nutmeghoist/internal/listencheck"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// listenCheckTimeout bounds a check whether the target listens, which the response
-	// to a call waits for.
-	listenCheckTimeout = 100 * time.Millisecond
 	// responseGrace is how long after the deadline a late response of the target
 	// is still accepted.
 	responseGrace = 50 * time.Millisecond
@@ -208,20 +205,22 @@
 	if err != nil {
 		return nil, err
 	}
+	return newTargetConn(raw), nil
+}
+
+func newTargetConn(raw net.Conn) *targetConn {
 	input := bounded.NewHeadReader(raw)
-	return &targetConn{Conn: raw, input: input, r: bufio.NewReaderSize(input, 4<<10), idleTimeout: maxIdleTime}, nil
+	return &targetConn{Conn: raw, input: input, r: bufio.NewReaderSize(input, 4<<10), idleTimeout: maxIdleTime}
 }
 
 // Listening reports whether something accepts connections at the target's address, or
 // whether that cannot be told. The connection that it opens is kept for a call.
 func (c *Client) Listening(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, listenCheckTimeout)
-	defer cancel()
-	conn, err := c.dial(ctx)
-	if err == nil {
-		c.putIdle(conn)
+	raw, listening := listencheck.Check(ctx, c.address)
+	if raw != nil {
+		c.putIdle(newTargetConn(raw))
 	}
-	return !errors.Is(err, syscall.ECONNREFUSED)
+	return listening
 }
 
 func (c *Client) putIdle(conn *targetConn) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"nutmeghoist.example/nutmeghoist/internal/peer"
 	"nutmeghoist.example/nutmeghoist/internal/proxy"
 	"nutmeghoist.example/nutmeghoist/internal/settings"
+	"nutmeghoist.example/nutmeghoist/internal/suspectstore"
 	"nutmeghoist.example/nutmeghoist/internal/telemetry"
 	"nutmeghoist.example/nutmeghoist/internal/tlskeys"
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
@@ -30,6 +31,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
 	"nutmeghoist.example/nutmeghoist/pkg/source"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 	adapter "nutmeghoist.example/nutmeghoist/platform"
 )
 
@@ -49,6 +51,8 @@
 	proxy     *proxy.Proxy
 	moves     *move.Controller
 	active    snapshot.Holder
+	suspects  *suspect.Table
+	guilty    *suspectstore.Keeper
 
 	controlClient *http.Client
 
@@ -99,8 +103,10 @@
 		targetsChanged: make(chan struct{}, 1),
 		pollNow:        make(chan struct{}, 1),
 		storedVetoes:   map[source.VetoKey]bool{}, storedVetoesEra: platform.FirstEra,
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		suspects: suspect.NewTable(),
 	}
+	n.guilty = suspectstore.New(client, guiltyPrefix, n.suspects, logger)
 	// The start time in milliseconds exceeds the incarnations of the host's
 	// earlier processes, unless its clock was set back. In that case the node
 	// raises its incarnation when a neighbour reports the higher one.
@@ -124,7 +130,8 @@
 	n.gossip, err = distribution.New(distribution.Config{
 		Members: n.members, Transport: n.transport, Seeds: n.settings.Seeds,
 		ActiveVersion: n.activeVersion, OnHead: n.handleHead, OnVeto: n.handleVeto, Fetch: n.source.Text,
-		OnFault: n.logGossipFault, Counters: gossipCounters{n}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Suspects: n.suspects,
+		OnFault:  n.logGossipFault, Counters: gossipCounters{n}, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	if err != nil {
 		return err
@@ -170,10 +177,11 @@
 	n.targets = announce.New(n.announceConfig())
 	n.proxy = proxy.New(proxy.Config{
 		Self: n.settings.Host, DataCentre: n.settings.DataCentre, Snapshot: n.active.Load,
-		Chooser: n.moves, Observer: n.moves, Targets: n.targets,
+		Chooser: n.moves, Observer: n.moves, Targets: n.targets, Suspects: n.suspects,
 		PeerTLS: n.keys.ClientConfig(), TrackPeer: n.keys.Track, PeerSource: n.settings.CallAddress.Addr(), Metrics: n.metrics, Log: n.log,
 	})
 	telemetry.RegisterProcess(n.metrics)
+	n.metrics.GetOrRegister("suspects.known", metrics.NewFunctionalGauge(func() int64 { return int64(n.suspects.Len()) }))
 	for name, value := range map[string]func(peer.Stats) int64{
 		"links.bytes_sent":     func(s peer.Stats) int64 { return int64(s.BytesSent) },
 		"links.bytes_received": func(s peer.Stats) int64 { return int64(s.BytesReceived) },
@@ -212,7 +220,7 @@
 		}
 	})
 	for _, loop := range []func(context.Context){
-		n.targets.Run, n.targetLoop, n.memberLoop, n.rebuildLoop, n.moveLoop, n.startupLoop, n.fallbackLoop, n.reportLoop, n.vetoLoop, n.revocationLoop,
+		n.targets.Run, n.targetLoop, n.memberLoop, n.rebuildLoop, n.moveLoop, n.startupLoop, n.fallbackLoop, n.reportLoop, n.vetoLoop, n.revocationLoop, n.guiltyLoop, n.guilty.Run,
 	} {
 		run(loop)
 	}
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -90,7 +90,7 @@
 		})
 	}()
 	sends := 0
-	call := t.sent.begin(r)
+	call := t.running.Begin(func() (suspect.Key, bool) { return keyOf(r), true })
 	res = t.client.Do(ctx, &exchange.Call{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Caller: r.Caller, Expect: r.Target, Idempotent: r.Idempotent, Deadline: deadline,
--- a/internal/owner/ended.go
+++ b/internal/owner/ended.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/internal/exchange"
@@ -17,124 +15,24 @@
 	// restartTime is the longest time from a broken connection to the first heartbeat
 	// of a new start that explains it.
 	restartTime = 5 * time.Second
-	// maxProven bounds the requests of each of two generations that are remembered as
-	// completed, and maxProvenBody the body of such a request.
-	maxProven     = 1024
+	// maxProvenBody bounds the body of a request that is remembered as completed.
 	maxProvenBody = 64 << 10
 )
 
-// sentCall is a call that a target may be running.
-type sentCall struct {
-	sentAt  time.Time
-	request *hop.Request // while the call is in progress
-	// key and until are set when the call was given up: the target can end under it
-	// until then.
-	key   suspect.Key
-	until time.Time
-}
-
 // keyOf returns the key that a call shares with all calls of the same request.
 func keyOf(r *hop.Request) suspect.Key {
 	q := suspect.Request{Method: r.Method, Host: r.Host, URI: r.URI, Caller: string(r.Caller), Body: r.Body}
 	return q.Key()
 }
 
-// sentCalls are the calls that a target may be running, and whether it has ended.
-type sentCalls struct {
-	mu      sync.Mutex
-	calls   map[*sentCall]bool
-	ended   suspect.EndID // 0 while the target runs
-	endedAt time.Time
-	// proven are the requests that have completed, those of the earlier generation too.
-	proven, provenBefore map[suspect.Key]bool
-
-	check sync.Mutex // held while the target's address is tried
-}
-
-// begin records a call that is about to be sent.
-func (s *sentCalls) begin(r *hop.Request) *sentCall {
-	c := &sentCall{request: r, sentAt: time.Now()}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.calls == nil {
-		s.calls = make(map[*sentCall]bool)
-	}
-	s.calls[c] = true
-	return c
-}
-
-// end forgets a call, after the given time if that is not zero.
-func (s *sentCalls) end(c *sentCall, after time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if after == 0 {
-		delete(s.calls, c)
-		return
-	}
-	c.key, c.request, c.until = keyOf(c.request), nil, time.Now().Add(after)
-	for other := range s.calls {
-		if !other.until.IsZero() && time.Now().After(other.until) {
-			delete(s.calls, other)
-		}
-	}
-}
-
-// addProven remembers that a request has completed.
-func (s *sentCalls) addProven(key suspect.Key) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.proven == nil || len(s.proven) >= maxProven {
-		s.provenBefore, s.proven = s.proven, make(map[suspect.Key]bool)
-	}
-	s.proven[key] = true
-}
-
-// close marks the target as ended and returns the requests that it ran. It reports
-// false when the target was marked before.
-func (s *sentCalls) close() ([]suspect.Observation, suspect.EndID, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ended != 0 {
-		return nil, s.ended, false
-	}
-	now := time.Now()
-	s.ended, s.endedAt = suspect.EndID(rand.Uint64()|1), now
-	seen := make(map[suspect.Key]bool, len(s.calls))
-	var running []suspect.Observation
-	for c := range s.calls {
-		key := c.key
-		if c.request != nil {
-			key = keyOf(c.request)
-		} else if now.After(c.until) {
-			continue
-		}
-		if seen[key] {
-			continue
-		}
-		seen[key] = true
-		running = append(running, suspect.Observation{Key: key, Proven: s.proven[key] || s.provenBefore[key]})
-	}
-	return running, s.ended, true
-}
-
-// endOf returns the end of the target if the call was sent before it, or 0.
-func (s *sentCalls) endOf(c *sentCall) suspect.EndID {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.endedAt.Before(c.sentAt) {
-		return 0
-	}
-	return s.ended
-}
-
 // endCall records what the outcome of a call says about its request and about the
 // target. It returns the end of the target if it ended while it ran the call.
-func (o *Owner) endCall(ctx context.Context, t *target, r *hop.Request, c *sentCall, res *exchange.Result) suspect.EndID {
+func (o *Owner) endCall(ctx context.Context, t *target, r *hop.Request, c *suspect.Call, res *exchange.Result) suspect.EndID {
 	switch {
 	case res.Kind == exchange.Answered:
 		if known := o.cfg.Suspects.Len() > 0; known || len(r.Body) <= maxProvenBody {
 			key := keyOf(r)
-			t.sent.addProven(key)
+			t.running.AddProven(key)
 			if known && o.cfg.Suspects.RecordCompletion(key) {
 				o.count("suspects.cleared")
 				o.cfg.Log.Info().Str("request", key.String()).Str("target", string(t.ID)).Msg("request has completed and is cleared")
@@ -143,41 +41,30 @@
 	case res.Kind == exchange.NotRun:
 	case res.Reason == exchange.ConnectionBroken:
 		if o.hasEnded(ctx, t) {
-			end := t.sent.endOf(c)
-			t.sent.end(c, 0)
+			end := t.running.EndOf(c)
+			t.running.Remove(c)
 			return end
 		}
-		t.sent.end(c, restartTime)
+		t.running.GiveUp(c, restartTime)
 		return 0
 	case res.Reason == exchange.Cancelled || res.Reason == exchange.DeadlineExceeded:
-		t.sent.end(c, abandonedTime)
+		t.running.GiveUp(c, abandonedTime)
 		return 0
 	}
-	t.sent.end(c, 0)
+	t.running.Remove(c)
 	return 0
 }
 
 // hasEnded reports whether the target's process has ended: nothing listens at its
-// address any more. The calls that break together share one check.
+// address any more.
 func (o *Owner) hasEnded(ctx context.Context, t *target) bool {
-	t.sent.check.Lock()
-	defer t.sent.check.Unlock()
-	t.sent.mu.Lock()
-	ended := t.sent.ended != 0
-	t.sent.mu.Unlock()
-	if ended {
-		return true
-	}
-	if t.client.Listening(context.WithoutCancel(ctx)) {
-		return false
-	}
-	o.recordEnd(t)
-	return true
+	listening := func() bool { return t.client.Listening(context.WithoutCancel(ctx)) }
+	return t.running.CheckEnded(listening, func() { o.recordEnd(t) })
 }
 
 // recordEnd records that a target has ended under the calls that it ran.
 func (o *Owner) recordEnd(t *target) {
-	running, end, first := t.sent.close()
+	running, end, first := t.running.Close()
 	if !first || len(running) == 0 {
 		return
 	}
@@ -221,13 +108,13 @@
 	key := keyOf(r)
 	d := o.cfg.Suspects.Decide(key)
 	if d.Verdict == suspect.Trial {
-		if !t.trials.begin(ctx, hop.TimeAt(r.SoftDeadlineAt)) {
+		if !t.trials.Begin(ctx, hop.TimeAt(r.SoftDeadlineAt)) {
 			return nil, o.refuseSuspect(r, key, reasonSuspectBusy, suspect.Decision{RetryAfter: trialRetryAfter, Ends: d.Ends})
 		}
 		if d = o.cfg.Suspects.Decide(key); d.Verdict != suspect.Rejected {
-			return t.trials.end, nil
+			return t.trials.End, nil
 		}
-		t.trials.end()
+		t.trials.End()
 	}
 	if d.Verdict == suspect.Rejected {
 		return nil, o.refuseSuspect(r, key, reasonSuspect, d)
@@ -256,48 +143,3 @@
 	}
 	return true
 }
-
-// trialSlot admits one trial at a time. Its zero value is ready for use.
-type trialSlot struct {
-	mu      sync.Mutex
-	slot    chan struct{}
-	waiting int
-}
-
-// maxWaitingTrials bounds the trials that wait at a target.
-const maxWaitingTrials = 4
-
-// begin waits until no other trial runs, at most until the given time.
-func (s *trialSlot) begin(ctx context.Context, until time.Time) bool {
-	s.mu.Lock()
-	if s.slot == nil {
-		s.slot = make(chan struct{}, 1)
-	}
-	if s.waiting >= maxWaitingTrials {
-		s.mu.Unlock()
-		return false
-	}
-	s.waiting++
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.waiting--
-	}()
-	timer := time.NewTimer(max(0, time.Until(until)))
-	defer timer.Stop()
-	select {
-	case s.slot <- struct{}{}:
-		return true
-	default:
-	}
-	select {
-	case s.slot <- struct{}{}:
-		return true
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	return false
-}
-
-func (s *trialSlot) end() { <-s.slot }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -99,8 +99,8 @@
 	drainTime     time.Duration // from drainStart until no call may reach it
 	silent        bool          // heartbeats stopped
 	saidLeaving   bool          // in an answer
-	sent          sentCalls
-	trials        trialSlot
+	running       suspect.Running
+	trials        suspect.TrialSlot
 	rate          rateAccount // guarded by Owner.mu
 }
 
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -42,6 +42,11 @@
 	mu        sync.Mutex // locked while src is read
 	buffered  []byte
 	bytesRead int64 // bytes read from src
+	prefix    bodyIdentity
+
+	// prefixSum is the hash of the part of the body that identifies the request, once
+	// that part was read. It is read without mu, which a read from src can hold for long.
+	prefixSum atomic.Pointer[[]byte]
 }
 
 // newRequestBody returns the body of a request. A small body of known length is
@@ -123,16 +128,27 @@
 		r.offset += int64(n)
 		return n, nil
 	}
+	n, err := b.readSource(p)
+	r.offset = b.bytesRead
+	return n, err
+}
+
+// readSource reads from the caller; b.mu must be held.
+func (b *requestBody) readSource(p []byte) (int, error) {
 	n, err := b.src.Read(p)
 	b.record(p[:n])
-	r.offset = b.bytesRead
 	if err == io.EOF {
 		b.reachedEOF.Store(true)
 	}
+	if b.prefixSum.Load() == nil && (err == io.EOF || b.prefix.size >= maxReplayBytes) {
+		sum := b.prefix.sum()
+		b.prefixSum.Store(&sum)
+	}
 	return n, err
 }
 
 func (b *requestBody) record(p []byte) {
+	b.prefix.add(p)
 	b.bytesRead += int64(len(p))
 	switch {
 	case b.overflow.Load():
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -72,6 +72,9 @@
 	}
 	c.body = body
 	defer body.close()
+	if p.cfg.Suspects.Len() > 0 {
+		body.prefetch()
+	}
 	c.run()
 }
 
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -23,6 +23,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/retry"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
 	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // Targets looks up the targets of this host. Implementations must be safe for
@@ -42,6 +43,9 @@
 	Chooser  move.Chooser  // nil routes every call to the rule's version
 	Observer move.Observer // may be nil
 	Targets  Targets
+	// Suspects are the requests under which targets have ended; nil means that the proxy
+	// keeps its own.
+	Suspects *suspect.Table
 	PeerTLS  *tls.Config // client side of node-to-node calls; nil means plain connections
 	// TrackPeer, if set, returns a connection to another node that is closed when the
 	// certificate of that node is revoked.
@@ -61,6 +65,7 @@
 	routesMu       sync.Mutex
 	peerTransports sync.Map // call address to *http.Transport
 	upstreams      sync.Map // mesh.TargetID to *upstream
+	runs           sync.Map // mesh.TargetID to *targetRuns
 	counters       counters
 	rng            *rand.Rand
 	retries        *retry.Budget
@@ -81,6 +86,9 @@
 	if cfg.Log == nil {
 		cfg.Log = &log.Logger{Level: log.PanicLevel + 1}
 	}
+	if cfg.Suspects == nil {
+		cfg.Suspects = suspect.NewTable()
+	}
 	return &Proxy{
 		cfg:      cfg,
 		tracker:  routing.NewTracker(),
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -47,6 +47,11 @@
 	return m
 }
 
+// registered returns the counter of a name.
+func (c *counters) registered(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, c.registry)
+}
+
 type counterKey struct {
 	kind   string
 	reason Reason
@@ -67,6 +72,7 @@
 	refusalReasons = []Reason{
 		ReasonNotReady, ReasonDraining, ReasonNoRoute, ReasonNoTarget, ReasonBadRequest, ReasonDepth, ReasonTargetGone,
 		ReasonUnreachable, ReasonNodeDown, ReasonShed, ReasonQueueFull, ReasonQueueWait, ReasonDeadline, ReasonCancelled, ReasonBody,
+		ReasonSuspect, ReasonSuspectBusy,
 	}
 	unknownReasons = []Reason{ReasonTimeout, ReasonBrokenLink, ReasonCancelled}
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -11,6 +11,7 @@
 
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // resultKind is the outcome of an attempt up to the headers of the answer.
@@ -31,6 +32,8 @@
 	dispatchedAt time.Time      // to the target or to its node
 	queueTime    time.Duration  // before the dispatch to the target
 	limiter      *admission.Limiter
+	run          *run          // at a local target
+	ended        suspect.EndID // the target ended while it ran the call
 }
 
 // outboundCall is a call to be sent to a target or another node.
@@ -44,6 +47,7 @@
 	depth        int
 	budget       int
 	callKey      string
+	key          func() (suspect.Key, bool) // of the request, if its body is known
 }
 
 // request builds the request to the next hop. It reports false when no time is
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -22,9 +22,11 @@
 	headerRetryAfterMs = "Nutmeghoist-Retry-After-Ms" // Retry-After in milliseconds
 
 	// Only between nodes.
-	headerTarget  = "Nutmeghoist-Target"         // target ID
-	headerVersion = "Nutmeghoist-Target-Version" // service@version that the caller's node expects
-	headerLoad    = "Nutmeghoist-Load"           // the target's load at its host and the call's queue time
+	headerTarget   = "Nutmeghoist-Target"         // target ID
+	headerVersion  = "Nutmeghoist-Target-Version" // service@version that the caller's node expects
+	headerEnded    = "Nutmeghoist-Target-Ended"   // the end of the target while it ran the call
+	headerRuleHost = "Nutmeghoist-Rule-Host"      // host of the rule, unless it is any
+	headerLoad     = "Nutmeghoist-Load"           // the target's load at its host and the call's queue time
 
 	headerTargetNotRun = "Target-Not-Run" // set by a target that refused a call without running it
 )
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -43,6 +43,12 @@
 		}
 		return true
 	})
+	p.runs.Range(func(id, _ any) bool {
+		if _, _, ok := p.cfg.Targets.Lookup(id.(mesh.TargetID)); !ok {
+			p.runs.Delete(id)
+		}
+		return true
+	})
 }
 
 // tryLocal admits a call to a target of this host and sends it once. After
@@ -56,28 +62,47 @@
 	if t.State == membership.TargetDraining {
 		return result{kind: resultNotRun, reason: ReasonDraining}
 	}
+	runs := p.runsOf(&t)
+	isTrial, refusal := p.admitSuspect(o, runs)
+	if refusal != nil {
+		return *refusal
+	}
+	endTrial := func() {
+		if isTrial {
+			runs.trials.End()
+		}
+	}
 	if err := limiter.Admit(ctx, admission.Request{Class: o.class, SoftDeadline: o.softDeadline, Deadline: o.deadline}); err != nil {
+		endTrial()
 		return refusalResult(err)
 	}
 	started := time.Now()
 	req, ok := o.request(ctx, t.Address)
+	if !p.mayStillSend(o, isTrial) {
+		limiter.Release(admission.Result{})
+		return result{kind: resultNotRun, reason: ReasonSuspectBusy, retryAfter: trialRetryAfter}
+	}
 	if !ok || !dispatch() {
+		endTrial()
 		limiter.Release(admission.Result{})
 		return result{kind: resultNotRun, reason: ReasonDeadline}
 	}
+	run := p.beginRun(o, runs, isTrial)
 	resp, res := roundTrip(p.upstreamFor(&t).transport, req)
 	res.limiter, res.dispatchedAt, res.queueTime = limiter, started, started.Sub(arrived)
 	if resp == nil {
+		run.endFailed(&res)
 		res.release(admission.Result{})
 		return res
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerTargetNotRun) == "true" {
 		res.kind, res.reason, res.retryAfter = resultNotRun, ReasonShed, retryAfterOf(resp.Header)
+		run.endFailed(&res)
 		discard(resp)
 		res.release(admission.Result{Shed: true})
 		return res
 	}
-	res.kind, res.resp = resultAnswer, resp
+	res.kind, res.resp, res.run = resultAnswer, resp, run
 	return res
 }
 
--- a/internal/proxy/peer.go
+++ b/internal/proxy/peer.go
@@ -10,6 +10,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // PeerHandler returns the handler for calls from other nodes to the targets of
@@ -53,7 +54,11 @@
 	}
 	h.body = body
 	defer body.close()
+	if p.cfg.Suspects.Len() > 0 {
+		body.prefetch()
+	}
 	o.body = body.open()
+	o.key = func() (suspect.Key, bool) { return suspectKey(r, r.Header.Get(headerRuleHost), body) }
 	h.state.apply(eventQueue)
 	res := p.tryLocal(ctx, o, h.id, sv, func() bool { return h.state.apply(eventDispatch) })
 	if res.kind == resultAnswer {
@@ -94,6 +99,7 @@
 	h.setLoadHeader(res)
 	err := forwardAnswer(h.w, res.resp)
 	_ = res.resp.Body.Close()
+	res.run.endForwarded(err)
 	res.release(admission.Result{Answered: err == nil})
 	if err != nil {
 		h.body.aborted.Store(true)
@@ -114,6 +120,7 @@
 	}
 	h.proxy.counters.inc(kind, res.reason)
 	h.setLoadHeader(res)
+	setEndedHeader(h.w.Header(), res.ended)
 	writeFailure(h.w, h.state.outcome, res.reason, res.retryAfter)
 }
 
--- a/internal/proxy/reason.go
+++ b/internal/proxy/reason.go
@@ -27,6 +27,8 @@
 	ReasonDeadline    Reason = "deadline"     // the deadline cannot be met
 	ReasonCancelled   Reason = "cancelled"    // the caller cancelled the call
 	ReasonBody        Reason = "request_body" // the request body could not be read
+	ReasonSuspect     Reason = "suspect"      // targets have ended under the same request
+	ReasonSuspectBusy Reason = "suspect_busy" // other such requests are tried at the target
 )
 
 // The reasons for unknown outcomes.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -9,13 +9,13 @@
 	"nutmeghoist.example/nutmeghoist/pkg/move"
 	"nutmeghoist.example/nutmeghoist/pkg/retry"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
+	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
 // run sends the call to targets until one answers or no retry is allowed.
 func (c *call) run() {
 	c.proxy.retries.Deposit()
-	t := c.set.Pick(time.Now(), c.proxy.rng, &c.tried)
-	reason, retryAfter := ReasonNoTarget, time.Duration(0)
+	t, reason, retryAfter := c.pick()
 	for t != nil {
 		c.state.apply(eventQueue)
 		t.Stat.Begin()
@@ -25,6 +25,7 @@
 			return
 		}
 		t.Stat.End()
+		c.recordTargetEnd(res.ended)
 		c.recordFailure(t, &res)
 		if c.applyFailure(&res) {
 			reason, retryAfter = res.reason, res.retryAfter
@@ -42,9 +43,9 @@
 		c.tried.Shed = true
 		c.shedAttempts++
 	}
-	t := c.set.Pick(time.Now(), c.proxy.rng, &c.tried)
+	t, reason, _ := c.pick()
 	if t == nil {
-		c.proxy.counters.inc(kindNotRetried, ReasonNoTarget)
+		c.proxy.counters.inc(kindNotRetried, reason)
 		return nil
 	}
 	d := retry.Decide(retry.Attempt{
@@ -120,6 +121,7 @@
 	}
 	// The answer arrived as the attempt was cancelled, so its body is truncated.
 	_ = res.resp.Body.Close()
+	res.run.abandoned()
 	res.release(admission.Result{})
 	return result{kind: resultLost, reason: ReasonTimeout, dispatchedAt: res.dispatchedAt}
 }
@@ -128,6 +130,7 @@
 func (c *call) try(ctx context.Context, t *routing.Candidate) result {
 	o := outboundCall{
 		in: c.r, body: c.body.open(), length: c.body.length,
+		key:   func() (suspect.Key, bool) { return suspectKey(c.r, c.rule.Host, c.body) },
 		class: c.class, softDeadline: c.softDeadline, deadline: c.deadline, depth: c.depth, budget: c.budget, callKey: c.callKey,
 	}
 	if t.Host == c.proxy.cfg.Self {
@@ -142,6 +145,9 @@
 	if !ok || !c.dispatch() {
 		return result{kind: resultNotRun, reason: ReasonDeadline}
 	}
+	if c.rule.Host != "" {
+		req.Header[headerRuleHost] = []string{c.rule.Host}
+	}
 	req.Header[headerTarget] = []string{string(t.ID)}
 	req.Header[headerVersion] = []string{c.destination.String()}
 	started := time.Now()
@@ -173,7 +179,7 @@
 	if outcome == outcomeNotRun {
 		res.kind = resultNotRun
 	}
-	res.reason, res.retryAfter = Reason(resp.Header.Get(headerReason)), retryAfterOf(resp.Header)
+	res.reason, res.retryAfter, res.ended = Reason(resp.Header.Get(headerReason)), retryAfterOf(resp.Header), endedOf(resp.Header)
 	discard(resp)
 }
 
@@ -182,6 +188,7 @@
 	c.state.apply(eventAnswer)
 	err := forwardAnswer(c.w, res.resp)
 	_ = res.resp.Body.Close()
+	res.run.endForwarded(err)
 	res.release(admission.Result{Answered: err == nil})
 	t.Stat.End()
 	now := time.Now()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -16,10 +16,11 @@
 
 // Points at which a target can crash.
 const (
-	DieNever  DieAt = ""
-	DieBefore DieAt = "before" // before the call is run
-	DieDuring DieAt = "during" // after half of the answer
-	DieAfter  DieAt = "after"  // after the whole answer
+	DieNever   DieAt = ""
+	DieBefore  DieAt = "before"  // before the call is run
+	DieRunning DieAt = "running" // while the call is run, before the answer
+	DieDuring  DieAt = "during"  // after half of the answer
+	DieAfter   DieAt = "after"   // after the whole answer
 )
 
 // Faults are the injectable faults of a target, as accepted by POST /faults.
@@ -110,7 +111,7 @@
 			errs = append(errs, fmt.Errorf("%s is negative", name))
 		}
 	}
-	oneOf("die", string(f.Die), string(DieNever), string(DieBefore), string(DieDuring), string(DieAfter))
+	oneOf("die", string(f.Die), string(DieNever), string(DieBefore), string(DieRunning), string(DieDuring), string(DieAfter))
 	oneOf("health_lie", f.HealthLie, "", "up", "down")
 	oneOf("service_time.kind", f.ServiceTime.Kind, "", "fixed", "uniform", "exponential", "lognormal")
 	atLeastZero("service_time.mean_ms", f.ServiceTime.MeanMS)
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -190,6 +190,10 @@
 		http.Error(w, "deadline exceeded after the call was started", http.StatusGatewayTimeout)
 		return
 	}
+	if dieAt == DieRunning {
+		t.crash()
+		panic(http.ErrAbortHandler)
+	}
 	if err := t.callNext(ctx, r, order); err != nil {
 		t.counters.increment(&t.counters.stats.Failed)
 		http.Error(w, "after the call was started: "+err.Error(), http.StatusInternalServerError)
--- a/pkg/suspect/key.go
+++ b/pkg/suspect/key.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 )
 
 // Request is what makes two requests the same: they have the same method, host, path
@@ -27,7 +28,7 @@
 func (r *Request) Key() Key {
 	h := sha256.New()
 	var length [8]byte
-	for _, s := range [...]string{r.Method, r.Host, r.URI, r.Caller} {
+	for _, s := range [...]string{r.Method, hostName(r.Host), r.URI, r.Caller} {
 		binary.LittleEndian.PutUint64(length[:], uint64(len(s)))
 		h.Write(length[:])
 		h.Write([]byte(s))
@@ -36,5 +37,13 @@
 	return Key(h.Sum(nil)[:len(Key{})])
 }
 
+// hostName returns a host as requests are matched by it: without port, in lower case.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
 // String returns the first half of the key, in hexadecimal digits.
 func (k Key) String() string { return hex.EncodeToString(k[:len(k)/2]) }
--- a/pkg/suspect/table_test.go
+++ b/pkg/suspect/table_test.go
@@ -22,7 +22,7 @@
 func TestKey(t *testing.T) {
 	base := Request{Method: "POST", Host: "mesh.example", URI: "/orders/1?by=spool", Caller: "pedidos", Body: []byte("rope")}
 	same := base
-	same.Body = []byte("rope")
+	same.Host, same.Body = "Mesh.example:80", []byte("rope")
 	if base.Key() != same.Key() {
 		t.Error("the same request has two keys")
 	}
