Play requests that end targets in the soak

Two such requests, one of them not idempotent, come to random nodes during the whole run, also after the faults. Checked: no more than three runs later than 3 s after the third end, through nodes without faults, and as before that an order runs once, that a refusal is true, and that nine of ten calls are answered after the faults.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -66,12 +66,10 @@
 	}
 	out.path = path
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.node.cluster.address(c.node.index, portCaller).String(), 500*time.Millisecond)
-		if err != nil {
+		if !c.connect() {
 			pause.For(ctx, 50*time.Millisecond)
-			return // the node is down
+			return
 		}
-		c.conn, c.reader = conn, bufio.NewReader(conn)
 	} else {
 		out.reused = true
 	}
@@ -83,12 +81,25 @@
 	c.node.cluster.journal.recordOutcome(out)
 }
 
+// connect opens a connection and reports whether the node accepts it.
+func (c *caller) connect() bool {
+	conn, err := net.DialTimeout("tcp", c.node.cluster.address(c.node.index, portCaller).String(), 500*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
 func (c *caller) exchange(out *outcome) {
 	names := platform.Headers
 	method, body := "GET", ""
 	if out.unsafe {
 		method, body = "POST", "order "+out.id
 	}
+	if out.crashing && out.unsafe {
+		body = "order"
+	}
 	_ = c.conn.SetDeadline(time.Now().Add(callTimeout + time.Second)) // an error makes the read fail
 	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: mesh.example\r\n%s: %s\r\n%s: %d\r\n%s: forged\r\nContent-Length: %d\r\n\r\n%s",
 		method, out.path, names.RequestID, out.id, names.DeadlineMs, callTimeout.Milliseconds(), names.CallerService, len(body), body)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -25,7 +25,7 @@
 		o := &j.outcomes[i]
 		finished[o.id] = true
 		j.checkOutcome(o, runsByID[o.id])
-		if o.begin.After(recoveredBy) {
+		if o.begin.After(recoveredBy) && !o.crashing {
 			total++
 			if o.status == 200 {
 				answered++
@@ -39,6 +39,7 @@
 		j.checkRun(&j.runs[i], finished)
 	}
 	j.checkSignals()
+	j.checkCrashes()
 	for _, result := range j.rollouts {
 		j.checkRollout(&result, end)
 	}
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -52,6 +52,7 @@
 	processNumber int // of the node's processes, from 1
 	begin, end    time.Time
 	unsafe        bool // not idempotent: must not run twice
+	crashing      bool // ends each target that runs it
 	reused        bool // the connection had been used before
 	addedRoute    bool // uses a route added by version
 	version       uint64
@@ -82,6 +83,7 @@
 type journal struct {
 	mu         sync.Mutex
 	runs       []run
+	crashes    []crash
 	outcomes   []outcome
 	faults     []*fault
 	rollouts   []rolloutResult
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -34,4 +34,8 @@
 		Options: Options{Seed: 9322, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true, StoreRestores: true},
 		Cause:   "a late rollout of a bad version was completed 0.1 s after its full share, by a coordinator that had no counts yet",
 	},
+	{
+		Options: Options{Seed: 9950, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true, StoreRestores: true, CrashingRequests: true},
+		Cause:   "requests that end each target that runs them were sent on, so that 115 of 332 calls were answered after the faults",
+	},
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -37,6 +37,8 @@
 	StoreRestores bool
 	// RateLimits adds targets that name a rate limit for some time.
 	RateLimits bool
+	// CrashingRequests adds requests that end each target that runs them.
+	CrashingRequests bool
 }
 
 const (
@@ -68,7 +70,8 @@
 // cluster is the mesh of one run with its callers, targets and relays.
 type cluster struct {
 	options Options
-	rng     *rand.Rand // used only for the fault schedule, so that the seed determines it
+	ctx     context.Context // of the run
+	rng     *rand.Rand      // used only for the fault schedule, so that the seed determines it
 	store   *platformtest.Store
 	relay   *relay.Relay
 	nodes   []*node
@@ -88,7 +91,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &cluster{
-		options: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), store: platformtest.NewWithRates(-1, -1),
+		options: o, ctx: ctx, rng: rand.New(rand.NewPCG(o.Seed, 0)), store: platformtest.NewWithRates(-1, -1),
 		journal: newJournal(), started: time.Now(),
 	}
 	c.relay = relay.New(c.zoneOf)
@@ -113,6 +116,9 @@
 	if o.RateLimits {
 		wg.Go(func() { c.injectRateLimits(ctx) })
 	}
+	if o.CrashingRequests {
+		wg.Go(func() { c.sendCrashing(callerCtx) })
+	}
 	c.inject(ctx, &wg)
 	c.heal()
 	healedAt := time.Now()
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -195,6 +195,9 @@
 		id: id, target: t, at: time.Now(), acked: acked, path: req.RequestURI,
 		caller: req.Header.Get(names.CallerService),
 	})
+	if t.runCrashing(req.RequestURI, id) {
+		return false
+	}
 	remainingMS, err := strconv.Atoi(req.Header.Get(names.DeadlineMs))
 	if err != nil || remainingMS > int(callTimeout.Milliseconds())+500 {
 		t.node.cluster.journal.addViolation("call %s: target %s received a deadline of %q ms", id, t.id, req.Header.Get(names.DeadlineMs))
