Do not take a second copy of a refusal for the answer to a call that comes again

What callers could see: a call that ran at a target was said not to have run (503), or ran at a second target. A faulty target writes an earlier refusal once more on a kept connection; when the same call comes to the target again on it, the copy has the right ID, and comes first.

The class: what an answer proves, and which connection may be used again. An ID proves whose answer it is only on a connection that has not carried the call before. Such a connection is now passed over, and one on which an answer to another call was found is not used again. A connection carries 2,048 calls at most, since it remembers their IDs.

TestEndlessBytesAfterAResponse sent three calls with one ID and wanted them on one connection, which is what must not happen now; its calls have IDs of their own, and the bound stays.

--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -86,9 +86,9 @@
 		return true
 	})
 	c.Do(t.Context(), getCall("a"))
-	for range 3 {
+	for _, id := range []string{"b", "c", "d"} {
 		time.Sleep(20 * time.Millisecond)
-		if res := c.Do(t.Context(), getCall("b")); res.Kind != Answered || string(res.Body) != "menu" {
+		if res := c.Do(t.Context(), getCall(id)); res.Kind != Answered || string(res.Body) != "menu" {
 			t.Errorf("got %+v", res)
 		}
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -11,11 +11,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"nutmeghoist.example/nutmeghoist/internal/bounded"
 	"nutmeghoist.example/nutmeghoist/internal/listencheck"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -45,6 +48,8 @@
 	// maxStaleResponses bounds the responses that are read for a call, since late
 	// responses to earlier calls are skipped.
 	maxStaleResponses = 4
+	// maxCarriedCalls bounds the calls of a connection, since it remembers them all.
+	maxCarriedCalls = 2048
 )
 
 // Call is a call to a target.
@@ -131,6 +136,7 @@
 	input       *bounded.HeadReader
 	r           *bufio.Reader
 	reused      bool
+	carried     map[uint64]bool // hashes of the IDs of the calls that were sent on it
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
@@ -138,7 +144,7 @@
 // Do sends a call and returns its outcome. When the context ends first, the
 // connection is closed, so that the target stops working on the call.
 func (c *Client) Do(ctx context.Context, call *Call) Result {
-	conn, err := c.idleConn(call.Idempotent)
+	conn, err := c.idleConn(call)
 	if err == nil && conn == nil {
 		conn, err = c.dial(ctx)
 	}
@@ -174,23 +180,27 @@
 }
 
 // idleConn returns a usable idle connection, or nil. The most recently used one
-// comes first.
-func (c *Client) idleConn(idempotent bool) (*targetConn, error) {
-	now := time.Now()
+// comes first. One that has carried the call before is passed over: a second copy of
+// the earlier response on it could not be told from the response to this send.
+func (c *Client) idleConn(call *Call) (*targetConn, error) {
+	now, id := time.Now(), xxhash.Sum64String(call.ID)
 	for {
 		c.mu.Lock()
-		n := len(c.idle)
-		if n == 0 {
+		i := len(c.idle) - 1
+		for i >= 0 && c.idle[i].carried[id] {
+			i--
+		}
+		if i < 0 {
 			c.mu.Unlock()
 			return nil, nil
 		}
-		conn := c.idle[n-1]
+		conn := c.idle[i]
 		idle := now.Sub(conn.idleSince)
-		if !idempotent && idle > maxIdleNonIdempotent && idle <= conn.idleTimeout {
+		if !call.Idempotent && idle > maxIdleNonIdempotent && idle <= conn.idleTimeout {
 			c.mu.Unlock()
 			return nil, nil // the others have been idle for longer
 		}
-		c.idle = c.idle[:n-1]
+		c.idle = slices.Delete(c.idle, i, i+1)
 		c.mu.Unlock()
 		if idle <= conn.idleTimeout && conn.isUsable() {
 			return conn, nil
@@ -235,7 +245,8 @@
 }
 
 // exchange sends the call on a connection and reads the response. The
-// connection is kept only after a complete response without bytes after it.
+// connection is kept only after a complete response without bytes after it and without
+// responses to other calls before it.
 func (c *Client) exchange(ctx context.Context, conn *targetConn, call *Call) Result {
 	if ctx.Err() != nil || !time.Now().Before(call.Deadline) {
 		c.putIdle(conn)
@@ -264,6 +275,8 @@
 func (c *Client) roundTrip(conn *targetConn, call *Call) (Result, bool) {
 	// A failure shows at the write or the read.
 	_ = conn.SetDeadline(call.Deadline.Add(responseGrace))
+	conn.recordCall(call.ID)
+	onlyOwn := true
 	if _, err := conn.Write(c.encodeRequest(call)); err != nil {
 		return unknownResult(ConnectionBroken, err), false
 	}
@@ -272,18 +285,29 @@
 		if err != nil {
 			return unknownResult(readReason(err), err), false
 		}
-		if resp.StatusCode < 200 || c.belongsToOther(resp.Header, call) {
+		if resp.StatusCode < 200 {
+			continue
+		}
+		if c.belongsToOther(resp.Header, call) {
+			onlyOwn = false
 			continue
 		}
 		res := c.classify(resp, body, call, conn.reused)
 		conn.idleTimeout = idleTimeoutOf(resp.Header)
 		hasLength := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 		clean := conn.r.Buffered() == 0 && res.Reason != Malformed
-		return res, hasLength && clean && !resp.Close && len(call.Body) < earlyResponseBytes
+		return res, hasLength && clean && onlyOwn && len(conn.carried) < maxCarriedCalls && !resp.Close && len(call.Body) < earlyResponseBytes
 	}
 	return unknownResult(Malformed, errors.New("too many responses to earlier calls")), false
 }
 
+func (t *targetConn) recordCall(id string) {
+	if t.carried == nil {
+		t.carried = make(map[uint64]bool)
+	}
+	t.carried[xxhash.Sum64String(id)] = true
+}
+
 // readResponse reads one response with its body, which is in memory once.
 func (c *Client) readResponse(conn *targetConn, call *Call) (*http.Response, []byte, error) {
 	conn.input.BeginHead(maxHeadBytes)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -284,3 +284,49 @@
 		t.Errorf("got %+v", res)
 	}
 }
+
+// TestEarlierRefusalProvesNothing guards against a second copy of a refusal that is taken for the answer to the same call, which comes again.
+func TestEarlierRefusalProvesNothing(t *testing.T) {
+	var first net.Conn
+	refusal := rawResponse(503, "a", "Not-Run: 1\r\n", "")
+	c, conns := startTarget(t, func(n int, _ *http.Request, conn net.Conn) bool {
+		if n == 0 {
+			first = conn
+			_, _ = conn.Write([]byte(refusal))
+			return true
+		}
+		_, _ = first.Write([]byte(refusal)) // on the connection that the client has kept
+		time.Sleep(20 * time.Millisecond)
+		_, _ = conn.Write([]byte(rawResponse(200, "a", "", "menu")))
+		return true
+	})
+	if res := c.Do(t.Context(), getCall("a")); res.Kind != NotRun {
+		t.Fatalf("first send: %+v", res)
+	}
+	if res := c.Do(t.Context(), getCall("a")); res.Kind != Answered || string(res.Body) != "menu" {
+		t.Errorf("second send, which ran: kind %d, reason %q", res.Kind, res.Reason)
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
+// Guards against a connection that is kept although a response on it belonged to
+// another call, and against one that other calls do not share.
+func TestConnectionWithStaleResponsesIsNotKept(t *testing.T) {
+	c, conns := startTarget(t, func(n int, r *http.Request, conn net.Conn) bool {
+		if n == 1 {
+			_, _ = conn.Write([]byte(rawResponse(200, "a", "", "late")))
+		}
+		_, _ = conn.Write([]byte(rawResponse(200, r.Header.Get("Call-Name"), "", "menu")))
+		return true
+	})
+	for i, id := range []string{"a", "b", "c", "d"} {
+		if res := c.Do(t.Context(), getCall(id)); res.Kind != Answered || string(res.Body) != "menu" {
+			t.Fatalf("call %s: %+v", id, res)
+		}
+		if want := int64(1 + i/2); conns.Load() != want {
+			t.Errorf("%d connections after call %s, want %d", conns.Load(), id, want)
+		}
+	}
+}
