Close the connection of a refusal in nutmeghoistd

What callers could see: 503 for a call that was running. A faulty target writes an earlier refusal once more on a kept connection; answers have no ID there, so that the copy was taken for the answer to the next call.

A connection on which a target has refused is not used again. TestEarlierRefusalIsNotTheAnswerToTheNextCall: 503 for the second call, which ran, without the change; 200 with it. The cost is one connection for each refusal.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -33,6 +33,7 @@
 	queueTime    time.Duration  // before the dispatch to the target
 	limiter      *admission.Limiter
 	run          *run          // at a local target
+	conn         *trackedConn  // on which the answer arrived
 	ended        suspect.EndID // the target ended while it ran the call
 }
 
@@ -94,7 +95,7 @@
 	ctx, started := req.Context(), time.Now()
 	resp, err := t.RoundTrip(req.WithContext(a.withTrace(ctx)))
 	if err == nil && resp.StatusCode >= http.StatusOK {
-		return resp, result{}
+		return resp, result{conn: a.writer.Load()}
 	}
 	if err == nil {
 		// Not a final answer: an unrequested upgrade or an invalid status.
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -98,6 +98,8 @@
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerTargetNotRun) == "true" {
 		res.kind, res.reason, res.retryAfter = resultNotRun, ReasonShed, retryAfterOf(resp.Header)
 		run.endFailed(&res)
+		// A second copy of the refusal would be taken for the answer to the next call.
+		_ = res.conn.Close()
 		discard(resp)
 		res.release(admission.Result{Shed: true})
 		return res
