--- a/internal/exchange/cut_test.go
+++ b/internal/exchange/cut_test.go
@@ -19,6 +19,8 @@
 		"in chunks":   "HTTP/1.1 200 X\r\nCall-Name: b\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nmenu\r\n0\r\n\r\n",
 		"failure":     rawResponse(500, "b", "", "no"),
 	}
+	// The body ends with the connection, so that only a cut in the head shows.
+	responses["head of one without length"] = "HTTP/1.1 200 X\r\nCall-Name: b\r\nProof: p\r\n\r\n"
 	for name, whole := range responses {
 		for _, reset := range []bool{false, true} {
 			for _, idempotent := range []bool{false, true} {
