Tell other nodes to stop sending while callers' calls still run

What callers saw: in a planned stop of one node, in calm, calls that other nodes had sent to its target late in the grace time were cut and ended with 502, among them some that may not be repeated.

Cause: the node told other nodes to stop only after the last call of its own callers had ended. A call that took until the end left no time for those that were taken from other nodes meanwhile. Both now drain at the same time.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -396,10 +396,13 @@
 		time.Sleep(stopPollInterval)
 	}
 	s.entry.Stop()
-	s.callers.Shutdown(timeLeft())
 	// Other nodes go on sending calls when a target here is the only one of its
-	// service. They are told to stop while there is time for the calls in flight.
-	s.peers.Drain(timeLeft(), hopDrainTimeout)
+	// service. They are told to stop while there is time for the calls in flight, however
+	// long those of this node's callers take.
+	var drained sync.WaitGroup
+	drained.Go(func() { s.peers.Drain(timeLeft(), hopDrainTimeout) })
+	s.callers.Shutdown(timeLeft())
+	drained.Wait()
 	if cut := s.callers.PendingCalls() + s.peers.PendingCalls(); cut > 0 {
 		s.cfg.Log.Warn().Int("in_flight", cut).Msg("calls were cut at the end of the grace time")
 	}
