Let the retry budget of the caller's node pay for calls that are sent again

Cause, traced before: an idempotent call whose reused connection breaks is sent again by the node beside the target, outside of the allowance that all nodes share. While a target breaks each call these are twice as many as the retries. The entry now says with a call whether its budget has a retry left, the owner sends again only then and reports it, and the entry pays.

TestResendIsPaidByTheCaller: without the change the call is sent 3 times in both cases.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -355,7 +355,7 @@
 		Target: t.ID, Service: t.Service, Version: t.Version, Caller: c.entry.cfg.Service, ID: c.id,
 		Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: c.forwardedHeader(), Body: c.req.Body,
 		Priority: c.route.Priority, Nested: c.nested, Idempotent: c.route.Idempotent, Route: c.route.Name,
-		Signals: c.entry.signals.get(t),
+		Signals: c.entry.signals.get(t), MayResend: c.route.Idempotent && c.budget.HasRetry(),
 	}
 	t.Stat.Begin()
 	c.entry.cfg.Observer.Begin(service, isNew)
@@ -394,6 +394,10 @@
 		}, time.Now())
 	}
 	c.recordTargetEnd(t, resp)
+	if resp.Resent {
+		c.budget.Charge()
+		c.entry.count("retried.resent")
+	}
 	c.entry.signals.record(t, resp, c.entry.cfg.DrainTime())
 	c.recordSignal(t, resp)
 	return resp
--- a/internal/hop/fields.go
+++ b/internal/hop/fields.go
@@ -43,7 +43,8 @@
 	SoftDeadlineAt int64  `cbor:"9,keyasint"`
 	Nested         bool   `cbor:"10,keyasint,omitempty"`
 
-	Signals *TargetSignals `cbor:"11,keyasint,omitempty"`
+	Signals   *TargetSignals `cbor:"11,keyasint,omitempty"`
+	MayResend bool           `cbor:"12,keyasint,omitempty"`
 }
 
 // wireResponse is the encoding of a Response.
@@ -61,6 +62,7 @@
 
 	Signals *TargetSignals `cbor:"11,keyasint,omitempty"`
 	Ended   suspect.EndID  `cbor:"12,keyasint,omitempty"`
+	Resent  bool           `cbor:"13,keyasint,omitempty"`
 }
 
 // fieldWriter encodes fields into header blocks, which must be sent in the order
@@ -141,6 +143,7 @@
 	return c.writeMessageLocked(frameRequest, &wireRequest{
 		Stream: r.Stream, Fields: fields, ID: r.ID, URI: r.URI, Body: r.Body, Priority: r.Priority,
 		Idempotent: r.Idempotent, DeadlineAt: r.DeadlineAt, SoftDeadlineAt: r.SoftDeadlineAt, Nested: r.Nested, Signals: r.Signals,
+		MayResend: r.MayResend,
 	})
 }
 
@@ -158,6 +161,7 @@
 		Version: mesh.TargetVersion(f[fieldVersion]), Caller: mesh.ServiceName(f[fieldCaller]), ID: w.ID,
 		Method: f[fieldMethod], URI: w.URI, Host: f[fieldHost], Header: h, Body: w.Body, Priority: w.Priority,
 		Idempotent: w.Idempotent, Route: f[fieldRoute], DeadlineAt: w.DeadlineAt, SoftDeadlineAt: w.SoftDeadlineAt, Nested: w.Nested, Signals: w.Signals,
+		MayResend: w.MayResend,
 	}, nil
 }
 
@@ -170,7 +174,7 @@
 	}
 	return c.writeMessageLocked(frameResponse, &wireResponse{
 		Stream: r.Stream, Outcome: r.Outcome, RetryAfterMs: r.RetryAfterMs, SentToTarget: r.SentToTarget, Status: r.Status,
-		Stamp: r.Stamp, Fields: fields, Body: r.Body, Load: r.Load, ServiceUs: r.ServiceUs, Signals: r.Signals, Ended: r.Ended,
+		Stamp: r.Stamp, Fields: fields, Body: r.Body, Load: r.Load, ServiceUs: r.ServiceUs, Signals: r.Signals, Ended: r.Ended, Resent: r.Resent,
 	})
 }
 
@@ -185,6 +189,6 @@
 	}
 	return &Response{
 		Stream: w.Stream, Outcome: w.Outcome, Reason: f[fieldReason], RetryAfterMs: w.RetryAfterMs, SentToTarget: w.SentToTarget,
-		Status: w.Status, Stamp: w.Stamp, Header: h, Body: w.Body, Load: w.Load, ServiceUs: w.ServiceUs, Signals: w.Signals, Ended: w.Ended,
+		Status: w.Status, Stamp: w.Stamp, Header: h, Body: w.Body, Load: w.Load, ServiceUs: w.ServiceUs, Signals: w.Signals, Ended: w.Ended, Resent: w.Resent,
 	}, nil
 }
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -38,7 +38,10 @@
 	Priority   int  // 0 is the highest
 	Nested     bool // a call of a target, whose own call waits for it
 	Idempotent bool
-	Route      string
+	// MayResend means that the call may be sent a second time when a connection to the
+	// target that was used before breaks. The retry budget of the caller's node pays.
+	MayResend bool
+	Route     string
 	// DeadlineAt and SoftDeadlineAt are readings of the receiving node's monotonic
 	// clock, in microseconds since its start, so that time lost on the way counts.
 	// A response after SoftDeadlineAt is late and no longer has its full benefit.
@@ -93,6 +96,7 @@
 	Load         *Load
 	ServiceUs    int64          // time at the target, in microseconds
 	Signals      *TargetSignals // in force at the owner; nil without any
+	Resent       bool           // the call was sent to the target a second time
 	// Ended identifies the end of the target's process while it ran the call; 0 if it
 	// has not ended.
 	Ended suspect.EndID
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -57,7 +57,8 @@
 	if err != nil {
 		return o.refusalResponse(t, r, err, arrived)
 	}
-	res, end, took := o.runAdmitted(ctx, t, r, deadline, endTrial != nil)
+	out := o.runAdmitted(ctx, t, r, deadline, endTrial != nil)
+	res := &out.Result
 	if res.Reason == exchange.Withdrawn && !o.mayStillSend(r, endTrial != nil, 0) {
 		return o.withLoad(t, o.refuseSuspect(r, keyOf(r), reasonSuspectBusy, suspect.Decision{RetryAfter: trialRetryAfter}))
 	}
@@ -65,48 +66,55 @@
 		o.count("refused." + reasonDraining)
 		return o.withLoad(t, &hop.Response{Outcome: hop.NotRun, Reason: reasonDraining})
 	}
-	metrics.GetOrRegisterTimer("target.time", o.cfg.Metrics).Update(took)
-	resp := o.response(&res)
-	resp.ServiceUs, resp.Ended = took.Microseconds(), end
+	metrics.GetOrRegisterTimer("target.time", o.cfg.Metrics).Update(out.took)
+	resp := o.response(res)
+	resp.ServiceUs, resp.Ended, resp.Resent = out.took.Microseconds(), out.ended, out.sends > 1
 	if res.Kind != exchange.Answered {
 		o.count("target." + string(res.Reason))
 		o.cfg.Log.Info().Str("id", r.ID).Str("request", keyOf(r).String()).Str("target", string(r.Target)).Str("route", r.Route).Str("reason", string(res.Reason)).
-			Bool("sent", res.Sent).Dur("took", took).Dur("left", time.Until(deadline)).AnErr("cause", res.Err).Msg("target gave no answer")
+			Bool("sent", res.Sent).Dur("took", out.took).Dur("left", time.Until(deadline)).AnErr("cause", res.Err).Msg("target gave no answer")
 	}
 	return o.withLoad(t, resp)
 }
 
-// runAdmitted sends an admitted call to its target and releases its slot. It returns
-// the outcome, the end of the target if it ended meanwhile, and the time at the target.
-func (o *Owner) runAdmitted(ctx context.Context, t *target, r *hop.Request, deadline time.Time, isTrial bool) (res exchange.Result, end suspect.EndID, took time.Duration) {
+// outcome is the outcome of a call that was admitted.
+type outcome struct {
+	exchange.Result
+	sends int
+	ended suspect.EndID // of the target, if it ended while it ran the call
+	took  time.Duration // at the target
+}
+
+// runAdmitted sends an admitted call to its target and releases its slot.
+func (o *Owner) runAdmitted(ctx context.Context, t *target, r *hop.Request, deadline time.Time, isTrial bool) (out outcome) {
 	sent := time.Now()
 	o.countRunning(r.ID, 1)
 	defer func() {
-		took = time.Since(sent)
+		out.took = time.Since(sent)
 		o.countRunning(r.ID, -1)
 		t.limiter.Release(admission.Result{
-			Kind: r.Route, Shed: res.Reason == exchange.Shed, Answered: res.Kind == exchange.Answered, ServiceTime: took,
-			NotSent: !res.Sent, Rate: rateNotice(&res),
+			Kind: r.Route, Shed: out.Reason == exchange.Shed, Answered: out.Kind == exchange.Answered, ServiceTime: out.took,
+			NotSent: !out.Sent, Rate: rateNotice(&out.Result),
 		})
 	}()
-	sends := 0
 	call := t.running.Begin(func() (suspect.Key, bool) { return keyOf(r), true })
-	res = t.client.Do(ctx, &exchange.Call{
+	out.Result = t.client.Do(ctx, &exchange.Call{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Caller: r.Caller, Expect: r.Target, Idempotent: r.Idempotent, Deadline: deadline,
 		MaySend: func() bool {
-			if o.pastSendLimit(t) || !o.mayStillSend(r, isTrial, sends) {
+			if o.pastSendLimit(t) || !o.mayStillSend(r, isTrial, out.sends) || out.sends > 0 && !r.MayResend {
 				return false
 			}
-			if sends++; sends > 1 {
+			if out.sends++; out.sends > 1 {
 				t.limiter.CountResend()
 			}
 			o.countSend(t)
 			return true
 		},
 	})
-	o.observe(t, r.ID, &res)
-	return res, o.endCall(ctx, t, r, call, &res), 0
+	o.observe(t, r.ID, &out.Result)
+	out.ended = o.endCall(ctx, t, r, call, &out.Result)
+	return out
 }
 
 // IsRunning reports whether a call with the request ID runs at a target of this
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -298,3 +298,56 @@
 		})
 	}
 }
+
+// TestResendIsPaidByTheCaller guards against calls that are sent again on a new connection beyond the retries that all nodes share.
+func TestResendIsPaidByTheCaller(t *testing.T) {
+	for _, mayResend := range []bool{false, true} {
+		t.Run(fmt.Sprint("mayResend=", mayResend), func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			var requests atomic.Int64
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer c.Close()
+						r := bufio.NewReader(c)
+						for {
+							req, err := http.ReadRequest(r)
+							if err != nil || requests.Add(1) > 1 {
+								return // breaks the connection from the second request on
+							}
+							fmt.Fprintf(c, "HTTP/1.1 200 X\r\nCall-Name: %s\r\nProof: p\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Call-Name"))
+						}
+					}()
+				}
+			}()
+			o := newOwner(nil)
+			h := heartbeat("a", 10, 1, false)
+			h.Address = l.Addr().String()
+			if err := o.Heartbeat(h); err != nil {
+				t.Fatal(err)
+			}
+			call := func(id string) *hop.Response {
+				in := time.Now().Add(time.Second).Sub(hop.TimeAt(0)).Microseconds()
+				return o.Call(t.Context(), &hop.Request{
+					Target: "a", Service: "galley", Version: "v1", ID: id, Method: "GET", URI: "/menus", Host: "m", Idempotent: true,
+					DeadlineAt: in, SoftDeadlineAt: in, MayResend: mayResend,
+				})
+			}
+			if r := call("1"); r.Outcome != hop.Answered {
+				t.Fatalf("first call: %+v", r)
+			}
+			r := call("2")
+			if want := map[bool]int64{false: 2, true: 3}[mayResend]; requests.Load() != want || r.Resent != mayResend || r.Outcome != hop.Unknown {
+				t.Errorf("%d requests, want %d; resent %t, outcome %d", requests.Load(), want, r.Resent, r.Outcome)
+			}
+		})
+	}
+}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// HasRetry reports whether a retry is left.
+func (b *Budget) HasRetry() bool { return b.tokens.Load() >= callsPerRetry }
+
+// Charge uses one retry that was made elsewhere on behalf of this node. The budget can
+// become negative by the calls in flight, down to minus the burst.
+func (b *Budget) Charge() {
+	b.tokens.Store(max(b.tokens.Add(-callsPerRetry), -b.burst.Load()*callsPerRetry))
+}
+
 // withdraw uses one retry if more than reserve are left.
 func (b *Budget) withdraw(reserve int64) bool {
 	for {
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -115,3 +115,22 @@
 		t.Errorf("the last target ran %d times for one call", runs)
 	}
 }
+
+// Guards against retries made elsewhere that the budget does not pay, and against a
+// debt that holds retries back for long.
+func TestChargedRetriesUseTheBudget(t *testing.T) {
+	b := NewBudget()
+	for range 3 * DefaultBurst {
+		b.Charge()
+	}
+	if b.HasRetry() {
+		t.Error("retries are left after more were charged than the budget holds")
+	}
+	calls := 0
+	for ; !b.HasRetry(); calls++ {
+		b.Deposit()
+	}
+	if want := (DefaultBurst + 1) * callsPerRetry; calls != want {
+		t.Errorf("%d calls until the next retry, want %d", calls, want)
+	}
+}
