Share the checks of a target's address and compute the key of a request once

Calls that break together waited for one check after another, 10 ms each while the target listens; a check that has begun after a call broke now holds for that call. The owner hashes a body once a call. The debt of a retry budget is kept by a single exchange, so that no deposit is lost.

--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -42,7 +43,8 @@
 		return &hop.Response{Outcome: hop.NotRun, Reason: reason}
 	}
 	o.applySignals(t, r.Signals)
-	endTrial, refusal := o.admitSuspect(ctx, t, r)
+	key := sync.OnceValue(func() suspect.Key { return keyOf(r) })
+	endTrial, refusal := o.admitSuspect(ctx, t, r, key)
 	if refusal != nil {
 		return o.withLoad(t, refusal)
 	}
@@ -57,10 +59,10 @@
 	if err != nil {
 		return o.refusalResponse(t, r, err, arrived)
 	}
-	out := o.runAdmitted(ctx, t, r, deadline, endTrial != nil)
+	out := o.runAdmitted(ctx, t, r, key, deadline, endTrial != nil)
 	res := &out.Result
-	if res.Reason == exchange.Withdrawn && !o.mayStillSend(r, endTrial != nil, 0) {
-		return o.withLoad(t, o.refuseSuspect(r, keyOf(r), reasonSuspectBusy, suspect.Decision{RetryAfter: trialRetryAfter}))
+	if res.Reason == exchange.Withdrawn && !o.mayStillSend(key, endTrial != nil, 0) {
+		return o.withLoad(t, o.refuseSuspect(r, key(), reasonSuspectBusy, suspect.Decision{RetryAfter: trialRetryAfter}))
 	}
 	if res.Reason == exchange.Withdrawn {
 		o.count("refused." + reasonDraining)
@@ -71,7 +73,7 @@
 	resp.ServiceUs, resp.Ended, resp.Resent = out.took.Microseconds(), out.ended, out.sends > 1
 	if res.Kind != exchange.Answered {
 		o.count("target." + string(res.Reason))
-		o.cfg.Log.Info().Str("id", r.ID).Str("request", keyOf(r).String()).Str("target", string(r.Target)).Str("route", r.Route).Str("reason", string(res.Reason)).
+		o.cfg.Log.Info().Str("id", r.ID).Str("request", key().String()).Str("target", string(r.Target)).Str("route", r.Route).Str("reason", string(res.Reason)).
 			Bool("sent", res.Sent).Dur("took", out.took).Dur("left", time.Until(deadline)).AnErr("cause", res.Err).Msg("target gave no answer")
 	}
 	return o.withLoad(t, resp)
@@ -86,7 +88,7 @@
 }
 
 // runAdmitted sends an admitted call to its target and releases its slot.
-func (o *Owner) runAdmitted(ctx context.Context, t *target, r *hop.Request, deadline time.Time, isTrial bool) (out outcome) {
+func (o *Owner) runAdmitted(ctx context.Context, t *target, r *hop.Request, key func() suspect.Key, deadline time.Time, isTrial bool) (out outcome) {
 	sent := time.Now()
 	o.countRunning(r.ID, 1)
 	defer func() {
@@ -97,12 +99,12 @@
 			NotSent: !out.Sent, Rate: rateNotice(&out.Result),
 		})
 	}()
-	call := t.running.Begin(func() (suspect.Key, bool) { return keyOf(r), true })
+	call := t.running.Begin(func() (suspect.Key, bool) { return key(), true })
 	out.Result = t.client.Do(ctx, &exchange.Call{
 		ID: r.ID, Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, Body: r.Body,
 		Caller: r.Caller, Expect: r.Target, Idempotent: r.Idempotent, Deadline: deadline,
 		MaySend: func() bool {
-			if o.pastSendLimit(t) || !o.mayStillSend(r, isTrial, out.sends) || out.sends > 0 && !r.MayResend {
+			if o.pastSendLimit(t) || !o.mayStillSend(key, isTrial, out.sends) || out.sends > 0 && !r.MayResend {
 				return false
 			}
 			if out.sends++; out.sends > 1 {
@@ -113,7 +115,7 @@
 		},
 	})
 	o.observe(t, r.ID, &out.Result)
-	out.ended = o.endCall(ctx, t, r, call, &out.Result)
+	out.ended = o.endCall(ctx, t, call, key, len(r.Body), &out.Result)
 	return out
 }
 
--- a/internal/owner/ended.go
+++ b/internal/owner/ended.go
@@ -27,15 +27,14 @@
 
 // endCall records what the outcome of a call says about its request and about the
 // target. It returns the end of the target if it ended while it ran the call.
-func (o *Owner) endCall(ctx context.Context, t *target, r *hop.Request, c *suspect.Call, res *exchange.Result) suspect.EndID {
+func (o *Owner) endCall(ctx context.Context, t *target, c *suspect.Call, key func() suspect.Key, bodyBytes int, res *exchange.Result) suspect.EndID {
 	switch {
 	case res.Kind == exchange.Answered:
-		if known := o.cfg.Suspects.Len() > 0; known || len(r.Body) <= maxProvenBody {
-			key := keyOf(r)
-			t.running.AddProven(key)
-			if known && o.cfg.Suspects.RecordCompletion(key) {
+		if known := o.cfg.Suspects.Len() > 0; known || bodyBytes <= maxProvenBody {
+			t.running.AddProven(key())
+			if known && o.cfg.Suspects.RecordCompletion(key()) {
 				o.count("suspects.cleared")
-				o.cfg.Log.Info().Str("request", key.String()).Str("target", string(t.ID)).Msg("request has completed and is cleared")
+				o.cfg.Log.Info().Str("request", key().String()).Str("target", string(t.ID)).Msg("request has completed and is cleared")
 			}
 		}
 	case res.Kind == exchange.NotRun:
@@ -101,23 +100,22 @@
 // admitSuspect decides whether a call may be sent, as far as targets have ended under
 // its request. A trial waits until no other one runs at the target. It returns the
 // function that ends the trial, or a refusal.
-func (o *Owner) admitSuspect(ctx context.Context, t *target, r *hop.Request) (endTrial func(), refusal *hop.Response) {
+func (o *Owner) admitSuspect(ctx context.Context, t *target, r *hop.Request, key func() suspect.Key) (endTrial func(), refusal *hop.Response) {
 	if o.cfg.Suspects.Len() == 0 {
 		return nil, nil
 	}
-	key := keyOf(r)
-	d := o.cfg.Suspects.Decide(key)
+	d := o.cfg.Suspects.Decide(key())
 	if d.Verdict == suspect.Trial {
 		if !t.trials.Begin(ctx, hop.TimeAt(r.SoftDeadlineAt)) {
-			return nil, o.refuseSuspect(r, key, reasonSuspectBusy, suspect.Decision{RetryAfter: trialRetryAfter, Ends: d.Ends})
+			return nil, o.refuseSuspect(r, key(), reasonSuspectBusy, suspect.Decision{RetryAfter: trialRetryAfter, Ends: d.Ends})
 		}
-		if d = o.cfg.Suspects.Decide(key); d.Verdict != suspect.Rejected {
+		if d = o.cfg.Suspects.Decide(key()); d.Verdict != suspect.Rejected {
 			return t.trials.End, nil
 		}
 		t.trials.End()
 	}
 	if d.Verdict == suspect.Rejected {
-		return nil, o.refuseSuspect(r, key, reasonSuspect, d)
+		return nil, o.refuseSuspect(r, key(), reasonSuspect, d)
 	}
 	return nil, nil
 }
@@ -131,11 +129,11 @@
 
 // mayStillSend reports whether a call that was admitted may be sent: no target has
 // ended under its request meanwhile. A trial is not sent a second time.
-func (o *Owner) mayStillSend(r *hop.Request, isTrial bool, sends int) bool {
+func (o *Owner) mayStillSend(key func() suspect.Key, isTrial bool, sends int) bool {
 	if o.cfg.Suspects.Len() == 0 {
 		return true
 	}
-	switch o.cfg.Suspects.Decide(keyOf(r)).Verdict {
+	switch o.cfg.Suspects.Decide(key()).Verdict {
 	case suspect.Rejected:
 		return false
 	case suspect.Trial:
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -55,7 +55,12 @@
 // Charge uses one retry that was made elsewhere on behalf of this node. The budget can
 // become negative by the calls in flight, down to minus the burst.
 func (b *Budget) Charge() {
-	b.tokens.Store(max(b.tokens.Add(-callsPerRetry), -b.burst.Load()*callsPerRetry))
+	for {
+		t := b.tokens.Load()
+		if b.tokens.CompareAndSwap(t, max(t-callsPerRetry, -b.burst.Load()*callsPerRetry)) {
+			return
+		}
+	}
 }
 
 // withdraw uses one retry if more than reserve are left.
--- a/pkg/suspect/running.go
+++ b/pkg/suspect/running.go
@@ -31,7 +31,8 @@
 	// proven are the requests that have completed, those of the earlier generation too.
 	proven, provenBefore map[Key]bool
 
-	check sync.Mutex // held while the target's address is tried
+	check        sync.Mutex // held while the target's address is tried
+	checkStarted time.Time  // guarded by check
 }
 
 // Begin adds a call that is about to be sent. key returns the key of its request, if
@@ -83,16 +84,22 @@
 }
 
 // CheckEnded reports whether the target has ended. The calls that break together share
-// one check of its address by listening. onEnd is called once, before the first true.
+// the checks of its address by listening: one that has begun after a call broke holds
+// for that call. onEnd is called once, before the first true.
 func (r *Running) CheckEnded(listening func() bool, onEnd func()) bool {
+	broke := time.Now()
 	r.check.Lock()
 	defer r.check.Unlock()
 	r.mu.Lock()
 	ended := r.ended != 0
 	r.mu.Unlock()
-	if ended || listening() {
+	if ended || r.checkStarted.After(broke) {
 		return ended
 	}
+	r.checkStarted = time.Now()
+	if listening() {
+		return false
+	}
 	onEnd()
 	return true
 }
