--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/pause"
 )
 
@@ -45,16 +46,38 @@
 	c := crash{path: path, at: began, node: t.node, id: id}
 	if !ended {
 		c.end = time.Now()
-		time.AfterFunc(crashDowntime, func() {
-			if t.node.cluster.ctx.Err() == nil && len(t.node.servingTargets("")) == 0 {
-				t.node.startTarget(t.node.cluster.ctx, t.version)
-			}
-		})
+		time.AfterFunc(crashDowntime, t.restart)
 	}
 	t.node.cluster.journal.recordCrash(c)
 	return true
 }
 
+// restart starts a target that is like the one that has ended, unless it was leaving,
+// its version is no longer wanted, or there is another one.
+func (t *target) restart() {
+	n := t.node
+	t.mu.Lock()
+	leaving := t.draining
+	t.mu.Unlock()
+	if leaving || n.cluster.ctx.Err() != nil || n.cluster.journal.isRetired(n.service, t.version) || len(n.servingTargets(t.version)) > 0 {
+		return
+	}
+	n.startTarget(n.cluster.ctx, t.version).failing.Store(t.failing.Load())
+}
+
+// retire records that the targets of a version are taken away.
+func (j *journal) retire(s mesh.ServiceName, v mesh.TargetVersion) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.retired[mesh.ServiceVersion{Service: s, Version: v}] = true
+}
+
+func (j *journal) isRetired(s mesh.ServiceName, v mesh.TargetVersion) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.retired[mesh.ServiceVersion{Service: s, Version: v}]
+}
+
 func (j *journal) recordCrash(c crash) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -224,6 +224,12 @@
 		}
 	}
 	c.journal.recordRollout(service, p.variant, state, began)
+	switch state {
+	case rollout.Completed:
+		c.journal.retire(service, "v1")
+	case rollout.RolledBack:
+		c.journal.retire(service, "v2")
+	}
 	for _, n := range c.nodes {
 		if n.service != service {
 			continue
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -84,6 +84,7 @@
 	mu         sync.Mutex
 	runs       []run
 	crashes    []crash
+	retired    map[mesh.ServiceVersion]bool
 	outcomes   []outcome
 	faults     []*fault
 	rollouts   []rolloutResult
@@ -92,7 +93,9 @@
 	violations []string
 }
 
-func newJournal() *journal { return &journal{claimed: make(map[mesh.ServiceName]bool)} }
+func newJournal() *journal {
+	return &journal{claimed: make(map[mesh.ServiceName]bool), retired: make(map[mesh.ServiceVersion]bool)}
+}
 
 func (j *journal) addViolation(format string, args ...any) {
 	j.mu.Lock()
