--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -503,7 +503,7 @@
 		fmt.Fprintln(os.Stderr, "usage: lab CASE PROGRAM RECORD")
 		return exitSetup
 	}
-	cases := map[string]func(*lab) (broken bool, err error){"departed": departed, "exposed": exposed, "ordered": ordered, "unordered": unordered}
+	cases := map[string]func(*lab) (broken bool, err error){"departed": departed, "exposed": exposed, "ordered": ordered, "unordered": unordered, "completed": completed}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
