--- a/review/_lab/exposed.go
+++ b/review/_lab/exposed.go
@@ -16,8 +16,7 @@
 const (
 	rollbackTime = 5 * time.Second
 	badAnswers   = 50
-	moveTime     = 10 * time.Second
-	badAfter     = 7300 * time.Millisecond
+	moveTime     = 16 * time.Second
 	// stopTime is about how long a node takes to stop after SIGTERM.
 	stopTime = 3 * time.Second
 )
@@ -26,8 +25,8 @@
 var restarted = []string{"sidecar-otavalo-1", "sidecar-otavalo-3", "sidecar-otavalo-4", "sidecar-cotacachi-3"}
 
 // exposed moves a service to a good version, stops and starts four nodes in turn, and
-// orders a move to a version that turns bad, which is rolled back. Then the node that
-// wrote the roll-back is stopped and started.
+// orders a move to a version that is bad under load, which is rolled back. Then the node
+// that wrote the roll-back is stopped and started.
 func exposed(l *lab) (broken bool, err error) {
 	if err := l.open(configText(1)); err != nil {
 		return false, err
@@ -54,7 +53,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	l.load(ctx, []string{"/fibra/", "/medida/", "/medida/"}, 10, 70*time.Millisecond)
+	l.load(ctx, []string{"/fibra/", "/medida/", "/medida/"}, 12, 70*time.Millisecond)
 	time.Sleep(2 * time.Second)
 
 	// A good version, in planned work.
@@ -87,13 +86,15 @@
 		return false, err
 	}
 
-	// A version that turns bad late.
+	// A version that is bad under load.
 	if next, err = l.startVersion("v3", portServer+20); err != nil {
 		return false, err
 	}
 	servers = append(servers, next...)
 	time.Sleep(2 * time.Second)
-	time.AfterFunc(badAfter, func() { l.turnBad(next) })
+	for _, s := range next {
+		s.underLoad.Store(true)
+	}
 	state, holder, err := l.rollOut("v3", moveTime)
 	if err != nil || state != "rolled_back" {
 		return false, fmt.Errorf("%w: rollout of v3 ended as %q: %w", errSetup, state, err)
--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -260,7 +260,11 @@
 	conns    map[net.Conn]bool
 	ended    bool
 	failing  atomic.Int64 // how many of a hundred answers are failures
-	busy     atomic.Int64
+	// underLoad means that loadedPercent of a hundred answers are failures while the
+	// server gets loadRate requests a second or more.
+	underLoad atomic.Bool
+	arrivals  []time.Time // in the last loadWindow; guarded by mu
+	busy      atomic.Int64
 }
 
 func (n *node) startServer(id, version string, port int) (*server, error) {
@@ -372,7 +376,7 @@
 	s.node.lab.recordRun(id, s.id)
 	time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(s.work)))
 	status := "200 OK"
-	if int64(rand.IntN(100)) < s.failing.Load() {
+	if int64(rand.IntN(100)) < s.failing.Load() || s.isLoaded() && rand.IntN(100) < loadedPercent {
 		status = "500 Internal Server Error"
 		s.node.lab.recordBad(s.version)
 	}
@@ -381,6 +385,27 @@
 	return err == nil
 }
 
+const (
+	loadRate      = 70
+	loadedPercent = 58
+	loadWindow    = 500 * time.Millisecond
+)
+
+// isLoaded counts a request and reports whether the server fails under its load.
+func (s *server) isLoaded() bool {
+	if !s.underLoad.Load() {
+		return false
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, now)
+	for now.Sub(s.arrivals[0]) > loadWindow {
+		s.arrivals = s.arrivals[1:]
+	}
+	return float64(len(s.arrivals)) >= loadRate*loadWindow.Seconds()
+}
+
 // recordBad records a bad answer of a version.
 func (l *lab) recordBad(version string) {
 	l.mu.Lock()
--- a/review/_lab/ordered.go
+++ b/review/_lab/ordered.go
@@ -9,7 +9,7 @@
 // leaveAfter is the time from the roll-back of a version until its servers leave.
 const leaveAfter = 9 * time.Second
 
-// ordered orders a move to a version that turns bad and is rolled back, and then one to
+// ordered orders a move to a version that is bad under load and is rolled back, and then one to
 // a third version while the servers of the bad one are still there.
 func ordered(l *lab) (broken bool, err error) {
 	if err := l.open(configText(1)); err != nil {
@@ -37,7 +37,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	l.load(ctx, []string{"/fibra/", "/medida/", "/medida/"}, 10, 70*time.Millisecond)
+	l.load(ctx, []string{"/fibra/", "/medida/", "/medida/"}, 12, 70*time.Millisecond)
 	time.Sleep(2 * time.Second)
 
 	bad, err := l.startVersion("v2", portServer+10)
@@ -46,7 +46,9 @@
 	}
 	servers = append(servers, bad...)
 	time.Sleep(2 * time.Second)
-	time.AfterFunc(badAfter, func() { l.turnBad(bad) })
+	for _, s := range bad {
+		s.underLoad.Store(true)
+	}
 	state, _, err := l.rollOut("v2", moveTime)
 	if err != nil || state != "rolled_back" {
 		return false, fmt.Errorf("%w: rollout of v2 ended as %q: %w", errSetup, state, err)
