Store departures before they are acknowledged

Cause: that a target has left was kept in the memory of its node and of the node's neighbours only. The log of the node shows "target leaves", "node started", "joined through the store" and then "target joined" with the sequence of the late heartbeat, without "target had left before the node started" between; the store could be read and the drain had begun in time.

Change: a departure has a row in the hosts' table, which each process reads when it starts, and is acknowledged once the row is written, whether it came as a leave request or as a heartbeat that says draining. A process that cannot know the departures (store away, or restored since the host wrote its row) uses a target once its heartbeats go on. A restored departure stops calls at once. A leave request of an earlier start does not retire the present one.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"nutmeghoist.example/nutmeghoist/internal/departures"
 	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/internal/suspectstore"
 	"nutmeghoist.example/nutmeghoist/internal/view"
@@ -65,6 +66,10 @@
 	// OnFormer is called with the newest record that an earlier process of this host
 	// has made, when other hosts send it.
 	OnFormer func(membership.Host)
+	// OnDepartures is called with the departures of targets of this host, by their starts,
+	// that earlier processes of it have written to the store. complete means that they are
+	// all that were acknowledged.
+	OnDepartures func(departed map[mesh.TargetID]int64, complete bool)
 	// Suspects are the requests under which targets have ended, which hosts tell each
 	// other.
 	Suspects *suspect.Table
@@ -110,6 +115,7 @@
 	coordinator *coordinator
 	stall       stallGuard
 	guilty      *suspectstore.Keeper
+	departures  *departures.Keeper
 	teamLimits  *TeamLimits
 }
 
@@ -134,6 +140,7 @@
 	}
 	a.history = newStoreHistory(a)
 	a.guilty = suspectstore.New(cfg.Store, guiltyPrefix, cfg.Suspects, cfg.Log)
+	a.departures = departures.New(cfg.Store, departurePrefix, cfg.Self.ID, cfg.Metrics, cfg.Log)
 	var err error
 	a.gossip, err = distribution.New(distribution.Config{
 		Members: a.members, Transport: cfg.Transport, ActiveVersion: a.activeVersion, OnHead: a.handleHead, OnVeto: a.handleVeto,
@@ -161,7 +168,7 @@
 	var wg sync.WaitGroup
 	for name, loop := range map[string]func(context.Context){
 		"build_loop": a.buildLoop, "store_loop": a.storeLoop, "monitor_loop": a.monitor.run, "coordinator_loop": a.coordinator.run,
-		"guilty_requests_loop": a.guilty.Run, "team_limits_loop": a.teamLimits.run,
+		"guilty_requests_loop": a.guilty.Run, "departures_loop": a.departures.Run, "team_limits_loop": a.teamLimits.run,
 	} {
 		wg.Go(func() { a.cfg.Guard.Loop(ctx, name, loop) })
 	}
@@ -202,6 +209,12 @@
 	a.members.UpdateSelf(func(h *membership.Host) { h.Targets = list })
 }
 
+// StoreDeparture writes to the store that a target of this host has left, and waits for
+// the answer until the context ends. The row is written later then.
+func (a *Agent) StoreDeparture(ctx context.Context, id mesh.TargetID, started int64) error {
+	return a.departures.Store(ctx, id, started)
+}
+
 // Leave announces to the mesh that this host stops.
 func (a *Agent) Leave() {
 	a.members.UpdateSelf(func(h *membership.Host) { h.Status = membership.StatusLeaving })
--- a/internal/control/history.go
+++ b/internal/control/history.go
@@ -29,6 +29,7 @@
 	historySettle        chart.Action = "settle"
 	historyCheckRows     chart.Action = "check-rows"
 	historyCheckRollouts chart.Action = "check-rollouts"
+	historyStoreLeft     chart.Action = "store-departures"
 	historyObserveOrders chart.Action = "observe-orders"
 
 	historyObserveEvacuations chart.Action = "observe-evacuations"
@@ -38,7 +39,7 @@
 
 var historyChart = chart.MustLoad("history.toml", historyChartFile, chart.Vocabulary{
 	Events:  []chart.Event{historyEraKnown, historyEraRisen, historySettleOver},
-	Actions: []chart.Action{historyAnnounceEra, historyAnnounceLater, historySettle, historyCheckRows, historyCheckRollouts, historyObserveOrders, historyObserveEvacuations},
+	Actions: []chart.Action{historyAnnounceEra, historyAnnounceLater, historySettle, historyCheckRows, historyCheckRollouts, historyStoreLeft, historyObserveOrders, historyObserveEvacuations},
 })
 
 // storeHistory is the state of the store's history on this node, as history.toml
@@ -108,6 +109,8 @@
 			h.mu.Unlock()
 		case historyCheckRollouts:
 			wake(h.agent.coordinator.wakeup)
+		case historyStoreLeft:
+			h.agent.departures.Restore()
 		case historyObserveOrders:
 			h.observeUnclear()
 		case historyObserveEvacuations:
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -23,6 +23,10 @@
 // hosts' table, since each host that starts anew reads that.
 const guiltyPrefix = hostTable + "/request/"
 
+// departurePrefix begins the keys of the rows of targets that have left, in the same table
+// for the same reason.
+const departurePrefix = hostTable + "/left/"
+
 const (
 	// feedWait is how long a feed call waits for a change. It also bounds the time
 	// until a silent connection is noticed.
@@ -47,6 +51,8 @@
 	// delay doubles with each attempt, up to maxRejoinDelay.
 	minRejoinDelay = 2 * time.Second
 	maxRejoinDelay = 30 * time.Second
+	// lateHeartbeats is longer than a heartbeat of a target takes to arrive.
+	lateHeartbeats = time.Minute
 	// The back-off between calls to a store that does not answer. maxBackoff is
 	// less than two seconds, because the mesh must notice within two seconds that
 	// the store is back.
@@ -66,6 +72,10 @@
 	rejoinDelay time.Duration
 	hostsReadAt time.Time
 	linkedAt    time.Time // when it last had a link
+	// departuresKnown means that this process knows all departures of its targets that were
+	// acknowledged; unknownSince is when it found that the store may have lost some.
+	departuresKnown bool
+	unknownSince    time.Time
 	// checkRows means that the rows of other hosts are to be checked at the next join,
 	// since the store was restored.
 	checkRows bool
@@ -75,10 +85,13 @@
 // follow the changes. The others receive them by gossip and read the store
 // rarely, as a backup.
 func (a *Agent) storeLoop(ctx context.Context) {
-	f := &follower{agent: a, rejoinDelay: minRejoinDelay}
+	f := &follower{agent: a, rejoinDelay: minRejoinDelay, departuresKnown: a.cfg.FirstStart}
 	nextBackup := time.Now()
 	for ctx.Err() == nil {
 		f.rejoinIfIsolated()
+		if !f.departuresKnown && !f.unknownSince.IsZero() && time.Since(f.unknownSince) > lateHeartbeats {
+			f.joined = false
+		}
 		if a.storeDoubted.Swap(false) {
 			f.markLost(nil)
 			nextBackup = time.Now()
@@ -318,7 +331,11 @@
 		}
 	}
 	self := f.agent.members.Self()
-	rowPresent := rows[self.ID].callAddress == self.CallAddress
+	self.StoreEra = rows[self.ID].era
+	if f.departuresKnown {
+		self.StoreEra = f.agent.storeEra()
+	}
+	rowPresent := rows[self.ID].callAddress == self.CallAddress && (f.unknownSince.IsZero() || rows[self.ID].era == self.StoreEra)
 	if !rowPresent {
 		if err := f.writeRow(ctx, &self); err != nil {
 			return err
@@ -345,6 +362,7 @@
 type hostRow struct {
 	callAddress string
 	version     uint64
+	era         uint64 // in which the host wrote it
 }
 
 // readHosts merges the rows of all hosts into the host records and returns them.
@@ -356,22 +374,28 @@
 	f.agent.history.observe(platform.EraOf(version), "store")
 	f.hostsReadAt = time.Now()
 	var hosts []membership.Host
-	var guilty []platform.Row
+	var guilty, departed []platform.Row
 	present := make(map[mesh.HostID]hostRow, len(rows))
 	for _, row := range rows {
 		if f.agent.guilty.IsRow(&row) {
 			guilty = append(guilty, row)
 			continue
 		}
+		if f.agent.departures.IsRow(&row) {
+			departed = append(departed, row)
+			continue
+		}
 		var h membership.Host
 		if err := json.Unmarshal(row.Value, &h); err != nil || hostTable+"/"+string(h.ID) != row.Key {
 			f.agent.count("hosts.unreadable")
 			f.agent.cfg.Log.Error().Str("row", row.Key).AnErr("cause", err).Msg("host row cannot be read")
 			continue
 		}
-		present[h.ID] = hostRow{h.CallAddress, row.Version}
+		present[h.ID] = hostRow{h.CallAddress, row.Version, max(platform.FirstEra, h.StoreEra)}
+		h.StoreEra = 0 // only answers of the store and the hosts themselves tell the era
 		hosts = append(hosts, h)
 	}
+	f.loadDepartures(departed, present[f.agent.cfg.Self.ID].era)
 	f.agent.gossip.SpreadSuspects(f.agent.guilty.Load(guilty))
 	if f.checkRows {
 		f.agent.guilty.Restore(guilty)
@@ -380,6 +404,32 @@
 	return present, nil
 }
 
+// storeEra returns the era of the store, as its answers have named it.
+func (a *Agent) storeEra() uint64 { return max(platform.FirstEra, a.cfg.Store.Era()) }
+
+// loadDepartures passes on the rows of departures on this host. They are all that were
+// acknowledged, unless the store was restored after this host wrote its own row. A process
+// that finds it so knows them after lateHeartbeats, when those of targets that have left
+// have arrived and been ignored.
+func (f *follower) loadDepartures(rows []platform.Row, rowEra uint64) {
+	a := f.agent
+	departed := make(map[mesh.TargetID]int64)
+	for _, d := range a.departures.Load(rows) {
+		departed[d.Target] = d.Started
+	}
+	era := a.storeEra()
+	switch {
+	case era == platform.FirstEra, rowEra == era, !f.unknownSince.IsZero() && time.Since(f.unknownSince) > lateHeartbeats:
+		f.departuresKnown = true
+	case f.unknownSince.IsZero() && !f.departuresKnown:
+		f.unknownSince = time.Now()
+		a.cfg.Log.Warn().Uint64("era", era).Uint64("row_era", rowEra).Msg("departures may be lost since the store was restored")
+	}
+	if a.cfg.OnDepartures != nil {
+		a.cfg.OnDepartures(departed, f.departuresKnown)
+	}
+}
+
 // restoreRows writes the rows of live hosts that the store has lost: those of this data
 // centre, and of data centres in which no host can reach the store. A host that starts
 // later finds the mesh by them.
@@ -399,7 +449,9 @@
 			continue
 		}
 		condition := platform.Condition{Key: hostTable + "/" + string(h.ID), Version: rows[h.ID].version}
-		err := f.writeRow(ctx, h, condition)
+		restored := *h
+		restored.StoreEra = 0 // whether its departures are lost is not known here
+		err := f.writeRow(ctx, &restored, condition)
 		switch {
 		case errors.Is(err, platform.ErrConflict):
 			continue // the host or another one has written it
@@ -417,7 +469,7 @@
 func (f *follower) writeRow(ctx context.Context, h *membership.Host, conditions ...platform.Condition) error {
 	value, err := json.Marshal(membership.Host{
 		ID: h.ID, DataCentre: h.DataCentre, PeerAddress: h.PeerAddress, CallAddress: h.CallAddress,
-		Incarnation: h.Incarnation, Status: membership.StatusAlive,
+		Incarnation: h.Incarnation, Status: membership.StatusAlive, StoreEra: h.StoreEra,
 	})
 	if err != nil {
 		return err
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -20,11 +20,12 @@
 
 // The reasons for the owner's own refusals.
 const (
-	reasonTargetUnknown = "target_unknown"  // no such target here, or no heartbeat from it yet
-	reasonDraining      = "target_draining" // the target is draining
-	reasonSilent        = "target_silent"   // its heartbeats stopped
-	reasonEvacuated     = "evacuated"       // the data centre of this host is evacuated
-	reasonPaused        = "node_paused"     // the node was paused and has not heard its neighbours since
+	reasonTargetUnknown = "target_unknown"    // no such target here, or no heartbeat from it yet
+	reasonDraining      = "target_draining"   // the target is draining
+	reasonSilent        = "target_silent"     // its heartbeats stopped
+	reasonUnverified    = "target_unverified" // it may have left unnoticed
+	reasonEvacuated     = "evacuated"         // the data centre of this host is evacuated
+	reasonPaused        = "node_paused"       // the node was paused and has not heard its neighbours since
 )
 
 // reasonInternal is the reason of a call that failed by an unexpected error and
@@ -205,6 +206,8 @@
 		return nil, reasonDraining
 	case t.silent:
 		return nil, reasonSilent
+	case t.verification != nil:
+		return nil, reasonUnverified
 	}
 	return t, ""
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,8 +51,17 @@
 	maxMissedHeartbeats = 3
 	// maxDeparted bounds the targets that are remembered after they have left.
 	maxDeparted = 64
+	// A target that may have left unnoticed is used once verifyHeartbeats heartbeats, each
+	// newer than the one before, have arrived over verifyIntervals of their intervals. A
+	// target that has left sends none, and delayed ones arrive once.
+	verifyHeartbeats = 3
+	verifyIntervals  = 1.5
 )
 
+// ErrNotStored means that the departure of a target is in force and is not in the store
+// yet, where a process that starts anew finds it. The departure must not be acknowledged.
+var ErrNotStored = errors.New("departure is not stored yet")
+
 // Config holds the settings and dependencies of an Owner.
 type Config struct {
 	HeaderNames traffic.Headers
@@ -73,6 +83,9 @@
 	// Stale reports whether an evacuation may have been missed while the process was
 	// paused. Without it, none is.
 	Stale func() bool
+	// DeparturesUnknown means that an earlier process of this node may have acknowledged
+	// the departures of targets, until LoadDepartures.
+	DeparturesUnknown bool
 	// Buffers is the memory for responses that are being read.
 	Buffers *bounded.Budget
 	Guard   *guard.Guard
@@ -98,7 +111,10 @@
 	bounds   Bounds // in force
 	targets  map[mesh.TargetID]*target
 	departed map[mesh.TargetID]int64 // start times of the targets that have left
-	running  map[string]runningCalls // by request ID
+	// unverified means that targets may have left whose departures this process does not
+	// know.
+	unverified bool
+	running    map[string]runningCalls // by request ID
 }
 
 // runningCalls are the attempts of a request that run at the targets.
@@ -117,18 +133,28 @@
 	drainTime     time.Duration // from drainStart until no call may reach it
 	silent        bool          // heartbeats stopped
 	saidLeaving   bool          // in an answer
+	verification  *verification // not nil while the target may have left unnoticed
 	running       suspect.Running
 	trials        suspect.TrialSlot
 	rate          rateAccount // guarded by Owner.mu
 	cold          coldAccount // guarded by Owner.mu
 }
 
+// verification counts the heartbeats of a target that may have left unnoticed.
+type verification struct {
+	since      time.Time // when the first heartbeat arrived
+	heartbeats int       // that were newer than the one before
+}
+
 // New returns an owner without targets.
 func New(cfg Config) *Owner {
 	if cfg.Suspects == nil {
 		cfg.Suspects = suspect.NewTable()
 	}
-	return &Owner{cfg: cfg, bounds: cfg.Bounds, targets: make(map[mesh.TargetID]*target), departed: make(map[mesh.TargetID]int64), running: make(map[string]runningCalls)}
+	return &Owner{
+		cfg: cfg, bounds: cfg.Bounds, targets: make(map[mesh.TargetID]*target), departed: make(map[mesh.TargetID]int64),
+		unverified: cfg.DeparturesUnknown, running: make(map[string]runningCalls),
+	}
 }
 
 // SetBounds replaces the bounds. A target that is already draining keeps the
@@ -172,6 +198,7 @@
 		t = o.addTarget(h)
 	}
 	before, wasSilent := t.Heartbeat, t.silent
+	verified := o.verify(t, h, isNew)
 	t.Heartbeat, t.lastHeartbeat, t.silent = h, time.Now(), false
 	if !t.drainStart.IsZero() {
 		t.Draining = true // a draining target does not become ready again in the same start
@@ -180,12 +207,34 @@
 		o.startDrain(t, "draining")
 	}
 	t.limiter.Resize(o.limiterConfig(h)) // the configuration can change the limits too
-	if coldEndMoved := o.hearCold(t); isNew || coldEndMoved || t.Draining != before.Draining || wasSilent || before.Slots != h.Slots || before.Version != h.Version {
+	if coldEndMoved := o.hearCold(t); isNew || coldEndMoved || verified || t.Draining != before.Draining || wasSilent || before.Slots != h.Slots || before.Version != h.Version {
 		o.publish()
 	}
 	return nil
 }
 
+// verify counts a heartbeat of a target that may have left unnoticed, and reports
+// whether the target may be used from now on.
+func (o *Owner) verify(t *target, h Heartbeat, isNew bool) bool {
+	switch {
+	case isNew && o.unverified:
+		t.verification = &verification{since: time.Now(), heartbeats: 1}
+		o.count("targets.unverified")
+		return false
+	case t.verification == nil:
+		return false
+	case h.Sequence > t.Sequence:
+		t.verification.heartbeats++
+	}
+	span := time.Duration(verifyIntervals * float64(o.bounds.HeartbeatInterval))
+	if t.verification.heartbeats < verifyHeartbeats || time.Since(t.verification.since) < span {
+		return false
+	}
+	o.cfg.Log.Info().Str("target", string(t.ID)).Str("by", "heartbeats").Msg("target verified")
+	t.verification = nil
+	return true
+}
+
 // removeOlderAt removes an older target with the address of the heartbeat. It
 // reports false when the target there is newer than that of the heartbeat.
 func (o *Owner) removeOlderAt(h Heartbeat) bool {
@@ -240,26 +289,55 @@
 	return !t.drainStart.IsZero() && time.Since(t.drainStart) > time.Duration(share*float64(t.drainTime))
 }
 
-// Leave drains a target for good: later heartbeats of the same start are
-// ignored.
-func (o *Owner) Leave(id mesh.TargetID) {
+// Leave drains a target for good: later heartbeats of the same start are ignored. The
+// start that the target names is 0 when it names none. It returns the start that leaves,
+// which may be an earlier one than that of the target in use.
+func (o *Owner) Leave(id mesh.TargetID, started int64) int64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.targets[id]
-	if t == nil {
-		o.recordDeparture(id, time.Now().UnixMilli())
-		return
+	switch {
+	case t == nil && started == 0:
+		started = time.Now().UnixMilli()
+	case t != nil && started == 0:
+		started = t.Started
+	}
+	o.recordDeparture(id, started)
+	if t == nil || t.Started > started {
+		return started
 	}
-	o.recordDeparture(id, t.Started)
 	if t.drainStart.IsZero() {
 		o.startDrain(t, "left")
 	}
 	o.publish()
+	return started
+}
+
+// LoadDepartures records departures that earlier processes of this node have
+// acknowledged. complete means that there are no others.
+func (o *Owner) LoadDepartures(departed map[mesh.TargetID]int64, complete bool) {
+	for id, started := range departed {
+		o.RestoreDeparture(id, started)
+	}
+	if !complete {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.unverified = false
+	changed := false
+	for _, t := range o.targets {
+		changed = changed || t.verification != nil
+		t.verification = nil
+	}
+	if changed {
+		o.publish()
+	}
 }
 
 // RestoreDeparture records that a target was leaving when an earlier process of this
 // node acknowledged it. Heartbeats of that start, which may be delayed, do not make
-// it usable again.
+// it usable again. Its drain time may have passed, so that it gets no call from now on.
 func (o *Owner) RestoreDeparture(id mesh.TargetID, started int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -268,22 +346,27 @@
 	}
 	o.recordDeparture(id, started)
 	o.cfg.Log.Info().Str("target", string(id)).Int64("started", started).Msg("target had left before the node started")
-	if t := o.targets[id]; t != nil && t.Started <= started && t.drainStart.IsZero() {
+	if t := o.targets[id]; t != nil && t.Started <= started && !t.hasDrainedFor(sendShare) {
 		o.startDrain(t, "left before")
+		t.drainStart = t.drainStart.Add(-t.drainTime)
+		t.limiter.Drain()
 		o.publish()
 	}
 }
 
 // recordDeparture remembers that a target has left, so that a delayed heartbeat
-// does not add it again.
+// does not add it again. That which started first is forgotten first.
 func (o *Owner) recordDeparture(id mesh.TargetID, started int64) {
-	if len(o.departed) >= maxDeparted {
-		for old := range o.departed {
-			delete(o.departed, old)
-			break
+	if _, known := o.departed[id]; !known && len(o.departed) >= maxDeparted {
+		oldest := id
+		for other, at := range o.departed {
+			if oldest == id || at < o.departed[oldest] {
+				oldest = other
+			}
 		}
+		delete(o.departed, oldest)
 	}
-	o.departed[id] = started
+	o.departed[id] = max(started, o.departed[id])
 }
 
 func (o *Owner) remove(t *target, cause string) {
@@ -339,7 +422,7 @@
 		switch {
 		case t.Draining:
 			state = membership.TargetDraining
-		case t.silent:
+		case t.silent, t.verification != nil:
 			state = membership.TargetStarting
 		}
 		// Heartbeats report only when the target started, not when it became ready.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -76,7 +76,7 @@
 			}
 			send(tc.beats)
 			if tc.leave != "" {
-				o.Leave(tc.leave)
+				o.Leave(tc.leave, 0)
 			}
 			send(tc.late)
 			got := ""
@@ -379,3 +379,73 @@
 		}
 	}
 }
+
+// TestTargetsThatMayHaveLeft guards against a target that is used after a delayed heartbeat although its departure was acknowledged by an earlier process, and against one that stays unused although it goes on sending heartbeats.
+func TestTargetsThatMayHaveLeft(t *testing.T) {
+	type step struct {
+		sequence uint64 // of a heartbeat; 0 for none
+		load     bool   // the departures become known
+		left     bool   // and the target is among them
+	}
+	beats := func(sequences ...uint64) (list []step) {
+		for _, s := range sequences {
+			list = append(list, step{sequence: s})
+		}
+		return list
+	}
+	cases := map[string]struct {
+		steps []step
+		ready bool
+	}{
+		"one heartbeat":            {beats(5), false},
+		"the same one again":       {beats(5, 5, 5, 5), false},
+		"late ones out of order":   {beats(7, 6, 5), false},
+		"it goes on":               {beats(5, 6, 7), true},
+		"departures known":         {append(beats(5), step{load: true}), true},
+		"known before":             {append([]step{{load: true}}, beats(5)...), true},
+		"it has left":              {append(beats(5), step{load: true, left: true}), false},
+		"it had left":              {append([]step{{load: true, left: true}}, beats(5, 6, 7)...), false},
+		"it left, it had gone on":  {append(beats(5, 6, 7), step{load: true, left: true}), false},
+		"others follow unverified": {append(beats(5), step{sequence: 6}), false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var published []membership.Target
+			o := newOwner(&published)
+			o.unverified = true
+			for _, s := range tc.steps {
+				if s.load {
+					departed := make(map[mesh.TargetID]int64)
+					if s.left {
+						departed["a"] = 10
+					}
+					o.LoadDepartures(departed, true)
+				}
+				if s.sequence > 0 {
+					_ = o.Heartbeat(heartbeat("a", 10, s.sequence, false))
+					time.Sleep(100 * time.Millisecond)
+				}
+			}
+			ready := len(published) == 1 && published[0].State == membership.TargetReady
+			call := &hop.Request{Target: "a", Service: "galley", Version: "v1", ID: "x", DeadlineAt: hop.MonotonicMicros() + 1e6}
+			resp := o.Call(t.Context(), call)
+			if ready != tc.ready || resp.SentToTarget && !tc.ready || !tc.ready && resp.Outcome != hop.NotRun {
+				t.Errorf("ready is %v, want %v; a call got %+v", ready, tc.ready, resp)
+			}
+		})
+	}
+}
+
+// TestLateLeaveOfAnEarlierStart guards against a target that is drained since the leave request of its earlier start arrives late.
+func TestLateLeaveOfAnEarlierStart(t *testing.T) {
+	var published []membership.Target
+	o := newOwner(&published)
+	_ = o.Heartbeat(heartbeat("a", 20, 1, false))
+	if started := o.Leave("a", 10); started != 10 || published[0].State != membership.TargetReady {
+		t.Errorf("start %d leaves, and the target is in state %d", started, published[0].State)
+	}
+	if started := o.Leave("a", 20); started != 20 || published[0].State != membership.TargetDraining {
+		t.Errorf("start %d leaves, and the target is in state %d", started, published[0].State)
+	}
+}
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -41,6 +41,7 @@
 	t       *testing.T
 	network byte // third byte of the hosts' loopback addresses
 	store   string
+	table   *platformtest.Store
 	nodes   []*testNode
 	crashes crashes
 }
@@ -67,7 +68,7 @@
 	t.Helper()
 	table := platformtest.NewWithRates(-1, -1)
 	server := httptest.NewServer(platform.StoreHandler(table))
-	m := &testMesh{t: t, network: network, store: server.URL}
+	m := &testMesh{t: t, network: network, store: server.URL, table: table}
 	config := &traffic.Config{
 		Version: 1, Services: map[mesh.ServiceName]traffic.Service{testService: {HealthPath: "/health", MaxConnections: 60}},
 		Limits: traffic.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
@@ -231,6 +232,8 @@
 	started  time.Time
 	cancel   context.CancelFunc
 	listener net.Listener
+	served   atomic.Int64  // calls
+	sequence atomic.Uint64 // of the last heartbeat
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -289,6 +292,7 @@
 			t.crash()
 			return
 		}
+		t.served.Add(1)
 		time.Sleep(10 * time.Millisecond)
 		switch {
 		case strings.Contains(req.URL.Path, "slow"):
@@ -342,17 +346,30 @@
 }
 
 func (t *testTarget) sendHeartbeats(ctx context.Context) {
-	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-		path, body := platform.EncodeHeartbeat(owner.Heartbeat{
-			ID: t.id, Address: t.listener.Addr().String(), Service: testService, Version: "v1", Slots: 8, Sequence: sequence, Started: t.started.UnixMilli(),
-		})
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.node.mesh.address(t.node.index, portAnnounce).String()+path, bytes.NewReader(body))
-		if err != nil {
-			return
-		}
-		if resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req); err == nil {
-			_ = resp.Body.Close() // without content
-		}
+	for ctx.Err() == nil {
+		_, _ = t.post(t.heartbeat(false)) // repeated
 		time.Sleep(heartbeatInterval)
 	}
 }
+
+// heartbeat returns the path and the body of the next heartbeat.
+func (t *testTarget) heartbeat(draining bool) (path string, body []byte) {
+	return platform.EncodeHeartbeat(owner.Heartbeat{
+		ID: t.id, Address: t.listener.Addr().String(), Service: testService, Version: "v1", Slots: 8,
+		Sequence: t.sequence.Add(1), Started: t.started.UnixMilli(), Draining: draining,
+	})
+}
+
+// post sends an announcement to the target's node and returns the status of the answer.
+func (t *testTarget) post(path string, body []byte) (int, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+t.node.mesh.address(t.node.index, portAnnounce).String()+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, err
+	}
+	_ = resp.Body.Close() // without content
+	return resp.StatusCode, nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -87,7 +87,7 @@
 // Announcements receives the announcements of the target on this host.
 type Announcements interface {
 	Heartbeat(owner.Heartbeat) error
-	Leave(mesh.TargetID)
+	Leave(id mesh.TargetID, started int64) error
 	RecordInvalid(error)
 }
 
@@ -117,6 +117,9 @@
 	// data centres. remoteByteCost is the cost per byte of the response.
 	remoteCost     = 25 * time.Millisecond
 	remoteByteCost = 10 * time.Microsecond
+	// storeDepartureTimeout bounds the wait for the store before an acknowledgement. A
+	// target waits for an answer for a second.
+	storeDepartureTimeout = 800 * time.Millisecond
 	// warmUp is how long a target is slow after it became ready.
 	warmUp = 3 * time.Second
 )
@@ -169,7 +172,10 @@
 		},
 		Transport: hop.NewTransport(cfg.Host, ip, s.peers),
 		Store:     cfg.Store, Codec: cfg.Codec, FirstStart: cfg.FirstStart,
-		Load: s.load, OnFormer: s.restoreDepartures, Suspects: suspects,
+		Load: s.load, OnFormer: s.restoreDepartures, OnDepartures: func(departed map[mesh.TargetID]int64, complete bool) {
+			s.owner.LoadDepartures(departed, complete)
+		},
+		Suspects:    suspects,
 		FollowAlone: func() bool { return s.bounds.Load().Evacuation > 0 },
 		Evacuations: evacuations, OnEvacuation: func() { s.owner.ApplyEvacuation() },
 		Send: func(ctx context.Context, address string, message []byte) error {
@@ -184,9 +190,10 @@
 	s.owner = owner.New(owner.Config{
 		HeaderNames: cfg.HeaderNames, Bounds: cfg.Bounds.Bounds,
 		MaxConnections: s.maxConnections, ColdRate: s.coldRate, OnChange: s.control.SetTargets,
-		Evacuated: func() bool { return evacuations.IsActive(cfg.DataCentre) },
-		Stale:     s.isStale,
-		Suspects:  suspects, Buffers: s.buffers, Guard: s.guard, Metrics: cfg.Metrics, Log: cfg.Log,
+		Evacuated:         func() bool { return evacuations.IsActive(cfg.DataCentre) },
+		Stale:             s.isStale,
+		DeparturesUnknown: !cfg.FirstStart,
+		Suspects:          suspects, Buffers: s.buffers, Guard: s.guard, Metrics: cfg.Metrics, Log: cfg.Log,
 	})
 	s.entry = entry.New(entry.Config{
 		Self: cfg.Host, IP: ip, Service: cfg.Service, HeaderNames: cfg.HeaderNames, ParentID: cfg.ParentID, Snapshot: s.control.Snapshot,
@@ -311,10 +318,31 @@
 func (s *Sidecar) HandleNotification(message []byte) { s.control.HandleMessage(message) }
 
 // Heartbeat implements Announcements.
-func (s *Sidecar) Heartbeat(h owner.Heartbeat) error { return s.owner.Heartbeat(h) }
+func (s *Sidecar) Heartbeat(h owner.Heartbeat) error {
+	if err := s.owner.Heartbeat(h); err != nil {
+		return err
+	}
+	if !h.Draining {
+		return nil
+	}
+	return s.storeDeparture(h.ID, h.Started)
+}
 
 // Leave implements Announcements.
-func (s *Sidecar) Leave(id mesh.TargetID) { s.owner.Leave(id) }
+func (s *Sidecar) Leave(id mesh.TargetID, started int64) error {
+	return s.storeDeparture(id, s.owner.Leave(id, started))
+}
+
+// storeDeparture writes a departure to the store, without which a process that starts
+// anew could send calls to the target.
+func (s *Sidecar) storeDeparture(id mesh.TargetID, started int64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), storeDepartureTimeout)
+	defer cancel()
+	if err := s.control.StoreDeparture(ctx, id, started); err != nil {
+		return fmt.Errorf("target %s: %w", id, owner.ErrNotStored)
+	}
+	return nil
+}
 
 // restoreDepartures reads from the record of an earlier process of this node which
 // targets were leaving.
