Keep how rollouts ended, and the version that they left in use

Nodes that knew an older order took every version but that of the order for the stable one, and one of them claimed the older order again ("rollout claimed" to=v2 epoch=3), over the row of the newer one. The vetoes had reached all nodes, and the end had been published in time.

Change: each host keeps the end of the last rollout of each service. A new process reads it with the rows of hosts, where the transaction that ends a rollout writes it too, or hears it from a neighbour, and serves no call before. When no live host publishes it any more, another one does. A rollout names the version that it began from; only that one and the ordered one get calls. A host whose order is older than that in the row does not claim it. A new log event tells which versions get calls.

--- a/internal/control/build.go
+++ b/internal/control/build.go
@@ -8,6 +8,7 @@
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/pause"
+	"nutmeghoist.example/nutmeghoist/pkg/platform"
 	"nutmeghoist.example/nutmeghoist/pkg/rollout"
 	"nutmeghoist.example/nutmeghoist/pkg/routing"
 	"nutmeghoist.example/nutmeghoist/pkg/snapshot"
@@ -21,14 +22,20 @@
 	// records. In a large mesh records change without pause while hosts start, and
 	// each build reads all of them.
 	minBuildInterval = 100 * time.Millisecond
+	// startPoll is how often a host that has just started checks whether it knows enough
+	// to serve calls.
+	startPoll = 20 * time.Millisecond
 )
 
 // buildLoop builds a snapshot after each change of the host records.
 func (a *Agent) buildLoop(ctx context.Context) {
 	for {
 		changed := a.members.NextChange()
-		if former, ok := a.members.Former(); ok && a.cfg.OnFormer != nil {
-			a.cfg.OnFormer(former)
+		if former, ok := a.members.Former(); ok {
+			a.restoreDecisions(former.Rollouts)
+			if a.cfg.OnFormer != nil {
+				a.cfg.OnFormer(former)
+			}
 		}
 		for _, h := range a.members.Hosts() {
 			if h.StoreEra > 0 {
@@ -38,10 +45,15 @@
 		built := time.Now()
 		a.buildSnapshot()
 		wake(a.coordinator.wakeup)
+		var started <-chan time.Time
+		if a.Snapshot() == nil {
+			started = time.After(startPoll)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-started:
 		}
 		if !pause.For(ctx, max(buildDebounce, minBuildInterval-time.Since(built))) {
 			return
@@ -53,7 +65,7 @@
 func (a *Agent) buildSnapshot() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.config == nil {
+	if a.config == nil || !a.decisionsKnown() {
 		return
 	}
 	hosts := a.members.Hosts()
@@ -68,7 +80,7 @@
 	}
 	a.liveHosts.Store(int64(alive))
 	a.sharingHosts.Store(int64(sharing))
-	progress := newestProgress(hosts)
+	progress := a.newestProgressLocked(hosts)
 	s := &view.Snapshot{Config: a.config, Matcher: a.matcher, Services: make(map[mesh.ServiceName]*view.Service)}
 	targets := targetsByService(hosts)
 	for name := range a.config.Services {
@@ -79,7 +91,7 @@
 		known[hosts[i].ID] = true
 	}
 	a.tracker.Prune(func(k routing.Key) bool { return known[k.Host] })
-	a.current.Store(s)
+	a.logVersions(s, a.current.Swap(s))
 	a.teamLimits.update(s, hosts)
 	wake(a.monitor.wakeup)
 }
@@ -104,19 +116,20 @@
 	return out
 }
 
-// newestProgress returns the newest progress of each service's rollout, as
-// Progress.Compare orders them.
-func newestProgress(hosts []membership.Host) map[mesh.ServiceName]*rollout.Progress {
-	out := make(map[mesh.ServiceName]*rollout.Progress)
-	for i := range hosts {
-		for j := range hosts[i].Rollouts {
-			p := &hosts[i].Rollouts[j]
-			if best := out[p.Service]; best == nil || p.Compare(best) > 0 {
-				out[p.Service] = p
-			}
+// logVersions logs which versions of the services get calls, when that has changed.
+func (a *Agent) logVersions(s, before *view.Snapshot) {
+	for name, service := range s.Services {
+		var old *view.Service
+		if before != nil {
+			old = before.Services[name]
 		}
+		if old != nil && old.Revision == service.Revision && old.From == service.From && old.State() == service.State() {
+			continue
+		}
+		a.cfg.Log.Info().Str("service", string(name)).Str("from", string(service.From)).Str("to", string(service.To)).
+			Str("state", string(service.State())).Uint64("era", platform.EraOf(service.Revision)).
+			Uint64("order", platform.CounterOf(service.Revision)).Msg("versions that get calls")
 	}
-	return out
 }
 
 // buildService groups the targets of a service by their role in its rollout. The
@@ -124,7 +137,7 @@
 func (a *Agent) buildService(name mesh.ServiceName, targets []snapshot.Target, p *rollout.Progress) *view.Service {
 	s := &view.Service{Name: name, Rollout: p}
 	if p != nil {
-		s.Revision, s.To = p.Revision, p.To
+		s.Revision, s.To, s.From = p.Revision, p.To, p.StableVersion()
 	}
 	if l := a.orders[name]; l != nil {
 		if o, _, ok := l.Newest(p); ok && o.Revision > s.Revision {
@@ -132,6 +145,9 @@
 			s.Revision, s.To, s.Rollout = o.Revision, o.To, nil
 		}
 	}
+	if s.From == "" {
+		s.From = oldestVersion(targets, func(v mesh.TargetVersion) bool { return v == s.To || a.isVetoedVersion(name, v) })
+	}
 	allStable, allNext := partitionTargets(s, targets)
 	stable, next := a.withoutEvacuated(allStable), a.withoutEvacuated(allNext)
 	_, vetoed := a.vetoOf(name, s.Revision)
@@ -148,40 +164,48 @@
 // vetoOf returns the evidence of a veto on an order, under each of the revisions by which
 // the order is known; a.mu must be held.
 func (a *Agent) vetoOf(service mesh.ServiceName, revision uint64) (evidence string, vetoed bool) {
+	v, vetoed := veto{}, false
 	if l := a.orders[service]; l != nil {
-		if evidence, vetoed = a.vetoes[rolloutID{service, l.Canonical(revision)}]; vetoed {
-			return evidence, true
+		v, vetoed = a.vetoes[rolloutID{service, l.Canonical(revision)}]
+	}
+	if !vetoed {
+		v, vetoed = a.vetoes[rolloutID{service, revision}]
+	}
+	return v.evidence, vetoed
+}
+
+// isVetoedVersion reports whether an order of a version is vetoed; a.mu must be held.
+func (a *Agent) isVetoedVersion(service mesh.ServiceName, version mesh.TargetVersion) bool {
+	for id, v := range a.vetoes {
+		if id.service == service && v.version == version {
+			return true
 		}
 	}
-	evidence, vetoed = a.vetoes[rolloutID{service, revision}]
-	return evidence, vetoed
+	return false
 }
 
-// partitionTargets separates the stable targets from those of the version that a
-// rollout moves to. Without a rollout, the oldest target's version is the stable
-// one: targets of other versions were started for a rollout whose order has not
-// arrived yet.
+// partitionTargets returns the targets of the stable version, and those of the version
+// that a rollout moves to.
 func partitionTargets(s *view.Service, targets []snapshot.Target) (stable, next []snapshot.Target) {
-	to := s.To
-	completed := s.Rollout != nil && s.Rollout.State == rollout.Completed
-	if s.Revision == 0 {
-		to, completed = oldestVersion(targets), true
-	}
 	for _, t := range targets {
-		if (t.Version == to) == completed {
+		switch t.Version {
+		case s.From:
 			stable = append(stable, t)
-		} else {
+		case s.To:
 			next = append(next, t)
 		}
 	}
 	return stable, next
 }
 
-func oldestVersion(targets []snapshot.Target) mesh.TargetVersion {
+// oldestVersion returns the version of the oldest target, among the versions that are not
+// excluded. It is the stable one of a service without a rollout: targets of others were
+// started for a rollout whose order has not arrived yet.
+func oldestVersion(targets []snapshot.Target, excluded func(mesh.TargetVersion) bool) mesh.TargetVersion {
 	var first *snapshot.Target
 	for i := range targets {
-		if first == nil || targets[i].ReadySince.Before(first.ReadySince) {
-			first = &targets[i]
+		if t := &targets[i]; !excluded(t.Version) && (first == nil || t.ReadySince.Before(first.ReadySince)) {
+			first = t
 		}
 	}
 	if first == nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -101,12 +101,16 @@
 	sharingHosts atomic.Int64
 	hostsLearned atomic.Bool // from the store or from another host
 	storeDoubted atomic.Bool // see doubtStore
+	// decisionsRead means that the rows of decisions have been read, and ordersDoubted that
+	// the orders that this host knows are out of date.
+	decisionsRead, ordersDoubted atomic.Bool
 
 	mu      sync.Mutex
 	config  *traffic.Config
 	matcher *traffic.Matcher
 	orders  map[mesh.ServiceName]*rollout.OrderLog
-	vetoes  map[rolloutID]string // evidence of each veto
+	vetoes  map[rolloutID]veto
+	decided decisions
 
 	evacuationRows evacuationRows
 
@@ -125,6 +129,12 @@
 	revision uint64
 }
 
+// veto is why a version gets no more calls.
+type veto struct {
+	version  mesh.TargetVersion
+	evidence string
+}
+
 // New returns an agent that does not run yet.
 func New(cfg Config) (*Agent, error) {
 	if cfg.Suspects == nil {
@@ -136,7 +146,7 @@
 	a := &Agent{
 		cfg: cfg, tracker: routing.NewTracker(),
 		members: membership.NewTable(cfg.Self, membership.Options{}),
-		orders:  make(map[mesh.ServiceName]*rollout.OrderLog), vetoes: make(map[rolloutID]string),
+		orders:  make(map[mesh.ServiceName]*rollout.OrderLog), vetoes: make(map[rolloutID]veto), decided: make(decisions),
 	}
 	a.history = newStoreHistory(a)
 	a.guilty = suspectstore.New(cfg.Store, guiltyPrefix, cfg.Suspects, cfg.Log)
@@ -294,7 +304,7 @@
 
 func (a *Agent) handleVeto(v source.Veto) {
 	a.mu.Lock()
-	a.vetoes[rolloutID{v.Service, uint64(v.Attempt)}] = v.Evidence
+	a.vetoes[rolloutID{v.Service, uint64(v.Attempt)}] = veto{v.Version, v.Evidence}
 	a.mu.Unlock()
 	a.cfg.Log.Warn().Str("service", string(v.Service)).Str("version", string(v.Version)).
 		Uint64("era", platform.EraOf(uint64(v.Attempt))).Uint64("order", platform.CounterOf(uint64(v.Attempt))).
--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -65,6 +66,9 @@
 	// started is when this host began, and heardAt when it first knew that it had heard a
 	// neighbour. Both are accessed only from run's goroutine.
 	started, heardAt time.Time
+	// unpublishedSince is when a decision was first seen that no live host publishes. It is
+	// accessed only from run's goroutine.
+	unpublishedSince map[mesh.ServiceName]time.Time
 }
 
 // seenStep is a step of a rollout with the time at which this host received it.
@@ -90,7 +94,7 @@
 	return &coordinator{
 		agent: a, wakeup: make(chan struct{}, 1),
 		active: make(map[mesh.ServiceName]*activeRollout), orphanedSince: make(map[mesh.ServiceName]time.Time),
-		stepsSeen: make(map[mesh.ServiceName]seenStep),
+		stepsSeen: make(map[mesh.ServiceName]seenStep), unpublishedSince: make(map[mesh.ServiceName]time.Time),
 	}
 }
 
@@ -118,10 +122,15 @@
 // whether there is one.
 func (c *coordinator) reconcile(ctx context.Context) bool {
 	hosts := c.agent.members.Hosts()
-	progress := newestProgress(hosts)
+	progress := c.agent.newestProgress(hosts)
 	c.recordSteps(progress)
 	orders := c.agent.newestOrders(progress)
 	busy := false
+	for _, p := range progress {
+		if p.State.IsFinal() && c.hasCaughtUp(time.Now()) && c.republish(p, hosts) {
+			busy = true
+		}
+	}
 	for _, o := range orders {
 		p := progress[o.Service]
 		if p != nil && (p.Revision > o.Revision || p.Revision == o.Revision && p.State.IsFinal()) {
@@ -297,14 +306,19 @@
 	}, Nonce: rand.Uint64()}
 	acceptedAt := o.at
 	if err == nil {
-		var old rolloutRow
-		if err := json.Unmarshal(row.Value, &old); err != nil {
-			c.agent.cfg.Log.Error().Err(err).Str("row", key).Msg("rollout row cannot be read; writing it anew")
-		}
+		old, _ := c.agent.decodeRolloutRow(&row, rolloutTable+"/") // one that can't be read is written anew
 		next.Epoch = old.Epoch + 1
 		// The order may be known by a revision of an earlier era.
 		next.Revision = c.agent.revisionOf(o.Order, &old.Progress)
+		if old.Revision > next.Revision {
+			c.learnNewerOrder(old.Progress, row.Version)
+			return
+		}
+		if from := old.StableVersion(); old.Revision < next.Revision && from != "" {
+			next.From = from
+		}
 		if old.Revision == next.Revision {
+			next.From = old.From
 			if old.State.IsFinal() {
 				c.publishFinal(old.Progress, row.Version)
 				return
@@ -318,11 +332,15 @@
 	}
 	shareChangedAt := time.Now()
 	if p != nil {
+		next.From = cmp.Or(p.From, next.From)
 		next.Epoch = max(next.Epoch, p.Epoch+1)
 		next.Permille = p.Permille
 		shareChangedAt = c.stepsSeen[o.Service].at
 		acceptedAt = earlierAcceptance(acceptedAt, p.ElapsedMs+time.Since(c.stepsSeen[o.Service].at).Milliseconds())
 	}
+	if next.From == "" {
+		next.From = c.agent.stableVersion(o.Order)
+	}
 	next.ElapsedMs = time.Since(acceptedAt).Milliseconds()
 	version, err := c.writeRow(ctx, key, row.Version, next)
 	if err != nil {
@@ -343,6 +361,29 @@
 	c.publish(next.Progress)
 }
 
+var errNewerOrder = errors.New("a newer order is being rolled out")
+
+// learnNewerOrder takes over what the store says of an order that is newer than the one
+// that this host knows.
+func (c *coordinator) learnNewerOrder(stored rollout.Progress, version uint64) {
+	c.agent.ordersDoubted.Store(true)
+	if stored.State.IsFinal() {
+		c.publishFinal(stored, version)
+		return
+	}
+	c.claimFailed(stored.Service, errNewerOrder)
+}
+
+// stableVersion returns the version of a service that gets the calls while an order has
+// not begun, or "" when this host knows none.
+func (a *Agent) stableVersion(o rollout.Order) mesh.TargetVersion {
+	s := a.Snapshot()
+	if s == nil || s.Services[o.Service] == nil || s.Services[o.Service].From == o.To {
+		return ""
+	}
+	return s.Services[o.Service].From
+}
+
 // isClaimInForce reports whether the host that a row names coordinates the rollout,
 // although its progress has not arrived here by gossip yet. A row that is not newer than
 // the known progress comes from a copy of the store.
@@ -410,13 +451,17 @@
 		return 0, err
 	}
 	codec := &c.agent.cfg.Codec
-	err = c.agent.cfg.Store.Commit(ctx, platform.Txn{
+	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Version: version}},
 		Writes: []platform.Write{
 			{Key: key, Value: value},
 			{Key: codec.StatusKey(row.Service), Value: codec.EncodeStatus(row.To, row.State)},
 		},
-	})
+	}
+	if row.State.IsFinal() {
+		txn.Writes = append(txn.Writes, platform.Write{Key: decisionPrefix + string(row.Service), Value: value})
+	}
+	err = c.agent.cfg.Store.Commit(ctx, txn)
 	if err != nil && !errors.Is(err, platform.ErrOutcomeUnknown) {
 		return 0, err
 	}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,6 +97,9 @@
 			f.markLost(nil)
 			nextBackup = time.Now()
 		}
+		if a.ordersDoubted.Swap(false) {
+			nextBackup = time.Now()
+		}
 		following := a.isStoreFollower() || f.isAlone()
 		if following && f.joined && a.history.takeRowsUnchecked() {
 			f.joined, f.checkRows = false, true
@@ -374,16 +378,19 @@
 	f.agent.history.observe(platform.EraOf(version), "store")
 	f.hostsReadAt = time.Now()
 	var hosts []membership.Host
-	var guilty, departed []platform.Row
+	var guilty, departed, decided []platform.Row
 	present := make(map[mesh.HostID]hostRow, len(rows))
 	for _, row := range rows {
-		if f.agent.guilty.IsRow(&row) {
+		switch {
+		case f.agent.guilty.IsRow(&row):
 			guilty = append(guilty, row)
 			continue
-		}
-		if f.agent.departures.IsRow(&row) {
+		case f.agent.departures.IsRow(&row):
 			departed = append(departed, row)
 			continue
+		case strings.HasPrefix(row.Key, decisionPrefix):
+			decided = append(decided, row)
+			continue
 		}
 		var h membership.Host
 		if err := json.Unmarshal(row.Value, &h); err != nil || hostTable+"/"+string(h.ID) != row.Key {
@@ -401,6 +408,7 @@
 		f.agent.guilty.Restore(guilty)
 	}
 	f.agent.members.Merge(hosts)
+	f.agent.loadDecisions(decided)
 	return present, nil
 }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -39,6 +39,17 @@
 	// version that it asks for. Both are zero without an order.
 	Revision uint64
 	To       mesh.TargetVersion
+	// From is the version of the targets in Stable. Targets of other versions than From and
+	// To get no calls.
+	From mesh.TargetVersion
+}
+
+// State returns the state of the service's rollout, or "" without a progress.
+func (s *Service) State() rollout.State {
+	if s.Rollout == nil {
+		return ""
+	}
+	return s.Rollout.State
 }
 
 // VersionSplitter splits the calls of services between the stable and the next
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -146,6 +146,13 @@
 	return len(g.links)
 }
 
+// Synced reports whether records and vetoes have been synchronised with some peer.
+func (g *Gossip) Synced() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.synced
+}
+
 // LastReceived returns when the last frame of a neighbour was received.
 func (g *Gossip) LastReceived() time.Time {
 	g.mu.Lock()
--- a/pkg/distribution/link.go
+++ b/pkg/distribution/link.go
@@ -86,8 +86,8 @@
 		if h.Status != membership.StatusAlive {
 			hosts = append(hosts, h)
 		}
-		if h.HasLeavingTarget() { // the peer may have been started again meanwhile
-			former, hasFormer = h, true
+		if h.OutlivesProcess() { // the peer may have been started again meanwhile
+			former, hasFormer = h.WithFormer(&former), true
 		}
 	}
 	l.enqueueHosts(hosts)
--- a/pkg/membership/record.go
+++ b/pkg/membership/record.go
@@ -70,6 +70,34 @@
 }
 
 // HasLeavingTarget reports whether a target of the host is draining.
-func (h *Host) HasLeavingTarget() bool {
-	return slices.ContainsFunc(h.Targets, func(t Target) bool { return t.State == TargetDraining })
+func (h *Host) HasLeavingTarget() bool { return slices.ContainsFunc(h.Targets, isDraining) }
+
+// OutlivesProcess reports whether the record holds what a later process of the host needs
+// to know: a target is draining, or a rollout has ended.
+func (h *Host) OutlivesProcess() bool {
+	return h.HasLeavingTarget() || slices.ContainsFunc(h.Rollouts, hasEnded)
+}
+
+func isDraining(t Target) bool { return t.State == TargetDraining }
+
+func hasEnded(p rollout.Progress) bool { return p.State.IsFinal() }
+
+// maxFormerTargets bounds the targets that WithFormer takes over.
+const maxFormerTargets = 32
+
+// WithFormer returns a record with what OutlivesProcess asks for of an earlier one, as far
+// as the record does not tell of the same target or service.
+func (h Host) WithFormer(former *Host) Host {
+	h = clone(h)
+	for _, t := range former.Targets {
+		if isDraining(t) && len(h.Targets) < maxFormerTargets && !slices.ContainsFunc(h.Targets, func(known Target) bool { return known.ID == t.ID }) {
+			h.Targets = append(h.Targets, t)
+		}
+	}
+	for _, p := range former.Rollouts {
+		if hasEnded(p) && !slices.ContainsFunc(h.Rollouts, func(known rollout.Progress) bool { return known.Service == p.Service }) {
+			h.Rollouts = append(h.Rollouts, p)
+		}
+	}
+	return h
 }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -57,9 +57,9 @@
 	version     uint64    // table version at the last change of the record
 	statusSince time.Time // when the status last changed
 	suspected   time.Time // zero unless suspected; also set for leaving hosts
-	// leaving is the newest record of an earlier process of the host, if a target was
-	// leaving in it. The present process does not know that.
-	leaving *Host
+	// former is the newest record of an earlier process of the host that holds what the
+	// present process does not know, with what the records before it held.
+	former *Host
 }
 
 // NewTable returns a table that holds only the record of the host itself. The
@@ -186,16 +186,16 @@
 	return slices.ContainsFunc(t.sorted, func(e *entry) bool { return !e.suspected.IsZero() && !e.host.Status.isTerminal() })
 }
 
-// FormerOf returns the newest record of an earlier process of another host in which
-// a target was leaving.
+// FormerOf returns the newest record of an earlier process of another host that its later
+// processes need to know, see Host.OutlivesProcess.
 func (t *Table) FormerOf(id mesh.HostID) (Host, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.hosts[id]
-	if e == nil || e.leaving == nil {
+	if e == nil || e.former == nil {
 		return Host{}, false
 	}
-	return *e.leaving, true
+	return *e.former, true
 }
 
 // NextChange returns a channel that is closed at the next change. Callers
@@ -260,9 +260,12 @@
 		t.sorted = slices.Insert(t.sorted, i, e)
 	} else {
 		t.digests[BucketOf(h.ID)] -= recordHash(&e.host)
-		if (h.Incarnation > e.host.Incarnation || h.Status.isTerminal()) && e.host.HasLeavingTarget() {
+		if (h.Incarnation > e.host.Incarnation || h.Status.isTerminal()) && e.host.OutlivesProcess() {
 			former := e.host
-			e.leaving = &former
+			if e.former != nil {
+				former = former.WithFormer(e.former)
+			}
+			e.former = &former
 		}
 		if e.host.Status != h.Status {
 			e.statusSince = now
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -31,6 +31,9 @@
 // IsFinal reports whether the rollout has ended.
 func (s State) IsFinal() bool { return s == Completed || s == RolledBack }
 
+// IsValid reports whether the state is one of those above.
+func (s State) IsValid() bool { return s == Running || s.IsFinal() }
+
 // Progress is the progress of a rollout, which its coordinator publishes to all
 // hosts in its own host record.
 type Progress struct {
@@ -48,6 +51,18 @@
 	// StoredEra is the era of the platform's history in which a final state was last
 	// found or written in the platform's table.
 	StoredEra uint64 `cbor:"10,keyasint,omitempty" json:"-"`
+	// From is the version that served the calls when the rollout began. It is empty when no
+	// coordinator has known one.
+	From mesh.TargetVersion `cbor:"11,keyasint,omitempty" json:"from,omitempty"`
+}
+
+// StableVersion returns the version that serves the calls that do not go to To: To itself
+// once the rollout is completed. It is empty when it is not known.
+func (p *Progress) StableVersion() mesh.TargetVersion {
+	if p.State == Completed {
+		return p.To
+	}
+	return p.From
 }
 
 // Compare orders the progress of one service's rollouts by the order's revision,
