Reject heartbeats that no target can send

What was reported by other operators: one odd entry of another writer stops machines from following the list of servers.

A host has at most 32 targets; silent ones and those of unknown services make room.

Not seen on the users' platform.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,8 @@
 	// maxMissedHeartbeats is the number of missed heartbeats after which a target
 	// gets no more calls.
 	maxMissedHeartbeats = 3
+	// maxTargets bounds the targets of a host, whose record holds them all.
+	maxTargets = 32
 	// maxDeparted bounds the targets that are remembered after they have left.
 	maxDeparted = 64
 	// A target that may have left unnoticed is used once verifyHeartbeats heartbeats, each
@@ -69,6 +72,9 @@
 	// MaxConnections returns the number of connections that a target of a service
 	// accepts.
 	MaxConnections func(mesh.ServiceName) int
+	// KnowsService reports whether the configuration has a service, or there is none yet.
+	// Without it, all services are known.
+	KnowsService func(mesh.ServiceName) bool
 	// ColdRate returns what a cold target of a service takes, and false while it is not
 	// known. Without it, they take any rate.
 	ColdRate func(mesh.ServiceName) (rate admission.ColdRate, known bool)
@@ -180,6 +186,9 @@
 		return nil // a delayed heartbeat; the target has left
 	}
 	t := o.targets[h.ID]
+	if err := o.checkNew(t, h); err != nil {
+		return err
+	}
 	switch {
 	case t != nil && h.Started < t.Started:
 		return nil
@@ -213,6 +222,36 @@
 	return nil
 }
 
+// checkNew rejects the heartbeat of another start of a target, t, or of a new target that
+// may be of another writer: it names a service that is not configured, and would take the
+// place of a target of one that is, or there are too many targets.
+func (o *Owner) checkNew(t *target, h Heartbeat) error {
+	if t != nil && h.Started <= t.Started {
+		return nil
+	}
+	if !o.knowsService(h.Service) {
+		for _, other := range o.targets {
+			if (other.ID == h.ID || other.Address == h.Address) && o.knowsService(other.Service) {
+				return fmt.Errorf("target %s at %s: service %q is not configured", h.ID, h.Address, h.Service)
+			}
+		}
+	}
+	if t != nil || len(o.targets) < maxTargets {
+		return nil
+	}
+	for _, other := range o.targets {
+		if other.silent || !o.knowsService(other.Service) {
+			o.remove(other, "too many")
+			return nil
+		}
+	}
+	return fmt.Errorf("target %s: the host has %d targets already", h.ID, len(o.targets))
+}
+
+func (o *Owner) knowsService(s mesh.ServiceName) bool {
+	return o.cfg.KnowsService == nil || o.cfg.KnowsService(s)
+}
+
 // verify counts a heartbeat of a target that may have left unnoticed, and reports
 // whether the target may be used from now on.
 func (o *Owner) verify(t *target, h Heartbeat, isNew bool) bool {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -449,3 +449,38 @@
 		t.Errorf("start %d leaves, and the target is in state %d", started, published[0].State)
 	}
 }
+
+// TestOddHeartbeatsLeaveTheTarget guards against a heartbeat of another writer that takes the place of the target, and against so many targets that other hosts refuse the record of this one.
+func TestOddHeartbeatsLeaveTheTarget(t *testing.T) {
+	var published []membership.Target
+	o := newOwner(&published)
+	o.cfg.KnowsService = func(s mesh.ServiceName) bool { return s == "galley" || s == "orderdesk" }
+	_ = o.Heartbeat(heartbeat("a", 10, 5, false))
+	odd := heartbeat("b", 20, 1, false)
+	odd.Service = "unnamed"
+	for _, id := range []mesh.TargetID{"a", "b"} {
+		odd.ID = id
+		if err := o.Heartbeat(odd); err == nil {
+			t.Errorf("a heartbeat of %s with an unknown service is acknowledged", id)
+		}
+	}
+	for i := range 3 * maxTargets {
+		odd.ID, odd.Address = mesh.TargetID(fmt.Sprint("odd", i)), fmt.Sprintf("127.0.0.1:%d", 2+i)
+		_ = o.Heartbeat(odd)
+	}
+	if len(published) > maxTargets {
+		t.Errorf("%d targets", len(published))
+	}
+	ready := false
+	for _, target := range published {
+		ready = ready || target.ID == "a" && target.State == membership.TargetReady
+	}
+	if !ready {
+		t.Errorf("the target is gone: %+v", published)
+	}
+	next := heartbeat("c", 30, 1, false) // the address is used again by another service
+	next.Service = "orderdesk"
+	if err := o.Heartbeat(next); err != nil || o.targets["a"] != nil || o.targets["c"] == nil {
+		t.Errorf("the target that follows at the address: %v", err)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -189,7 +189,7 @@
 	}
 	s.owner = owner.New(owner.Config{
 		HeaderNames: cfg.HeaderNames, Bounds: cfg.Bounds.Bounds,
-		MaxConnections: s.maxConnections, ColdRate: s.coldRate, OnChange: s.control.SetTargets,
+		MaxConnections: s.maxConnections, KnowsService: s.knowsService, ColdRate: s.coldRate, OnChange: s.control.SetTargets,
 		Evacuated:         func() bool { return evacuations.IsActive(cfg.DataCentre) },
 		Stale:             s.isStale,
 		DeparturesUnknown: !cfg.FirstStart,
@@ -276,6 +276,16 @@
 	return defaultMaxConnections
 }
 
+// knowsService reports whether the configuration has a service, or there is none yet.
+func (s *Sidecar) knowsService(service mesh.ServiceName) bool {
+	v := s.control.Snapshot()
+	if v == nil {
+		return true
+	}
+	_, ok := v.Config.Services[service]
+	return ok
+}
+
 // coldRate returns what a cold target takes, and false before the first configuration.
 func (s *Sidecar) coldRate(service mesh.ServiceName) (admission.ColdRate, bool) {
 	v, b := s.control.Snapshot(), s.bounds.Load()
