Pass over rows that no host can have written

Cause here, shown by a test: the row of a host was merged with whatever it held, targets, rollouts and an era included, and the row of a rollout was believed whatever order and epoch it named.

Change: of a host's row only what hosts write there is taken; a start in the future, an era that has not begun and a port out of range make it unreadable. A rollout row with an order or epoch that cannot have been reached is written anew.

--- a/internal/control/decisions.go
+++ b/internal/control/decisions.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -117,15 +118,29 @@
 	}
 }
 
-// decodeRolloutRow decodes a row with the progress of a rollout. Rows that can't be of
-// this system are passed over: one with an order of an era that is still to come would
-// outrank all others.
+const (
+	maxElapsed = 365 * 24 * time.Hour // that a rollout can have taken
+	maxEpoch   = 1 << 32              // each is a transaction
+)
+
+// decodeRolloutRow decodes a row with the progress of a rollout. Another writer may have
+// left it: one with an order or an epoch that cannot have been reached would outrank all
+// that follow.
 func (a *Agent) decodeRolloutRow(row *platform.Row, prefix string) (rolloutRow, bool) {
 	var r rolloutRow
 	err := json.Unmarshal(row.Value, &r)
-	if err != nil || string(r.Service) != strings.TrimPrefix(row.Key, prefix) || r.To == "" || platform.EraOf(r.Revision) > a.storeEra() || !r.State.IsValid() {
+	switch {
+	case err != nil:
+	case string(r.Service) != strings.TrimPrefix(row.Key, prefix) || r.To == "" || !r.State.IsValid():
+		err = fmt.Errorf("service %q, version %q or state %q is invalid", r.Service, r.To, r.State)
+	case r.Revision > row.Version || platform.EraOf(r.Revision) == 0 && platform.EraOf(row.Version) > 0 || r.Epoch > maxEpoch:
+		err = fmt.Errorf("order %d or epoch %d cannot have been reached", r.Revision, r.Epoch)
+	case r.ElapsedMs < 0 || r.ElapsedMs > maxElapsed.Milliseconds() || r.Permille < 0 || r.Permille > 1000:
+		err = fmt.Errorf("elapsed time %d ms or share %d is invalid", r.ElapsedMs, r.Permille)
+	}
+	if err != nil {
 		a.count("rollouts.unreadable")
-		a.cfg.Log.Error().Str("row", row.Key).AnErr("cause", err).Msg("rollout row cannot be read")
+		a.cfg.Log.Error().Str("row", row.Key).Err(err).Msg("rollout row cannot be read")
 		return rolloutRow{}, false
 	}
 	return r, true
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -392,14 +395,14 @@
 			decided = append(decided, row)
 			continue
 		}
-		var h membership.Host
-		if err := json.Unmarshal(row.Value, &h); err != nil || hostTable+"/"+string(h.ID) != row.Key {
+		h, err := decodeHostRow(&row)
+		if err != nil {
 			f.agent.count("hosts.unreadable")
 			f.agent.cfg.Log.Error().Str("row", row.Key).AnErr("cause", err).Msg("host row cannot be read")
 			continue
 		}
 		present[h.ID] = hostRow{h.CallAddress, row.Version, max(platform.FirstEra, h.StoreEra)}
-		h.StoreEra = 0 // only answers of the store and the hosts themselves tell the era
+		h.StoreEra = 0 // only answers of the store and the hosts themselves tell the era in force
 		hosts = append(hosts, h)
 	}
 	f.loadDepartures(departed, present[f.agent.cfg.Self.ID].era)
@@ -412,6 +415,47 @@
 	return present, nil
 }
 
+// maxClockError is how far the clocks of hosts can differ.
+const maxClockError = time.Hour
+
+// decodeHostRow decodes the row of a host. Another writer may have left it: what no host
+// writes there is dropped, and values that no host can have make it unreadable. A record
+// with a start in the future would outrank that of the host itself.
+func decodeHostRow(row *platform.Row) (membership.Host, error) {
+	var h membership.Host
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return h, err
+	}
+	switch {
+	case hostTable+"/"+string(h.ID) != row.Key || h.DataCentre == "":
+		return h, errors.New("row names another host, or no data centre")
+	case h.Incarnation > uint64(time.Now().Add(maxClockError).UnixMilli()):
+		return h, fmt.Errorf("start %d is in the future", h.Incarnation)
+	case h.StoreEra > max(platform.FirstEra, platform.EraOf(row.Version)):
+		return h, fmt.Errorf("era %d has not begun", h.StoreEra)
+	}
+	for _, address := range []string{h.PeerAddress, h.CallAddress} {
+		if err := checkAddress(address); err != nil {
+			return h, err
+		}
+	}
+	return membership.Host{
+		ID: h.ID, DataCentre: h.DataCentre, PeerAddress: h.PeerAddress, CallAddress: h.CallAddress,
+		Incarnation: h.Incarnation, Status: membership.StatusAlive, StoreEra: h.StoreEra,
+	}, nil
+}
+
+func checkAddress(address string) error {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return fmt.Errorf("address %q: port is not in 1 to 65535", address)
+	}
+	return nil
+}
+
 // storeEra returns the era of the store, as its answers have named it.
 func (a *Agent) storeEra() uint64 { return max(platform.FirstEra, a.cfg.Store.Era()) }
 
