Let targets leave before all processes end in the soak

Purpose: the soak excused every call to a draining target near a fault of its node, and never ended all processes at once, so that it could not see departures that were forgotten.

--- a/cmd/nutmeghoist-soak/main.go
+++ b/cmd/nutmeghoist-soak/main.go
@@ -42,7 +42,7 @@
 	}
 	runs := make([]soak.Options, 0, o.Seeds)
 	for seed := o.Seed; seed < o.Seed+o.Seeds; seed++ {
-		runs = append(runs, soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration, AnswerFaults: true, RateLimits: true, StoreRestores: true, CrashingRequests: true, ColdTargets: true, Evacuations: true})
+		runs = append(runs, soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration, AnswerFaults: true, RateLimits: true, StoreRestores: true, CrashingRequests: true, ColdTargets: true, Evacuations: true, Departures: true})
 	}
 	if o.RunRegressions {
 		runs = nil
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -43,6 +43,8 @@
 	CrashingRequests bool
 	// Evacuations adds data centres that operators evacuate and take back.
 	Evacuations bool
+	// Departures adds targets that leave before all processes end at once.
+	Departures bool
 }
 
 const (
@@ -123,6 +125,9 @@
 	if o.ColdTargets {
 		wg.Go(func() { c.injectCold(ctx) })
 	}
+	if o.Departures {
+		wg.Go(func() { c.injectDepartures(ctx) })
+	}
 	if o.Evacuations {
 		evacuations.Go(func() { c.injectEvacuations(ctx) })
 	}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -104,13 +104,19 @@
 			break
 		}
 	}
-	pause.For(ctx, bounds.Drain+time.Second)
+	serving := bounds.Drain + time.Second
+	if t.node.cluster.options.Departures {
+		serving += lateHeartbeatTime + restartDelay // targets may serve for longer
+	}
+	pause.For(ctx, serving)
 	t.crash()
 }
 
 func (t *target) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
-		t.sendHeartbeat(ctx)
+		if !t.node.cluster.options.Departures || !t.wasAcked() {
+			t.sendHeartbeat(ctx) // one that has left may send no more
+		}
 		pause.For(ctx, bounds.HeartbeatInterval)
 	}
 }
@@ -118,13 +124,36 @@
 // sendHeartbeat sends a heartbeat and reports whether it was acknowledged.
 func (t *target) sendHeartbeat(ctx context.Context) bool {
 	t.mu.Lock()
-	t.sequence++
 	draining, coldLeft := t.draining, max(0, time.Until(t.cold.until))
-	path, body := platform.EncodeHeartbeat(owner.Heartbeat{
+	t.mu.Unlock()
+	path, body := t.encodeHeartbeat(draining)
+	if !t.post(ctx, path, body) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if draining && t.acked.IsZero() {
+		t.acked = time.Now()
+	}
+	if coldLeft > 0 && t.cold.from.IsZero() {
+		t.cold.from = time.Now()
+	}
+	return true
+}
+
+// encodeHeartbeat returns the path and the body of the next heartbeat.
+func (t *target) encodeHeartbeat(draining bool) (path string, body []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sequence++
+	return platform.EncodeHeartbeat(owner.Heartbeat{
 		ID: t.id, Address: t.address, Service: t.node.service, Version: t.version, Slots: targetSlots,
-		Draining: draining, Sequence: t.sequence, Started: t.started.UnixMilli(), WarmUp: coldLeft,
+		Draining: draining, Sequence: t.sequence, Started: t.started.UnixMilli(), WarmUp: max(0, time.Until(t.cold.until)),
 	})
-	t.mu.Unlock()
+}
+
+// post sends a heartbeat and reports whether it was acknowledged.
+func (t *target) post(ctx context.Context, path string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.node.cluster.address(t.node.index, portAnnounce).String()+path, bytes.NewReader(body))
@@ -136,18 +165,7 @@
 		return false // the node is down; the next heartbeat tries again
 	}
 	_ = resp.Body.Close() // the body is not used
-	if resp.StatusCode/100 != 2 {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if draining && t.acked.IsZero() {
-		t.acked = time.Now()
-	}
-	if coldLeft > 0 && t.cold.from.IsZero() {
-		t.cold.from = time.Now()
-	}
-	return true
+	return resp.StatusCode/100 == 2
 }
 
 var heartbeatClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
