Take calls of repeated runs from the retry budget

Cause: a call that a target makes in a run that is itself a repeat added to the retry budget of the service that it reaches, where it is an arrival beyond the first ones.

Change: an attempt says whether it is a repeat, the owner remembers it for the run, and the entry beside the target charges the budget for the calls of the run.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -76,6 +76,8 @@
 	Call(ctx context.Context, r *hop.Request) *hop.Response
 	// IsRunning reports whether a call with the request ID runs there.
 	IsRunning(id string) bool
+	// IsRepeat reports whether that run is a repeat.
+	IsRepeat(id string) bool
 	// RecordNestedFailure records that a call failed which a target made for that one.
 	RecordNestedFailure(id string)
 }
@@ -228,6 +230,7 @@
 	team         *traffic.Team // of the caller; nil without one
 	coldRate     float64       // calls a second that a cold target of the service takes
 	budget       *retry.Budget
+	repeat       bool // see hop.Request.Repeat; of the next attempt
 	deadline     time.Time
 	softDeadline time.Time
 
@@ -369,7 +372,12 @@
 	}
 	c.coldRate = c.snapshot.Config.Services[service.Name].ColdRate
 	c.budget = c.entry.retryBudget(service.Name)
-	c.budget.Deposit()
+	if c.repeat = c.isNested() && c.entry.cfg.Local.IsRepeat(c.parent); c.repeat {
+		c.budget.Charge() // the service gets the call beyond the first ones
+		c.entry.count("retried.nested")
+	} else {
+		c.budget.Deposit()
+	}
 	set, isNew := c.entry.versionSplitter.Pick(service)
 	if isNew && service.Stable != nil && service.Stable.Len() > 0 && c.entry.cfg.MayExpose != nil && !c.entry.cfg.MayExpose() {
 		c.entry.count("rollouts.withheld")
@@ -384,6 +392,7 @@
 			break
 		}
 		t, resp := c.callWithHedge(service, set, t, isNew)
+		c.repeat = c.repeat || resp.SentToTarget
 		c.recordEvacuation(t, resp)
 		if resp.Outcome == hop.Answered && !c.isRetryableFailure(resp) {
 			return c.targetResponse(resp)
@@ -420,12 +429,12 @@
 
 // callTarget makes one attempt at a target. It does not modify the call, since
 // two attempts can run concurrently.
-func (c *call) callTarget(ctx context.Context, service *view.Service, t *routing.Candidate, isNew bool) *hop.Response {
+func (c *call) callTarget(ctx context.Context, service *view.Service, t *routing.Candidate, isNew, repeat bool) *hop.Response {
 	r := hop.Request{
 		Target: t.ID, Service: t.Service, Version: t.Version, Caller: c.entry.cfg.Service, ID: c.id,
 		Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: c.forwardedHeader(), Body: c.req.Body,
 		Priority: c.priority(), Team: c.teamName(), Nested: c.isNested(), Idempotent: c.route.Idempotent, Route: c.route.Name,
-		Signals: c.entry.signals.get(t), MayResend: c.route.Idempotent && c.budget.HasRetry(),
+		Signals: c.entry.signals.get(t), Repeat: repeat, MayResend: c.route.Idempotent && c.budget.HasRetry(),
 	}
 	t.Stat.Begin()
 	c.entry.cfg.Observer.Begin(service, isNew)
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -52,7 +52,9 @@
 	return resp
 }
 
-func (o *scriptedOwner) IsRunning(id string) bool { return id == "running" }
+func (o *scriptedOwner) IsRunning(id string) bool { return id == "running" || id == "repeat" }
+
+func (o *scriptedOwner) IsRepeat(id string) bool { return id == "repeat" }
 
 func (o *scriptedOwner) RecordNestedFailure(id string) {
 	o.mu.Lock()
@@ -464,3 +466,41 @@
 		}
 	}
 }
+
+// TestRepeatedRunsPayForTheirCalls guards against calls of a repeated run that add to the retry budget of the service that they reach, where they are repeats, and against an attempt that is not known as one.
+func TestRepeatedRunsPayForTheirCalls(t *testing.T) {
+	shed := func(_ int, r *hop.Request) *hop.Response {
+		if strings.HasPrefix(r.ID, "c") {
+			return &hop.Response{Outcome: hop.NotRun, Reason: "target_shed", SentToTarget: true}
+		}
+		return successResponse(r)
+	}
+	owner := &scriptedOwner{script: shed}
+	e := newEntry(owner, 2)
+	e.cfg.ParentID = func(id string) string { parent, _, _ := strings.Cut(id, "."); return parent }
+	handle := func(id string) []bool {
+		owner.calls = nil
+		r := requestFor("/menus/1")
+		r.Header.Set("Call-Name", id)
+		e.Handle(t.Context(), r)
+		var repeats []bool
+		for _, r := range owner.calls {
+			repeats = append(repeats, r.Repeat)
+		}
+		return repeats
+	}
+	if got := handle("c"); !slices.Equal(got, []bool{false, true}) {
+		t.Errorf("the attempts of a call are repeats: %v", got)
+	}
+	if got := handle("running.1"); !slices.Equal(got, []bool{false}) {
+		t.Errorf("the call of a first run is a repeat: %v", got)
+	}
+	for range 30 {
+		if got := handle("repeat.1"); !slices.Equal(got, []bool{true}) {
+			t.Fatalf("the call of a repeated run is a repeat: %v", got)
+		}
+	}
+	if got := handle("c"); len(got) != 1 {
+		t.Errorf("after 30 calls of repeated runs a call is sent %d times, with a budget of 10", len(got))
+	}
+}
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -63,13 +63,15 @@
 	c.lastTarget = t.ID
 	delay := c.hedgeDelay()
 	if delay == 0 {
-		return t, c.callTarget(c.ctx, service, t, isNew)
+		return t, c.callTarget(c.ctx, service, t, isNew, c.repeat)
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(errAbandoned)
 	ended := make(chan attempt, 2)
-	run := func(t *routing.Candidate) { ended <- attempt{t, c.callTarget(ctx, service, t, isNew)} }
-	go run(t)
+	run := func(t *routing.Candidate, repeat bool) {
+		ended <- attempt{t, c.callTarget(ctx, service, t, isNew, repeat)}
+	}
+	go run(t, c.repeat)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
@@ -82,7 +84,7 @@
 		a := <-ended
 		return a.target, a.resp
 	}
-	go run(hedge)
+	go run(hedge, true)
 	a := <-ended
 	if !a.succeeded() {
 		if b := <-ended; b.succeeded() || a.resp.Outcome == hop.NotRun {
--- a/internal/hop/fields.go
+++ b/internal/hop/fields.go
@@ -46,6 +46,7 @@
 
 	Signals   *TargetSignals `cbor:"11,keyasint,omitempty"`
 	MayResend bool           `cbor:"12,keyasint,omitempty"`
+	Repeat    bool           `cbor:"13,keyasint,omitempty"`
 }
 
 // wireResponse is the encoding of a Response.
@@ -147,7 +148,7 @@
 	return c.writeWithBodyLocked(frameRequest, &wireRequest{
 		Stream: r.Stream, Fields: fields, ID: r.ID, URI: r.URI, Priority: r.Priority,
 		Idempotent: r.Idempotent, DeadlineAt: r.DeadlineAt, SoftDeadlineAt: r.SoftDeadlineAt, Nested: r.Nested, Signals: r.Signals,
-		MayResend: r.MayResend,
+		MayResend: r.MayResend, Repeat: r.Repeat,
 	}, requestBodyKey, r.Body)
 }
 
@@ -165,7 +166,7 @@
 		Version: mesh.TargetVersion(f[fieldVersion]), Caller: mesh.ServiceName(f[fieldCaller]), ID: w.ID,
 		Method: f[fieldMethod], URI: w.URI, Host: f[fieldHost], Header: h, Body: w.Body, Priority: w.Priority,
 		Idempotent: w.Idempotent, Route: f[fieldRoute], DeadlineAt: w.DeadlineAt, SoftDeadlineAt: w.SoftDeadlineAt, Nested: w.Nested, Signals: w.Signals,
-		MayResend: w.MayResend, Team: mesh.TeamName(f[fieldTeam]),
+		MayResend: w.MayResend, Repeat: w.Repeat, Team: mesh.TeamName(f[fieldTeam]),
 	}, nil
 }
 
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -39,6 +39,9 @@
 	Team       mesh.TeamName // of the caller; "" without one
 	Nested     bool          // a call of a target, whose own call waits for it
 	Idempotent bool
+	// Repeat means that an attempt before this one may have reached a target, or that the
+	// call is made by a run that is itself a repeat.
+	Repeat bool
 	// MayResend means that the call may be sent a second time when a connection to the
 	// target that was used before breaks. The retry budget of the caller's node pays.
 	MayResend bool
--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -114,7 +114,7 @@
 // runAdmitted sends an admitted call to its target and releases its slot.
 func (o *Owner) runAdmitted(ctx context.Context, t *target, r *hop.Request, key func() suspect.Key, deadline time.Time, isTrial bool) (out outcome) {
 	sent := time.Now()
-	o.beginRunning(r.ID)
+	o.beginRunning(r)
 	endWatch := t.limiter.Watch(r.Route)
 	defer func() {
 		out.took = time.Since(sent)
@@ -172,12 +172,20 @@
 	}
 }
 
-func (o *Owner) beginRunning(id string) {
+func (o *Owner) beginRunning(request *hop.Request) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	r := o.running[id]
+	r := o.running[request.ID]
+	r.repeat = r.repeat || request.Repeat || r.attempts > 0
 	r.attempts++
-	o.running[id] = r
+	o.running[request.ID] = r
+}
+
+// IsRepeat reports whether the run of a request at a target of this host is a repeat.
+func (o *Owner) IsRepeat(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.running[id].repeat
 }
 
 // endRunning ends an attempt and reports whether a call failed that was made for the
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -126,6 +126,7 @@
 // runningCalls are the attempts of a request that run at the targets.
 type runningCalls struct {
 	attempts     int
+	repeat       bool // one of the attempts is a repeat
 	nestedFailed bool // a call failed that a target made for the request
 }
 
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -484,3 +484,24 @@
 		t.Errorf("the target that follows at the address: %v", err)
 	}
 }
+
+// TestRunsOfRepeats guards against a repeated run that is taken for the first one of its request, by its attempt or since another runs already, and against a record that outlives the run.
+func TestRunsOfRepeats(t *testing.T) {
+	o := newOwner(nil)
+	first, repeat := &hop.Request{ID: "a"}, &hop.Request{ID: "b", Repeat: true}
+	o.beginRunning(first)
+	o.beginRunning(repeat)
+	if o.IsRepeat("a") || !o.IsRepeat("b") || o.IsRepeat("c") {
+		t.Errorf("repeats: a %v, b %v, c %v", o.IsRepeat("a"), o.IsRepeat("b"), o.IsRepeat("c"))
+	}
+	o.beginRunning(first)
+	if !o.IsRepeat("a") {
+		t.Error("a second run of a request is not a repeat")
+	}
+	o.endRunning("a")
+	o.endRunning("a")
+	o.endRunning("b")
+	if o.IsRepeat("a") || o.IsRepeat("b") {
+		t.Error("runs that have ended are repeats")
+	}
+}
