Replace the settings file of a node at once in the soak

Cause: the log of node-4 lists every setting as missing. The soak truncated the file and then wrote it (fault "hup") while the process, killed with all others, was started again and read an empty file. The platform places the file before a process starts. Ruled out: a panic (no stack), a wrong value (all are missing).

Change: the soak writes another file and renames it, so that a start reads the old settings or the new ones. The check stays as it is.

--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -45,7 +45,12 @@
 		ReadyAddress: n.cluster.address(i, portReady), AnnounceAddress: n.cluster.address(i, portAnnounce),
 		StoreAddress: n.cluster.relayAddress(i, portStore).String(), MemoryBytes: maxNodeMemory, Bounds: b,
 	}
-	return os.WriteFile(n.cluster.path(string(n.host)+".conf"), platform.EncodeSettings(settings), 0o600)
+	// A process that starts meanwhile reads the old settings or the new ones.
+	name := n.cluster.path(string(n.host) + ".conf")
+	if err := os.WriteFile(name+".new", platform.EncodeSettings(settings), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(name+".new", name)
 }
 
 // start starts the process.
