Wait for the call to arrive before its request is rejected in a test

Beside load 2 of 150 runs of it failed.

Cause: the test took the call for sent once the owner counts it as running, which is before the connection is opened. Ends that are recorded between the two reject the request, rightly, before it is sent, and there is no answer.

Change: the test waits until the target has the call, which is what its comment says it guards.

--- a/internal/owner/ended_test.go
+++ b/internal/owner/ended_test.go
@@ -44,14 +44,15 @@
 	for _, status := range []int{500, 504} {
 		o := newOwner(nil)
 		h := heartbeat("a", 10, 1, false)
-		h.Address = startAnswering(t, status, 100*time.Millisecond, new(atomic.Int64))
+		var arrived atomic.Int64
+		h.Address = startAnswering(t, status, 100*time.Millisecond, &arrived)
 		if err := o.Heartbeat(h); err != nil {
 			t.Fatal(err)
 		}
 		r := request("a", time.Second)
 		answered := make(chan int)
 		go func() { answered <- o.Call(t.Context(), r).Status }()
-		for !o.IsRunning(r.ID) {
+		for arrived.Load() == 0 { // a call that is not sent yet is rejected at the third end
 			time.Sleep(time.Millisecond)
 		}
 		for end := range suspect.MaxEnds {
