Log how the connections of calls to a stopping node end

For each call of a stopping node, and each call that the node leaves without a whole answer, a line now names the bytes that were read, whether the request was whole, whether a target may have run it, whether the answer was written, who closed first and why. unanswered.CAUSE counts the calls without a whole answer. Tests of entry, sidecar, bounded and docs pass.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -24,6 +24,8 @@
 	remaining int64 // -1 outside a head
 	// Err is the last error of the reader. A parser on top of it may hide it.
 	Err error
+	// Total is the number of bytes that were read.
+	Total int64
 }
 
 // NewHeadReader returns a reader without a limit.
@@ -45,6 +47,7 @@
 	}
 	n, err := h.r.Read(b)
 	h.Err = err
+	h.Total += int64(n)
 	if h.remaining > 0 {
 		h.remaining -= int64(n)
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -267,6 +267,7 @@
 		e.cfg.Local.RecordNestedFailure(c.parent)
 		e.count("calls.nested_failed")
 	}
+	response.PassedOn = c.answered || c.mayHaveRun || c.attempts > 0
 	c.recordEnd(response)
 	return response
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -16,6 +16,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
 	"nutmeghoist.example/nutmeghoist/internal/bounded"
 	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/internal/header"
@@ -73,6 +76,11 @@
 	Buffers   *bounded.Budget
 	Guard     *guard.Guard
 	OnRefusal func(reason string)
+	// Log and Metrics tell how calls ended; IDHeader is the header with the ID of a call.
+	// They may be unset, and are set before Run.
+	Log      *log.Logger
+	Metrics  metrics.Registry
+	IDHeader string
 	// Screen returns the response to a call that is refused before its large body is
 	// read, or nil. OnUnread is called with a call that passed it and whose body could not
 	// be read. They may be nil, and are set before Run.
@@ -111,6 +119,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// PassedOn means that a target may have run the call.
+	PassedOn bool
 	// Abort closes the connection without a response.
 	Abort bool
 }
@@ -196,6 +206,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
+		c.recordEnd(connEnd{closedByNode, causeStopOver})
 		_ = c.conn.Close() // nothing can be done about an error here
 	}
 }
@@ -233,6 +244,8 @@
 	pending  int              // calls read and not answered yet
 	closing  bool             // the connection closes after the response being written
 	idle     bool             // the next call has not begun to arrive
+	calls    []*callEnd       // without those whose end is not reported
+	end      connEnd
 }
 
 // pipelinedCall is one call with its response.
@@ -242,6 +255,7 @@
 	last     bool  // the connection closes after this call
 	response chan *Response
 	unread   io.Reader // body of a refused call that the caller still sends
+	ended    *callEnd  // guarded by callerConn.mu
 }
 
 func newCallerConn(s *Server, raw net.Conn) *callerConn {
@@ -257,6 +271,7 @@
 	c.awaitWritten()
 	c.cancel()
 	_ = c.conn.Close() // no further response can be written
+	c.reportCalls()
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
@@ -273,11 +288,12 @@
 		if !c.beginCall() {
 			return
 		}
-		pc := &pipelinedCall{response: make(chan *Response, 1)}
+		pc := &pipelinedCall{response: make(chan *Response, 1), ended: &callEnd{begun: c.consumed()}}
 		var refusal *Response
 		if c.server.Guard.Run("caller_read", func() { refusal = c.readCall(pc, limits) }) {
 			refusal = &Response{Abort: true}
 		}
+		c.recordRead(pc, refusal == nil)
 		c.enqueue(pc)
 		if refusal != nil {
 			if pc.unread == nil {
@@ -285,7 +301,13 @@
 			}
 			c.server.Buffers.Hold(int64(len(refusal.Body)))
 			pc.response <- refusal
-			if pc.unread == nil || !c.discard(pc.unread) {
+			if pc.unread == nil {
+				return
+			}
+			discarded := c.discard(pc.unread)
+			c.recordRead(pc, discarded)
+			if !discarded {
+				c.recordEnd(connEnd{closedByNode, causeUnread})
 				return
 			}
 		} else {
@@ -322,6 +344,7 @@
 			checkedAgain = true
 			continue
 		}
+		c.recordEnd(readEnd(err))
 		c.cancel()
 		return false
 	}
@@ -351,6 +374,7 @@
 func (c *callerConn) watchForClose() {
 	_ = c.conn.SetReadDeadline(time.Time{}) // a failure shows at the read
 	if _, err := c.r.Peek(1); err != nil {
+		c.recordEnd(readEnd(err))
 		c.cancel()
 	}
 }
@@ -460,6 +484,7 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return statusResponse(http.StatusRequestTimeout)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &timeout):
+		c.recordEnd(readEnd(err))
 		c.cancel()
 		return &Response{Abort: true}
 	default:
@@ -501,6 +526,7 @@
 		c.changed.Wait()
 	}
 	c.pipeline = append(c.pipeline, pc)
+	c.calls = append(c.calls, pc.ended)
 	if !c.writing {
 		c.writing = true
 		go c.writeLoop()
@@ -541,13 +567,23 @@
 			continue
 		}
 		last := c.endCall(pc.last || resp.Abort)
-		ok := !resp.Abort && c.ctx.Err() == nil && c.send(pc, resp, last)
+		left := c.ctx.Err() != nil
+		ok := !resp.Abort && !left && c.send(pc, resp, last)
+		c.recordWritten(pc, resp, ok)
 		c.server.end(pc, resp)
 		if ok && !last {
 			continue
 		}
-		if ok {
+		switch {
+		case ok:
+			c.recordEnd(connEnd{closedByNode, causeAnswered})
 			c.linger()
+		case resp.Abort:
+			c.recordEnd(connEnd{closedByNode, causeAborted})
+		case left:
+			c.recordEnd(connEnd{closedByCaller, causeCallerLeft})
+		default:
+			c.recordEnd(connEnd{closedByNode, causeWrite})
 		}
 		c.broken = true
 		c.cancel()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -205,6 +205,7 @@
 	})
 	s.callers = entry.NewServer(callers, s.entry.Handle, s.limits)
 	s.callers.Screen, s.callers.OnUnread = s.entry.Screen, s.entry.ReturnToLimit
+	s.callers.Log, s.callers.Metrics, s.callers.IDHeader = cfg.Log, cfg.Metrics, cfg.HeaderNames.RequestID
 	s.callers.Guard, s.callers.Buffers, s.callers.OnRefusal = s.guard, s.buffers, s.countRefusal
 	telemetry.RegisterProcess(cfg.Metrics)
 	s.registerGauges()
