Read what callers still send after the last response of a connection

Cause: after the last response on a connection the server half-closed it and closed it 300 ms later, whatever had arrived or was on its way; a close with unread bytes resets the connection, and the response with it. While a node drains, each response is the last one of its connection, so that a call that is refused by its head, as only deployments with teams do, met this at each stop. Refusals for memory, of too long bodies and of calls with Expect: 100-continue met it at any time.

The goroutine that reads the connection now goes on reading and discards what arrives until the caller closes its side, for lingerTimeout when the request is complete and for bodyReadTimeout when it may not be. It also no longer takes the end of the idle time for a caller that has left, which dropped a response whose write had not begun.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -38,10 +38,13 @@
 	// so that a caller that respects the timeout never sends on a closed
 	// connection.
 	idleSlack = 3 * time.Second
-	// lingerTimeout bounds the wait for the caller to close a half-closed
-	// connection. An immediate close with unread bytes would reset the connection
-	// before the caller has read the response.
+	// lingerTimeout bounds the wait for the caller to close a connection after the last
+	// response, when the caller has nothing more to send. While it still sends a request,
+	// bodyReadTimeout does: a close with unread bytes resets the connection, and the caller
+	// may not have read the response yet.
 	lingerTimeout = 300 * time.Millisecond
+	// maxDiscardedBytes bounds what is read of a connection after its last call.
+	maxDiscardedBytes = 64 << 20
 	// writeTimeout bounds the write of one response to a caller that does not
 	// read.
 	writeTimeout = 10 * time.Second
@@ -244,6 +247,8 @@
 	pending  int              // calls read and not answered yet
 	closing  bool             // the connection closes after the response being written
 	idle     bool             // the next call has not begun to arrive
+	sending  bool             // the caller may still be sending a request that is not run
+	finished time.Time        // when the last response was written
 	calls    []*callEnd       // without those whose end is not reported
 	end      connEnd
 }
@@ -267,7 +272,9 @@
 }
 
 func (c *callerConn) serve() {
-	c.readLoop()
+	if c.readLoop() {
+		c.discardInput()
+	}
 	c.awaitWritten()
 	c.cancel()
 	_ = c.conn.Close() // no further response can be written
@@ -277,16 +284,16 @@
 	c.server.mu.Unlock()
 }
 
-// readLoop reads calls until the caller disconnects or the connection must
-// close. While the last call runs it keeps watching for a disconnect.
-func (c *callerConn) readLoop() {
+// readLoop reads calls until the caller disconnects, the connection is idle for too
+// long, or no further call is taken. It reports whether more may arrive.
+func (c *callerConn) readLoop() bool {
 	for {
 		limits := c.server.limitsInForce()
 		if !c.awaitCall(limits.IdleTimeout + idleSlack) {
-			return
+			return false
 		}
 		if !c.beginCall() {
-			return
+			return true
 		}
 		pc := &pipelinedCall{response: make(chan *Response, 1), ended: &callEnd{begun: c.consumed()}}
 		var refusal *Response
@@ -294,28 +301,26 @@
 			refusal = &Response{Abort: true}
 		}
 		c.recordRead(pc, refusal == nil)
-		c.enqueue(pc)
-		if refusal != nil {
-			if pc.unread == nil {
-				pc.last = true
-			}
-			c.server.Buffers.Hold(int64(len(refusal.Body)))
-			pc.response <- refusal
-			if pc.unread == nil {
-				return
-			}
-			discarded := c.discard(pc.unread)
-			c.recordRead(pc, discarded)
-			if !discarded {
-				c.recordEnd(connEnd{closedByNode, causeUnread})
-				return
-			}
-		} else {
+		if refusal == nil {
+			c.enqueue(pc)
 			go c.run(pc)
+			if pc.last {
+				return true
+			}
+			continue
 		}
+		pc.last = pc.last || pc.unread == nil
+		c.setSending(true)
+		c.enqueue(pc)
+		c.server.Buffers.Hold(int64(len(refusal.Body)))
+		pc.response <- refusal
+		if pc.unread == nil || !c.discardBody(pc.unread) {
+			return true
+		}
+		c.recordRead(pc, true)
+		c.setSending(false)
 		if pc.last {
-			c.watchForClose()
-			return
+			return true
 		}
 	}
 }
@@ -345,7 +350,9 @@
 			continue
 		}
 		c.recordEnd(readEnd(err))
-		c.cancel()
+		if !isTimeout {
+			c.cancel() // after a timeout the caller is still there, and a response may be on its way
+		}
 		return false
 	}
 }
@@ -358,7 +365,7 @@
 		timeout = lastArrivalTime
 	}
 	c.idle = true
-	_ = c.conn.SetReadDeadline(time.Now().Add(timeout)) // a failure shows at the read
+	c.setReadDeadlineLocked(time.Now().Add(timeout))
 }
 
 // endIdleTime shortens the wait for the next call because the server shuts down.
@@ -366,17 +373,56 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
-		_ = c.conn.SetReadDeadline(time.Now().Add(lastArrivalTime)) // a failure shows at the read
+		c.setReadDeadlineLocked(time.Now().Add(lastArrivalTime))
 	}
 }
 
-// watchForClose cancels the last call when the caller disconnects.
-func (c *callerConn) watchForClose() {
-	_ = c.conn.SetReadDeadline(time.Time{}) // a failure shows at the read
-	if _, err := c.r.Peek(1); err != nil {
-		c.recordEnd(readEnd(err))
-		c.cancel()
+// setReadDeadline bounds the next reads; zero is no bound.
+func (c *callerConn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReadDeadlineLocked(t)
+}
+
+// setReadDeadlineLocked is setReadDeadline for a holder of c.mu. After the last response,
+// reads end when the caller has had its time to close the connection.
+func (c *callerConn) setReadDeadlineLocked(t time.Time) {
+	if !c.finished.IsZero() {
+		linger := time.Now().Add(lingerTimeout)
+		if c.sending {
+			linger = c.finished.Add(bodyReadTimeout)
+		}
+		if t.IsZero() || linger.Before(t) {
+			t = linger
+		}
 	}
+	_ = c.conn.SetReadDeadline(t) // a failure shows at the read
+}
+
+// setSending records whether the caller may still be sending a request that is not run.
+func (c *callerConn) setSending(sending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sending = sending
+}
+
+// discardInput reads what still arrives after the last call, so that the close of the
+// connection does not reset it before the caller has read the response. It ends when the
+// caller closes its side, lingerTimeout after the last response, or bodyReadTimeout after
+// it while the caller may still send. A caller that closes before has left.
+func (c *callerConn) discardInput() {
+	c.setReadDeadline(time.Time{})
+	n, err := io.Copy(io.Discard, io.LimitReader(c.r, maxDiscardedBytes))
+	var timeout net.Error
+	if n == maxDiscardedBytes || errors.As(err, &timeout) && timeout.Timeout() {
+		c.recordEnd(connEnd{closedByNode, causeUnread})
+		return
+	}
+	if err == nil {
+		err = io.EOF
+	}
+	c.recordEnd(readEnd(err))
+	c.cancel()
 }
 
 // beginCall counts a new call. It reports false when the connection closes
@@ -396,7 +442,7 @@
 // or exceeds the limits, nil otherwise.
 func (c *callerConn) readCall(pc *pipelinedCall, limits traffic.Limits) *Response {
 	if limits.HeaderTimeout > 0 {
-		_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // a failure shows at the read
+		c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	}
 	c.input.BeginHead(int64(limits.HeaderBytes) + headerSlack)
 	req, err := http.ReadRequest(c.r)
@@ -425,7 +471,7 @@
 	}
 	var body []byte
 	if req.ContentLength != 0 {
-		_ = c.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout)) // a failure shows at the read
+		c.setReadDeadline(time.Now().Add(bodyReadTimeout))
 		body, err = bounded.ReadBody(req.Body, req.ContentLength, bound, c.server.Buffers)
 		if err != nil {
 			c.dropUnread(pc)
@@ -464,9 +510,9 @@
 	return refusal
 }
 
-// discard reads the body of a refused call, so that the connection can be used again.
-func (c *callerConn) discard(body io.Reader) bool {
-	_ = c.conn.SetReadDeadline(time.Now().Add(bodyReadTimeout)) // a failure shows at the read
+// discardBody reads the body of a refused call, so that the connection can be used again.
+func (c *callerConn) discardBody(body io.Reader) bool {
+	c.setReadDeadline(time.Now().Add(bodyReadTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxBodyBytes+1))
 	return err == nil && n <= maxBodyBytes
 }
@@ -574,10 +620,11 @@
 		if ok && !last {
 			continue
 		}
+		c.broken = true
 		switch {
 		case ok:
-			c.recordEnd(connEnd{closedByNode, causeAnswered})
-			c.linger()
+			c.finish() // readLoop or discardInput ends the connection
+			continue
 		case resp.Abort:
 			c.recordEnd(connEnd{closedByNode, causeAborted})
 		case left:
@@ -585,7 +632,6 @@
 		default:
 			c.recordEnd(connEnd{closedByNode, causeWrite})
 		}
-		c.broken = true
 		c.cancel()
 		_ = c.conn.Close() // ends readLoop as well
 	}
@@ -621,13 +667,16 @@
 	return sent
 }
 
-// linger half-closes the connection and waits until the caller closes its side,
-// for lingerTimeout at most.
-func (c *callerConn) linger() {
-	if half, ok := c.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		select {
-		case <-c.ctx.Done(): // the caller closed its side
-		case <-time.After(lingerTimeout):
-		}
+// finish ends the node's side of the connection after the last response, and bounds the
+// wait for the caller to close its own.
+func (c *callerConn) finish() {
+	c.recordEnd(connEnd{closedByNode, causeAnswered})
+	if half, ok := c.conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		_ = c.conn.Close() // the caller has closed it
+		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished = time.Now()
+	c.setReadDeadlineLocked(time.Time{})
 }
