Answer the calls that have not ended when the time of a stop is up

Only uploads have a timeout that is longer than what is left of the stop.

When the time is up the contexts of the calls now end with ErrStopping. A call that a target may have run is answered 502, one that none has run, or whose body is still arriving, 503 with the time to come back. Responses have LastAnswerTime, within the part of the grace time that is reserved.

TestEndOfAStopIsReportedTruthfully is new.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -221,7 +221,7 @@
 type call struct {
 	entry        *Entry
 	ctx          context.Context
-	callerCtx    context.Context // ends when the caller disconnects
+	callerCtx    context.Context // ends when the caller disconnects, or with ErrStopping
 	req          *Request
 	id           string
 	parent       string // request ID of the call at this host's target that waits for this one, or ""
@@ -617,11 +617,16 @@
 // failureResponse returns the response to a call that no target has answered
 // successfully.
 func (c *call) failureResponse() *Response {
+	stopped := errors.Is(context.Cause(c.callerCtx), ErrStopping)
 	switch {
-	case c.callerCtx.Err() != nil:
-		return c.localResponse(http.StatusBadGateway, reasonCancelled, 0) // the caller has disconnected
+	case c.callerLeft():
+		return c.localResponse(http.StatusBadGateway, reasonCancelled, 0)
 	case c.serverError != nil:
 		return c.targetResponse(c.serverError)
+	case c.mayHaveRun && stopped:
+		return c.localResponse(http.StatusBadGateway, reasonStopping, 0)
+	case stopped:
+		return c.localResponse(http.StatusServiceUnavailable, reasonStopping, stopRetryAfter)
 	case c.mayHaveRun && c.ctx.Err() != nil:
 		return c.localResponse(http.StatusGatewayTimeout, reasonDeadline, 0)
 	case c.mayHaveRun:
@@ -634,6 +639,11 @@
 	return c.localResponse(http.StatusServiceUnavailable, reason, max(c.retryAfter, admission.MinRetryAfter))
 }
 
+// callerLeft reports whether the caller has disconnected.
+func (c *call) callerLeft() bool {
+	return c.callerCtx.Err() != nil && !errors.Is(context.Cause(c.callerCtx), ErrStopping)
+}
+
 // localResponse returns a response that the node generates itself.
 func (c *call) localResponse(status int, reason string, retryAfter time.Duration) *Response {
 	c.reason = reason
@@ -674,7 +684,7 @@
 	if retryAfter := response.Header.Get("Retry-After"); retryAfter != "" {
 		line = line.Str("retry_after", retryAfter)
 	}
-	line.Bool("nested", c.isNested()).Bool("caller_left", c.callerCtx.Err() != nil).Msg("call ended")
+	line.Bool("nested", c.isNested()).Bool("caller_left", c.callerLeft()).Msg("call ended")
 }
 
 func (e *Entry) count(name string) { metrics.GetOrRegisterCounter(name, e.cfg.Metrics).Inc(1) }
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -504,3 +504,34 @@
 		t.Errorf("after 30 calls of repeated runs a call is sent %d times, with a budget of 10", len(got))
 	}
 }
+
+// Guards against a call that the end of a stop reports as not run though a target has it,
+// as unknown though none has, or as late.
+func TestEndOfAStopIsReportedTruthfully(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path   string
+		script func(int, *hop.Request) *hop.Response
+		status int
+	}{
+		"at a target":    {"/orders/", func(int, *hop.Request) *hop.Response { return nil }, http.StatusBadGateway},
+		"hedged":         {"/menus/", func(int, *hop.Request) *hop.Response { return nil }, http.StatusBadGateway},
+		"refused by all": {"/orders/", func(int, *hop.Request) *hop.Response { return &hop.Response{Outcome: hop.NotRun, Reason: "late"} }, http.StatusServiceUnavailable},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			owner := &scriptedOwner{script: tc.script}
+			e := newEntry(owner, 2)
+			ctx, cancel := context.WithCancelCause(t.Context())
+			if name == "refused by all" {
+				cancel(ErrStopping)
+			}
+			time.AfterFunc(100*time.Millisecond, func() { cancel(ErrStopping) })
+			resp := e.Handle(ctx, requestFor(tc.path))
+			if resp.Status != tc.status {
+				t.Errorf("%s: status %d, want %d", name, resp.Status, tc.status)
+			}
+			if tc.status == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "1.000" {
+				t.Errorf("%s: header %v", name, resp.Header)
+			}
+		})
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -63,7 +63,10 @@
 	lastArrivalTime = 50 * time.Millisecond
 	// maxLastLooks bounds how often it waits for connections again. Without a bound it
 	// would not end while callers connect.
-	maxLastLooks         = 2
+	maxLastLooks = 2
+	// LastAnswerTime is how much longer than its limit a shutdown takes to answer the
+	// calls that have not ended.
+	LastAnswerTime       = 150 * time.Millisecond
 	shutdownPollInterval = 5 * time.Millisecond
 	// The defaults apply until the node has a configuration.
 	defaultIdleTimeout   = 30 * time.Second
@@ -71,6 +74,9 @@
 	defaultHeaderBytes   = 64 << 10
 )
 
+// ErrStopping is why the context of a call ends when the server no longer waits for it.
+var ErrStopping = errors.New("the node stops")
+
 // Server accepts the connections of callers. Use NewServer to create one.
 type Server struct {
 	// Buffers is the memory for the bodies of calls and responses, Guard recovers
@@ -96,6 +102,7 @@
 
 	draining       atomic.Bool
 	shuttingDown   atomic.Bool
+	ending         atomic.Bool  // the calls that have not ended are answered without a target's response
 	accepting      atomic.Bool  // Run accepts connections
 	pendingCalls   atomic.Int64 // calls read and not answered yet
 	mu             sync.Mutex
@@ -169,8 +176,10 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Shutdown ends the server without cutting a call: it accepts the connections that
-// wait, handles the calls that have arrived, and closes idle connections. It
-// returns when no connection is open, or after the given time.
+// wait, handles the calls that have arrived, and closes idle connections. Calls that have
+// not ended after the given time are answered without their targets' responses: the
+// contexts of their handlers end with ErrStopping. It returns when no connection is open,
+// or LastAnswerTime after that.
 func (s *Server) Shutdown(limit time.Duration) {
 	until := time.Now().Add(limit)
 	s.draining.Store(true)
@@ -183,11 +192,30 @@
 		c.endIdleTime()
 	}
 	s.mu.Unlock()
-	for time.Now().Before(until) && (s.accepting.Load() || s.openConns() > 0) {
+	isOpen := func() bool { return s.accepting.Load() || s.openConns() > 0 }
+	waitWhile(isOpen, until)
+	if isOpen() {
+		s.endCalls()
+		waitWhile(isOpen, until.Add(LastAnswerTime))
+	}
+}
+
+func waitWhile(condition func() bool, until time.Time) {
+	for time.Now().Before(until) && condition() {
 		time.Sleep(shutdownPollInterval)
 	}
 }
 
+// endCalls ends the calls that are being read or handled.
+func (s *Server) endCalls() {
+	s.ending.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.endCalls()
+	}
+}
+
 // setAcceptDeadline bounds the wait for connections that have arrived already.
 func (s *Server) setAcceptDeadline() bool {
 	l, ok := s.listener.(interface{ SetDeadline(time.Time) error })
@@ -238,6 +266,10 @@
 	r      *bufio.Reader
 	ctx    context.Context // ends when the caller disconnects
 	cancel context.CancelFunc
+	// callCtx is that of the calls. It ends with ErrStopping when the server no longer
+	// waits for them.
+	callCtx    context.Context
+	cancelCall context.CancelCauseFunc
 
 	mu       sync.Mutex
 	changed  *sync.Cond       // of pipeline and writing
@@ -247,6 +279,7 @@
 	pending  int              // calls read and not answered yet
 	closing  bool             // the connection closes after the response being written
 	idle     bool             // the next call has not begun to arrive
+	reading  bool             // a call is being read
 	sending  bool             // the caller may still be sending a request that is not run
 	finished time.Time        // when the last response was written
 	calls    []*callEnd       // without those whose end is not reported
@@ -265,8 +298,12 @@
 
 func newCallerConn(s *Server, raw net.Conn) *callerConn {
 	ctx, cancel := context.WithCancel(context.Background())
+	callCtx, cancelCall := context.WithCancelCause(ctx)
 	input := bounded.NewHeadReader(raw)
-	c := &callerConn{server: s, conn: raw, input: input, r: bufio.NewReaderSize(input, readBufferBytes), ctx: ctx, cancel: cancel}
+	c := &callerConn{
+		server: s, conn: raw, input: input, r: bufio.NewReaderSize(input, readBufferBytes),
+		ctx: ctx, cancel: cancel, callCtx: callCtx, cancelCall: cancelCall,
+	}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -297,9 +334,11 @@
 		}
 		pc := &pipelinedCall{response: make(chan *Response, 1), ended: &callEnd{begun: c.consumed()}}
 		var refusal *Response
+		c.setReading(true)
 		if c.server.Guard.Run("caller_read", func() { refusal = c.readCall(pc, limits) }) {
 			refusal = &Response{Abort: true}
 		}
+		c.setReading(false)
 		c.recordRead(pc, refusal == nil)
 		if refusal == nil {
 			c.enqueue(pc)
@@ -396,9 +435,28 @@
 			t = linger
 		}
 	}
+	if c.reading && c.server.ending.Load() {
+		t = time.Now()
+	}
 	_ = c.conn.SetReadDeadline(t) // a failure shows at the read
 }
 
+func (c *callerConn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
+// endCalls ends the calls of the connection that are being read or handled.
+func (c *callerConn) endCalls() {
+	c.cancelCall(ErrStopping)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		_ = c.conn.SetReadDeadline(time.Now()) // a failure shows at the read
+	}
+}
+
 // setSending records whether the caller may still be sending a request that is not run.
 func (c *callerConn) setSending(sending bool) {
 	c.mu.Lock()
@@ -481,7 +539,7 @@
 			return statusResponse(http.StatusRequestEntityTooLarge)
 		case errors.Is(err, bounded.ErrBodyTooLong), errors.Is(err, bounded.ErrNoMemory):
 			c.server.OnRefusal(reasonNoMemory)
-			return memoryResponse()
+			return notRunResponse(memoryRetryAfter)
 		case err != nil:
 			return c.readErrorResponse(err)
 		}
@@ -503,7 +561,7 @@
 	if c.server.Screen == nil || req.ContentLength >= 0 && req.ContentLength < screenedBytes {
 		return nil
 	}
-	refusal := c.server.Screen(c.ctx, pc.req)
+	refusal := c.server.Screen(c.callCtx, pc.req)
 	if refusal != nil && !waits {
 		pc.unread = req.Body
 	}
@@ -527,6 +585,9 @@
 	switch {
 	case errors.Is(err, bounded.ErrHeadTooLong):
 		return statusResponse(http.StatusRequestHeaderFieldsTooLarge)
+	case errors.As(err, &timeout) && timeout.Timeout() && c.server.ending.Load():
+		c.server.OnRefusal(reasonStopping)
+		return notRunResponse(stopRetryAfter)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return statusResponse(http.StatusRequestTimeout)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &timeout):
@@ -540,17 +601,16 @@
 
 func statusResponse(status int) *Response { return &Response{Status: status, Header: http.Header{}} }
 
-// memoryResponse refuses a call, which has not run, because the process has no
-// memory left for its body.
-func memoryResponse() *Response {
-	return &Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {formatSeconds(memoryRetryAfter)}}}
+// notRunResponse refuses a call that has not run.
+func notRunResponse(retryAfter time.Duration) *Response {
+	return &Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Retry-After": {formatSeconds(retryAfter)}}}
 }
 
 // run handles a call. After a panic the call may have run, so that its response
 // promises nothing.
 func (c *callerConn) run(pc *pipelinedCall) {
 	var resp *Response
-	if c.server.Guard.Run("caller_call", func() { resp = c.server.handle(c.ctx, pc.req) }) {
+	if c.server.Guard.Run("caller_call", func() { resp = c.server.handle(c.callCtx, pc.req) }) {
 		resp = statusResponse(http.StatusBadGateway)
 	}
 	c.server.Buffers.Hold(int64(len(resp.Body)))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -96,8 +96,9 @@
 	// serve. Callers learn that it is not ready from two checks, one second apart.
 	minStopTime = 2200 * time.Millisecond
 	// graceMargin is the part of the grace time that is reserved for closing the
-	// node after it has stopped serving: hopDrainTimeout, closeTimeout, the last log
-	// lines, and what a busy host takes longer.
+	// node after it has stopped serving: hopDrainTimeout and entry.LastAnswerTime, which
+	// run at the same time, closeTimeout, the last log lines, and what a busy host takes
+	// longer.
 	graceMargin      = 950 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
 	// closeTimeout bounds the wait for the node's goroutines, within graceMargin.
