Bound the write of large messages between nodes by progress

A message between nodes had 2 s to be written as a whole. On a link of 10 Mbit/s that many calls share, 360 KB can take longer. The write then failed and closed the connection, which ended every call on it: the caller's node answered 502 for calls whose targets were at work, and the owner cancelled them.

The bound now holds for each 64 KB, so that only a peer that does not read ends a connection. An error of resetting the write deadline is no longer reported as one of the message, which is written by then.

TestLargeMessagesCrossASlowLink failed before: of 360 KB at 100 KB/s, 200 KB were read when the write ended with a timeout. TestMessageToAPeerThatDoesNotReadFails keeps the bound for a peer that reads nothing. The tests of internal/hop pass with the race detector.

--- a/internal/hop/body.go
+++ b/internal/hop/body.go
@@ -48,14 +48,21 @@
 // sendLocked writes the head and the body of one frame; c.mu must be held. A truncated
 // frame leaves the connection unusable, so every write error closes it.
 func (c *conn) sendLocked(head, body []byte) error {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	if err := header.Write(c.Conn, head, body); err != nil {
-		_ = c.Close() // the write error is returned
-		return err
+	for more := true; more; more = len(body) > 0 {
+		piece := body[:min(len(body), maxPiece)]
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if err := header.Write(c.Conn, head, piece); err != nil {
+			_ = c.Close() // the write error is returned
+			return err
+		}
+		head, body = nil, body[len(piece):]
 	}
-	return c.SetWriteDeadline(time.Time{}) // its timer would wake an idle process
+	// Its timer would wake an idle process. An error here says nothing about the frame,
+	// which is written.
+	_ = c.SetWriteDeadline(time.Time{})
+	return nil
 }
 
 // appendBytesHead appends the head of a byte string of the given length.
--- a/internal/hop/message.go
+++ b/internal/hop/message.go
@@ -137,9 +137,11 @@
 	MaxFrame = 9 << 20
 	// maxGossipFrame bounds a frame of a gossip link.
 	maxGossipFrame = distribution.MaxResponse + 1<<10
-	// writeTimeout bounds the write of one frame to a peer that does not read.
+	// writeTimeout bounds the write of each maxPiece bytes of a frame to a peer that does
+	// not read. A slow link can take longer for a whole frame.
 	writeTimeout     = 2 * time.Second
-	frameHeaderBytes = 5 // bytes: length and kind
+	maxPiece         = 64 << 10 // bytes
+	frameHeaderBytes = 5        // bytes: length and kind
 )
 
 var errMalformedFrame = errors.New("malformed frame")
--- /dev/null
+++ b/internal/hop/slow_test.go
@@ -0,0 +1,61 @@
+package hop
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// slowReader reads a connection at a rate, as a peer behind a slow link.
+type slowReader struct {
+	net.Conn
+	bytesPerSecond int
+}
+
+func (s slowReader) Read(b []byte) (int, error) {
+	n, err := s.Conn.Read(b[:min(len(b), 4<<10)])
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(s.bytesPerSecond))
+	return n, err
+}
+
+// Guards against a large message that closes its connection, and with it ends all calls
+// there, because a slow link takes longer for it than a peer may take to read.
+func TestLargeMessagesCrossASlowLink(t *testing.T) {
+	body := []byte(strings.Repeat("rope", 90<<10))
+	for name, write := range map[string]func(*conn) error{
+		"request":  func(c *conn) error { return c.writeRequest(&Request{Stream: 1, Body: body}) },
+		"response": func(c *conn) error { return c.writeResponse(&Response{Stream: 1, Body: body}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a, b := net.Pipe()
+				defer a.Close()
+				defer b.Close()
+				written := make(chan error, 1)
+				go func() { written <- write(newConn(a)) }()
+				_, payload, err := newConn(slowReader{b, 100_000}).readFrame()
+				if err != nil || len(payload) < len(body) {
+					t.Errorf("%d bytes were read: %v", len(payload), err)
+				}
+				if err := <-written; err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a connection that waits without end for a peer that does not read.
+func TestMessageToAPeerThatDoesNotReadFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := net.Pipe()
+		defer b.Close()
+		started := time.Now()
+		err := newConn(a).writeRequest(&Request{Stream: 1, Body: make([]byte, 360<<10)})
+		if took := time.Since(started); err == nil || took > writeTimeout {
+			t.Errorf("write ended after %s: %v", took, err)
+		}
+	})
+}
