Report calls that were not sent whole as not run

When a connection between nodes failed while a request was being written, the caller got 502 ("unknown"), although the node of the target runs only requests that it has received whole, and a failed write leaves the request truncated. This concerns large bodies above all: their writes last, and the connection can close meanwhile because the other node ends.

A failed write of a request is now ErrNotSent: the call goes to another target, or is answered with 503.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -55,11 +55,11 @@
 
 // Errors of a call without a response.
 var (
-	// ErrNotSent means that no byte of the call left this node, or that the other
-	// node has said that it does not handle the call.
+	// ErrNotSent means that the call was not sent, or not to its end, or that the other
+	// node has said that it does not handle the call. It does not run.
 	ErrNotSent = errors.New("node is unreachable")
 	// ErrBroken means that the connection failed or the call was cancelled when
-	// bytes of the call may have been sent.
+	// the whole call may have been sent.
 	ErrBroken = errors.New("connection to the node failed")
 
 	errRetired = fmt.Errorf("%w: the connection was idle and is closed", ErrNotSent)
@@ -305,12 +305,7 @@
 	r.SoftDeadlineAt = c.toPeerClock(softDeadline)
 	if err := c.writeRequest(&r); err != nil {
 		c.dropPending(r.Stream)
-		select {
-		case end := <-ended: // the node has said that it does not handle the call
-			return end.resp, end.err
-		default:
-			return nil, errors.Join(ErrBroken, err)
-		}
+		return nil, errors.Join(ErrNotSent, err) // a node runs only what it has received whole
 	}
 	select {
 	case end := <-ended:
--- a/internal/hop/slow_test.go
+++ b/internal/hop/slow_test.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"errors"
 	"net"
 	"strings"
 	"testing"
@@ -59,3 +60,40 @@
 		}
 	})
 }
+
+// startSilentNode accepts connections, answers their hello and reads nothing more. It
+// closes each after the given time.
+func startSilentNode(t *testing.T, closeAfter time.Duration) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			raw, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c := newConn(raw)
+			_, _ = c.r.Discard(1) // the preamble
+			if _, _, err := c.readFrame(); err == nil {
+				_ = c.writeFrame(frameHelloAck, encodeUint(0)) // a failure shows at the peer
+			}
+			time.AfterFunc(closeAfter, func() { _ = c.Close() })
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a call that is answered with "unknown" because its connection closed,
+// although the node had not received the whole of it.
+func TestCallThatIsNotSentWholeHasNotRun(t *testing.T) {
+	p := NewPool(loopback, startSilentNode(t, 100*time.Millisecond))
+	defer p.Close()
+	_, err := p.Call(t.Context(), Request{ID: "large", Body: make([]byte, 8<<20)}, inTwoSeconds(), inTwoSeconds())
+	if !errors.Is(err, ErrNotSent) || errors.Is(err, ErrBroken) {
+		t.Errorf("got %v, want ErrNotSent", err)
+	}
+}
