Deliver responses to other nodes before a stop ends

A stopping node told its peers which calls it still handles, wrote their responses, and closed all connections 200 ms later. On a slow link a response of some 100 KB is still in the socket's buffer then. A request that was on its way on the same connection made the close a reset, which discards that buffer: the caller's node got neither the response nor the message that the late request is not handled, and answered 502 to both calls, of which one had been completed and the other had not run. The node often had 2.6 s of its grace time left.

Drain now also waits, within the grace time, for connections to which a response was written in the last 2 s. A healthy peer closes its connection as soon as it has its responses, so that other stops take as long as before; a peer behind a cut holds one up for at most 2 s after its last response.

TestSilentPeerDoesNotHoldUpADrain keeps stops short.

--- a/internal/hop/drain_test.go
+++ b/internal/hop/drain_test.go
@@ -165,3 +165,108 @@
 		p.Close()
 	}
 }
+
+// startSlowLink forwards connections to an address with a number of bytes a second in
+// each direction, and buffers few of them.
+func startSlowLink(t *testing.T, to string, bytesPerSecond int) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	forward := func(dst, src net.Conn) {
+		buf := make([]byte, 4<<10)
+		for {
+			n, err := src.Read(buf)
+			_, _ = dst.Write(buf[:n]) // a failure shows at the other direction's read
+			if err != nil {
+				_ = dst.Close()
+				return
+			}
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(bytesPerSecond))
+		}
+	}
+	go func() {
+		for {
+			a, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b, err := net.Dial("tcp", to)
+			if err != nil {
+				return
+			}
+			for _, c := range []net.Conn{a, b} {
+				_ = c.(*net.TCPConn).SetReadBuffer(64 << 10) // the link is slow in any case
+			}
+			go forward(a, b)
+			go forward(b, a)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against answers that are lost on a slow link when a node stops, because it
+// closes connections on which large calls still arrive.
+func TestDrainDeliversAnswersOverASlowLink(t *testing.T) {
+	var uploads atomic.Int64
+	running := make(chan struct{}, maxConns)
+	proceed := make(chan struct{})
+	s, address := startHopServer(t, handlerFunc(func(_ context.Context, r *Request) *Response {
+		if r.ID == "upload" {
+			uploads.Add(1)
+			return &Response{Outcome: Answered}
+		}
+		running <- struct{}{}
+		<-proceed
+		return &Response{Outcome: Answered, Body: make([]byte, 360<<10)}
+	}))
+	p := NewPool(loopback, startSlowLink(t, address, 500_000))
+	defer p.Close()
+	deadline := time.Now().Add(4 * time.Second)
+	call := func(r Request) (*Response, error) { return p.Call(t.Context(), r, deadline, deadline) }
+	var wg sync.WaitGroup
+	for range maxConns {
+		wg.Go(func() {
+			if resp, err := call(Request{ID: "download"}); err != nil || len(resp.Body) != 360<<10 {
+				t.Errorf("a call that ran: %v", err)
+			}
+		})
+		<-running
+	}
+	for range maxConns {
+		wg.Go(func() {
+			if resp, err := call(Request{ID: "upload", Body: make([]byte, 360<<10)}); !errors.Is(err, ErrNotSent) && (err != nil || resp.Outcome != NotRun) {
+				t.Errorf("a call that did not arrive before the stop: %+v, %v", resp, err)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	close(proceed)
+	s.Drain(3*time.Second, 200*time.Millisecond)
+	s.Close()
+	wg.Wait()
+	if n := uploads.Load(); n > 0 {
+		t.Errorf("%d calls that were reported as not run have run", n)
+	}
+}
+
+// Guards against a stop that takes the whole grace time because a peer which has had its
+// responses long ago does not close its connection, as behind a cut.
+func TestSilentPeerDoesNotHoldUpADrain(t *testing.T) {
+	s, address := startHopServer(t, handlerFunc(func(context.Context, *Request) *Response { return &Response{Outcome: Answered} }))
+	through, blocked := startProxy(t, address)
+	p := NewPool(loopback, through)
+	defer p.Close()
+	if _, err := p.Call(t.Context(), Request{}, inTwoSeconds(), inTwoSeconds()); err != nil {
+		t.Fatal(err)
+	}
+	blocked.Store(true)
+	time.Sleep(deliveryTime)
+	started := time.Now()
+	s.Drain(time.Minute, 200*time.Millisecond)
+	if took := time.Since(started); took > deliveryTime {
+		t.Errorf("drained for %s", took)
+	}
+}
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -94,26 +94,46 @@
 
 // Drain makes each connection tell its peer which call is the last that the node
 // handles. The peer knows that later ones have not run, and closes the connection
-// when it has the responses to the others. Drain waits for the calls, and then for
-// the connections to close, each for at most the given time.
-func (s *Server) Drain(calls, conns time.Duration) {
+// when it has the responses to the others. Drain waits for the calls during the limit,
+// and then for the connections: all of them for minClose, and during the limit those
+// whose last responses can still be on their way. A connection that is closed while a
+// request arrives on it is reset, and loses them.
+func (s *Server) Drain(limit, minClose time.Duration) {
+	until := time.Now().Add(limit)
 	s.goAway()
-	waitUntil(calls, func() bool { return s.PendingCalls() == 0 })
-	waitUntil(conns, func() bool { return s.openCallConns() == 0 })
+	waitUntil(until, func() bool { return s.PendingCalls() == 0 })
+	waitUntil(time.Now().Add(minClose), func() bool { return s.openCallConns(false) == 0 })
+	waitUntil(until, func() bool { return s.openCallConns(true) == 0 })
 }
 
-func waitUntil(limit time.Duration, done func() bool) {
-	for until := time.Now().Add(limit); !done() && time.Now().Before(until); {
+func waitUntil(until time.Time, done func() bool) {
+	for !done() && time.Now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
 }
 
-const drainPollInterval = 5 * time.Millisecond
+const (
+	drainPollInterval = 5 * time.Millisecond
+	// deliveryTime is how long a response can be on its way over a slow link. A peer
+	// behind a cut holds up a stop no longer.
+	deliveryTime = 2 * time.Second
+)
 
-func (s *Server) openCallConns() int {
+// openCallConns returns the number of open connections with calls, or of those among
+// them whose last response can still be on its way.
+func (s *Server) openCallConns(delivering bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.callConns)
+	if !delivering {
+		return len(s.callConns)
+	}
+	n := 0
+	for c := range s.callConns {
+		if c.isDelivering() {
+			n++
+		}
+	}
+	return n
 }
 
 func (s *Server) goAway() {
@@ -204,8 +224,23 @@
 	calls runningCalls
 
 	mu         sync.Mutex
-	lastStream uint64 // of the calls that were accepted
-	leaving    bool   // no further call is accepted
+	lastStream uint64    // of the calls that were accepted
+	leaving    bool      // no further call is accepted
+	responded  time.Time // when a response was last written
+}
+
+func (c *serverConn) respond(r *Response) error {
+	err := c.writeResponse(r)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responded = time.Now()
+	return err
+}
+
+func (c *serverConn) isDelivering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.responded) < deliveryTime
 }
 
 // goAway stops the acceptance of calls and tells the peer which one is the last.
@@ -293,7 +328,7 @@
 	}
 	if !s.accept(c, r.Stream) {
 		s.OnRefusal(reasonStopping)
-		return c.writeResponse(&Response{Stream: r.Stream, Outcome: NotRun, Reason: reasonStopping})
+		return c.respond(&Response{Stream: r.Stream, Outcome: NotRun, Reason: reasonStopping})
 	}
 	callCtx, cancelCall := context.WithCancel(ctx)
 	c.calls.add(r.Stream, cancelCall)
@@ -320,7 +355,7 @@
 	s.Buffers.Hold(int64(len(resp.Body)))
 	defer s.Buffers.Release(int64(len(resp.Body)))
 	// An error closes the connection, which the caller's node detects.
-	s.Guard.Run("hop_response", func() { _ = c.writeResponse(resp) })
+	s.Guard.Run("hop_response", func() { _ = c.respond(resp) })
 }
 
 // runningCalls holds the cancel functions of a connection's calls in progress.
