Send uploads around planned stops in the soak

Most faults are planned stops, one by one, overlapping, and beside changes of settings; targets are mute or answer before they have read the body. Each upload must get a whole answer unless its node or the target's was killed, frozen or cut off, its deadline was reached, the target was at work in the last sixth of the grace time, it was sent later than that, or it crossed the close of its connection. Schedules of seeds without the flag are as before.

--- a/cmd/nutmeghoist-soak/main.go
+++ b/cmd/nutmeghoist-soak/main.go
@@ -22,6 +22,7 @@
 	Duration       time.Duration `long:"duration" default:"15s" description:"time during which faults are injected"`
 	Slot           int           `long:"slot" default:"0" description:"0 to 255; concurrent runs need different slots"`
 	Departures     bool          `long:"departures" description:"kill all processes after targets have left, instead of restoring the store and ending targets by requests"`
+	Uploads        bool          `long:"uploads" description:"send uploads around planned stops, in place of most other faults"`
 	RunRegressions bool          `long:"regressions" description:"run the seeds that once violated a guarantee, instead of --seed"`
 	Keep           string        `long:"keep" default:"out/soak" description:"directory for the logs of seeds that violated a guarantee"`
 }
@@ -49,6 +50,9 @@
 			// or they all end.
 			options.Departures, options.StoreRestores, options.CrashingRequests = true, false, false
 		}
+		if o.Uploads {
+			options = soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration, Uploads: true}
+		}
 		runs = append(runs, options)
 	}
 	if o.RunRegressions {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -39,9 +39,10 @@
 }
 
 type caller struct {
-	node   *node
-	conn   net.Conn
-	reader *bufio.Reader
+	node    *node
+	conn    net.Conn
+	reader  *bufio.Reader
+	process int // number of the process that accepted the connection; only of uploads
 }
 
 func (c *caller) close() {
@@ -101,14 +102,24 @@
 		body = "order"
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(callTimeout + time.Second)) // an error makes the read fail
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: mesh.example\r\n%s: %s\r\n%s: %d\r\n%s: forged\r\nContent-Length: %d\r\n\r\n%s",
-		method, out.path, names.RequestID, out.id, names.DeadlineMs, callTimeout.Milliseconds(), names.CallerService, len(body), body)
+	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: mesh.example\r\n%s: %s\r\n%s: %d\r\n%s: forged\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, out.path, names.RequestID, out.id, names.DeadlineMs, callTimeout.Milliseconds(), names.CallerService, c.node.cluster.keyLine(), len(body), body)
 	if err != nil {
 		c.close()
 		return
 	}
+	c.readAnswer(out)
+}
+
+// readAnswer reads the answer to a call that has been sent, and records it.
+func (c *caller) readAnswer(out *outcome) {
+	names := platform.Headers
 	resp, err := http.ReadResponse(c.reader, nil)
+	for err == nil && resp.StatusCode == http.StatusContinue {
+		resp, err = http.ReadResponse(c.reader, nil)
+	}
 	if err != nil {
+		out.cause = err
 		var timeout net.Error
 		out.timeout = errors.As(err, &timeout) && timeout.Timeout()
 		c.close()
@@ -116,6 +127,7 @@
 	}
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
+		out.cause = err
 		c.close()
 		return
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -25,7 +25,7 @@
 		o := &j.outcomes[i]
 		finished[o.id] = true
 		j.checkOutcome(o, runsByID[o.id])
-		if o.begin.After(recoveredBy) && !o.crashing {
+		if o.begin.After(recoveredBy) && !o.crashing && o.upload == nil {
 			total++
 			if o.status == 200 {
 				answered++
@@ -64,6 +64,8 @@
 		j.addViolationLocked("call %s at %s on %s: the route of version %d is unknown %s after its acknowledgement", o.id, at, o.node.host, o.version, o.begin.Sub(o.node.cluster.config.ackedAt(o.version)))
 	case o.status == 404 && !o.addedRoute, o.status == 400:
 		j.addViolationLocked("call %s at %s on %s was rejected with status %d", o.id, at, o.node.host, o.status)
+	case o.upload != nil:
+		j.checkUpload(o, at, runs)
 	case o.status == 0 && !o.timeout && len(runs) > 0 && j.duringPlannedStop(o) && !j.hadFault(o.node, o.begin.Add(-faultMargin), o.end, plannedFaults) && !j.hadFault(runs[0].target.node, o.begin.Add(-faultMargin), o.end, plannedFaults):
 		j.addViolationLocked("call %s at %s was cut by the planned stop of %s although %s ran it", o.id, at, o.node.host, runs[0].target.id)
 	}
--- a/internal/soak/cold.go
+++ b/internal/soak/cold.go
@@ -34,6 +34,9 @@
 			config.Services[name] = s
 		}
 	}
+	if c.options.Uploads {
+		addUploads(config)
+	}
 	return config
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -24,12 +24,15 @@
 	variant     bool // selects between two forms of a fault
 }
 
-// faultKinds are the faults to choose from. A kind with several entries is
-// chosen more often. run returns when the fault is over.
-var faultKinds = []struct {
+// faultKind is a fault to choose. run returns when the fault is over.
+type faultKind struct {
 	name string
 	run  func(ctx context.Context, c *cluster, p faultParams)
-}{
+}
+
+// faultKinds are the faults to choose from. A kind with several entries is
+// chosen more often.
+var faultKinds = []faultKind{
 	{"kill", func(_ context.Context, _ *cluster, p faultParams) { p.node.terminate(syscall.SIGKILL) }},
 	{"kill", func(ctx context.Context, _ *cluster, p faultParams) {
 		p.node.terminate(syscall.SIGKILL)
@@ -154,15 +157,21 @@
 	n.mu.Lock()
 	n.exitRequested = time.Now()
 	n.killed = n.killed || s == syscall.SIGKILL
+	p := process{n, n.starts}
 	n.mu.Unlock()
+	n.cluster.journal.recordStop(p, s)
 	n.signal(s)
 }
 
 // inject starts faults, which may overlap, at random times for the duration.
 func (c *cluster) inject(ctx context.Context, wg *sync.WaitGroup) {
+	kinds := faultKinds
+	if c.options.Uploads {
+		kinds = uploadFaultKinds
+	}
 	end := time.Now().Add(c.options.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
-		kind := faultKinds[c.rng.IntN(len(faultKinds))]
+		kind := kinds[c.rng.IntN(len(kinds))]
 		p := faultParams{
 			node: c.nodes[c.rng.IntN(len(c.nodes))], other: c.nodes[c.rng.IntN(len(c.nodes))],
 			duration: time.Duration(300+c.rng.IntN(3000)) * time.Millisecond, variant: c.rng.IntN(2) == 0,
@@ -188,6 +197,7 @@
 			t.losesAnswers.Store(false)
 			t.truncatesAnswers.Store(false)
 			t.answers.Store(0)
+			t.uploads.Store(int32(answersUploads))
 		})
 		for _, b := range c.nodes {
 			c.relay.Delay(zone(a.index), zone(b.index), 0)
@@ -288,7 +298,7 @@
 	version := c.written
 	c.mu.Unlock()
 	err := c.cluster.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{
-		Key: platformwire.ConfigKey, Value: platformwire.EncodeConfig(c.cluster.buildConfig(version)),
+		Key: platformwire.ConfigKey, Value: platformwire.EncodeConfigWithKeys(c.cluster.buildConfig(version), teamKeys),
 	}}})
 	if err != nil {
 		return fmt.Errorf("configuration %d: %w", version, err)
@@ -330,7 +340,7 @@
 // writeAgain writes the newest configuration and the orders to a restored store.
 func (c *configWriter) writeAgain(ctx context.Context) {
 	c.mu.Lock()
-	again := append([]platform.Write{{Key: platformwire.ConfigKey, Value: platformwire.EncodeConfig(c.cluster.buildConfig(c.version))}}, c.orders...)
+	again := append([]platform.Write{{Key: platformwire.ConfigKey, Value: platformwire.EncodeConfigWithKeys(c.cluster.buildConfig(c.version), teamKeys)}}, c.orders...)
 	c.mu.Unlock()
 	for _, w := range again {
 		c.put(ctx, w)
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -43,6 +44,7 @@
 	acked  time.Time // when the target's drain was acknowledged; zero if it was not yet
 	path   string
 	caller string
+	end    time.Time // of an upload: when its target no longer worked on it; zero if it did to the end
 }
 
 // outcome is the result of a call as seen by its caller.
@@ -62,6 +64,8 @@
 	// What the answer says of its target, with status 200.
 	target                 mesh.TargetID
 	saysLimit, saysLeaving bool
+	upload                 *upload // nil for other calls
+	cause                  error   // why there is no answer; only in reports
 }
 
 // fault is one injected fault.
@@ -92,11 +96,14 @@
 	// evacuations are the times in which data centres were evacuated.
 	evacuations []*evacuationSpan
 	claimed     map[mesh.ServiceName]bool // services whose rollout has begun
+	stops       map[process]time.Time     // first SIGTERM to each process
+	kills       map[*node][]time.Time
+	explain     func(*outcome) string // what the node's log says of a call
 	violations  []string
 }
 
 func newJournal() *journal {
-	return &journal{claimed: make(map[mesh.ServiceName]bool), retired: make(map[mesh.ServiceVersion]bool)}
+	return &journal{claimed: make(map[mesh.ServiceName]bool), retired: make(map[mesh.ServiceVersion]bool), stops: make(map[process]time.Time), kills: make(map[*node][]time.Time)}
 }
 
 func (j *journal) addViolation(format string, args ...any) {
@@ -105,10 +112,32 @@
 	j.violations = append(j.violations, fmt.Sprintf(format, args...))
 }
 
-func (j *journal) recordRun(r run) {
+// recordRun records a run and returns its number.
+func (j *journal) recordRun(r run) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.runs = append(j.runs, r)
+	return len(j.runs) - 1
+}
+
+// endRun records that a target no longer works on a call.
+func (j *journal) endRun(number int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs[number].end = time.Now()
+}
+
+// recordStop records a signal that ends a process.
+func (j *journal) recordStop(p process, s syscall.Signal) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if s == syscall.SIGKILL {
+		j.kills[p.node] = append(j.kills[p.node], time.Now())
+		return
+	}
+	if _, ok := j.stops[p]; !ok {
+		j.stops[p] = time.Now()
+	}
 }
 
 func (j *journal) recordOutcome(o outcome) {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -28,6 +28,7 @@
 	cmd           *exec.Cmd
 	done          chan struct{} // closed when the process has ended
 	starts        int           // number of processes started
+	startedAt     time.Time     // when the last one was started
 	exitRequested time.Time     // when a signal was last sent to end the process
 	killed        bool          // SIGKILL was sent to the process
 	stopped       bool          // the run is over
@@ -72,6 +73,7 @@
 	done := make(chan struct{})
 	n.cmd, n.done, n.killed = cmd, done, false
 	n.starts++
+	n.startedAt = time.Now()
 	go func() {
 		err := cmd.Wait()
 		close(done)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,6 +45,9 @@
 	Evacuations bool
 	// Departures adds targets that leave before all processes end at once.
 	Departures bool
+	// Uploads adds teams, callers that send large bodies, and many planned stops, in place
+	// of most other faults.
+	Uploads bool
 }
 
 const (
@@ -111,6 +114,9 @@
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	for _, n := range c.nodes {
 		wg.Go(func() { n.sendCalls(callerCtx) })
+		if o.Uploads {
+			wg.Go(func() { n.sendUploads(callerCtx) })
+		}
 	}
 	wg.Go(func() { c.config.run(callerCtx) })
 	if o.AnswerFaults {
@@ -145,10 +151,14 @@
 		n.checkMemory()
 	}
 	c.checkStatusRows(ctx)
+	c.journal.explain = c.explain
 	violations := c.journal.check(healedAt.Add(recoveryTime), time.Now())
 	totals := c.journal.counts()
 	fmt.Fprintf(out, "seed=%d nodes=%d calls=%d answered=%d refused=%d unknown=%d runs=%d faults=%d broken=%d\n",
 		o.Seed, o.Nodes, totals.calls, totals.answered, totals.refused, totals.unknown, totals.runs, totals.faults, len(violations))
+	if o.Uploads {
+		fmt.Fprintf(out, "seed=%d %s\n", o.Seed, c.journal.uploadCounts())
+	}
 	return violations, ctx.Err()
 }
 
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -39,6 +39,7 @@
 	truncatesAnswers atomic.Bool  // a tenth of the answers are cut short
 	answers          atomic.Int32 // an answerFault
 	rateLimit        atomic.Int64 // calls a second that its answers name; 0 for none
+	uploads          atomic.Int32 // an uploadFault
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -194,14 +195,17 @@
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
-		if err != nil || !t.handle(req, c) {
+		if err != nil || !t.handle(req, c, r) {
 			return
 		}
 	}
 }
 
 // handle runs one call and reports whether the connection stays open.
-func (t *target) handle(req *http.Request, c *answerConn) bool {
+func (t *target) handle(req *http.Request, c *answerConn, r *bufio.Reader) bool {
+	if strings.HasPrefix(req.URL.Path, uploadPrefix) {
+		return t.handleUpload(req, c, r)
+	}
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return false
 	}
