--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -44,7 +44,10 @@
 	acked  time.Time // when the target's drain was acknowledged; zero if it was not yet
 	path   string
 	caller string
-	end    time.Time // of an upload: when its target no longer worked on it; zero if it did to the end
+	// Of an upload: when its target no longer worked on it, zero if it did to the end, and
+	// whether it stopped since its connection was closed from the other side.
+	end       time.Time
+	brokenOff bool
 }
 
 // outcome is the result of a call as seen by its caller.
@@ -121,10 +124,10 @@
 }
 
 // endRun records that a target no longer works on a call.
-func (j *journal) endRun(number int) {
+func (j *journal) endRun(number int, brokenOff bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.runs[number].end = time.Now()
+	j.runs[number].end, j.runs[number].brokenOff = time.Now(), brokenOff
 }
 
 // recordStop records a signal that ends a process.
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -42,4 +42,12 @@
 		Options: Options{Seed: 38016, Nodes: 6, Duration: 15 * time.Second, AnswerFaults: true, RateLimits: true, ColdTargets: true, Evacuations: true, Departures: true},
 		Cause:   "a target whose drain was acknowledged got calls again after a kill of all processes and a late heartbeat",
 	},
+	{
+		Options: Options{Seed: 4, Nodes: 6, Duration: 6 * time.Second, Uploads: true},
+		Cause:   "uploads that a stopping node refused by their heads lost the answers when it closed their connections 300 ms later",
+	},
+	{
+		Options: Options{Seed: 3, Nodes: 8, Duration: 6 * time.Second, Uploads: true},
+		Cause:   "as before, and at any time for uploads with Expect: 100-continue",
+	},
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -157,7 +157,7 @@
 	fmt.Fprintf(out, "seed=%d nodes=%d calls=%d answered=%d refused=%d unknown=%d runs=%d faults=%d broken=%d\n",
 		o.Seed, o.Nodes, totals.calls, totals.answered, totals.refused, totals.unknown, totals.runs, totals.faults, len(violations))
 	if o.Uploads {
-		fmt.Fprintf(out, "seed=%d %s\n", o.Seed, c.journal.uploadCounts())
+		c.journal.reportUploads(out, o.Seed)
 	}
 	return violations, ctx.Err()
 }
--- a/internal/soak/uploadcheck.go
+++ b/internal/soak/uploadcheck.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -33,43 +34,80 @@
 		j.addViolationLocked("upload %s at %s on %s was refused with status %d but ran on %s", o.id, at, o.node.host, o.status, runs[0].target.id)
 	case u.key == unknownKey && len(runs) > 0:
 		j.addViolationLocked("upload %s at %s on %s ran on %s without a valid key", o.id, at, o.node.host, runs[0].target.id)
-	case o.status == 0 && !u.neverRead && !j.mayEndUnanswered(o, runs):
-		when := "outside of a stop"
-		if stop, ok := j.stopBefore(o); ok {
-			when = fmt.Sprintf("begun %s and cut %s after SIGTERM", o.begin.Sub(stop).Round(time.Millisecond), o.end.Sub(stop).Round(time.Millisecond))
-		}
-		j.addViolationLocked("upload %s at %s on %s has no whole answer: %s, sent whole: %v, runs: %d, chunks: %v, expects: %v, reused: %v, %d bytes in %s, cut after %s: %v%s",
-			o.id, at, o.node.host, when, u.whole, len(runs), u.chunked, u.expects, o.reused, u.size, u.pace.Round(time.Millisecond),
-			o.end.Sub(o.begin).Round(time.Millisecond), o.cause, j.explanation(o))
+	case u.neverRead:
+	case (o.status == 502 || o.status == 503) && j.wasBrokenOff(o, runs) && j.excuse(o, runs) == "":
+		j.addViolationLocked("upload %s at %s on %s was broken off in the stop of its node, and answered %d %s after it was sent, although %s was at work%s",
+			o.id, at, o.node.host, o.status, o.end.Sub(o.begin).Round(time.Millisecond), runs[0].target.id, j.explanation(o))
+	case o.status == 0 && j.excuse(o, runs) == "":
+		j.addViolationLocked("%s", j.describeUnanswered(o, at, runs))
 	}
 }
 
-// mayEndUnanswered reports whether an upload may have no whole answer.
-func (j *journal) mayEndUnanswered(o *outcome, runs []run) bool {
-	u := o.upload
-	if o.end.Sub(o.begin) >= u.timeout || len(runs) == 0 && o.end.Sub(o.begin) <= lossSlack {
-		return true
+// describeUnanswered describes an upload without a whole answer.
+func (j *journal) describeUnanswered(o *outcome, at time.Duration, runs []run) string {
+	u, when := o.upload, "outside of a stop"
+	if stop, ok := j.stopBefore(o); ok {
+		when = fmt.Sprintf("begun %s and cut %s after SIGTERM", o.begin.Sub(stop).Round(time.Millisecond), o.end.Sub(stop).Round(time.Millisecond))
 	}
-	if j.hadUnplannedFault(o.node, o.begin.Add(-faultMargin), o.end) {
-		return true
+	return fmt.Sprintf("upload %s at %s on %s has no whole answer: %s, sent whole: %v, runs: %d, chunks: %v, expects: %v, reused: %v, %d bytes in %s, timeout %s, cut after %s: %v%s",
+		o.id, at, o.node.host, when, u.whole, len(runs), u.chunked, u.expects, o.reused, u.size, u.pace.Round(time.Millisecond),
+		u.timeout, o.end.Sub(o.begin).Round(time.Millisecond), o.cause, j.explanation(o))
+}
+
+// excuse returns why an upload may have no whole answer, or "".
+func (j *journal) excuse(o *outcome, runs []run) string {
+	u := o.upload
+	switch {
+	case o.end.Sub(o.begin) >= u.timeout:
+		return "deadline"
+	case len(runs) == 0 && o.end.Sub(o.begin) <= lossSlack:
+		return "crossed_close"
+	case j.hadUnplannedFault(o.node, o.begin.Add(-faultMargin), o.end):
+		return "fault"
 	}
 	for _, r := range runs {
 		if j.hadUnplannedFault(r.target.node, o.begin.Add(-faultMargin), o.end) {
-			return true
+			return "fault_of_target"
 		}
 	}
 	stop, ok := j.stopBefore(o)
 	if !ok {
-		return false
+		return ""
 	}
 	lastSixth := stop.Add(bounds.Grace * 5 / 6)
 	for _, r := range runs {
 		if !o.begin.After(stop.Add(lateCallTime)) && (r.end.IsZero() || r.end.After(lastSixth)) {
+			return "at_work"
+		}
+	}
+	if u.sent.After(lastSixth) && (!u.whole || len(runs) == 0 && o.end.Sub(u.sent) <= lossSlack) {
+		return "sent_late"
+	}
+	return ""
+}
+
+// wasBrokenOff reports whether a target lost an upload that it worked on while the node
+// that took the upload was stopping. The stop of the target's own node excuses it late in
+// the grace time.
+func (j *journal) wasBrokenOff(o *outcome, runs []run) bool {
+	if _, stopping := j.stopBefore(o); !stopping {
+		return false
+	}
+	for _, r := range runs {
+		if r.brokenOff && !j.endedLateInStop(o, &r) {
 			return true
 		}
 	}
-	if u.sent.After(lastSixth) {
-		return !u.whole || len(runs) == 0 && o.end.Sub(u.sent) <= lossSlack
+	return false
+}
+
+// endedLateInStop reports whether a run ended late in the grace time of its target's node.
+func (j *journal) endedLateInStop(o *outcome, r *run) bool {
+	for p, stop := range j.stops {
+		if p.node == r.target.node && !o.begin.After(stop.Add(lateCallTime)) &&
+			r.end.After(stop.Add(bounds.Grace*5/6)) && r.end.Before(stop.Add(bounds.Grace+time.Second)) {
+			return true
+		}
 	}
 	return false
 }
@@ -125,12 +163,16 @@
 	return text
 }
 
-// uploadCounts returns the numbers of stops, and of uploads whose answers were read by
-// status, 0 for none.
-func (j *journal) uploadCounts() string {
+// reportUploads prints the numbers of stops, and of uploads by status, 0 for no answer. It
+// describes those whose excuse is not an unplanned fault.
+func (j *journal) reportUploads(out io.Writer, seed uint64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	statuses := make(map[int]int)
+	statuses, excuses := make(map[int]int), make(map[string]int)
+	runs := make(map[string][]run)
+	for _, r := range j.runs {
+		runs[r.id] = append(runs[r.id], r)
+	}
 	uploads, stopping := 0, 0
 	for i := range j.outcomes {
 		o := &j.outcomes[i]
@@ -139,9 +181,16 @@
 		}
 		uploads++
 		statuses[o.status]++
+		if o.status == 0 {
+			excuse := j.excuse(o, runs[o.id])
+			excuses[excuse]++
+			if excuse != "" && !strings.HasPrefix(excuse, "fault") {
+				fmt.Fprintf(out, "seed=%d excused by %s: %s\n", seed, excuse, j.describeUnanswered(o, o.begin.Sub(j.outcomes[0].begin).Round(time.Millisecond), runs[o.id]))
+			}
+		}
 		if _, ok := j.stopBefore(o); ok {
 			stopping++
 		}
 	}
-	return fmt.Sprintf("stops=%d uploads=%d uploads_around_stops=%d upload_statuses=%v", len(j.stops), uploads, stopping, statuses)
+	fmt.Fprintf(out, "seed=%d stops=%d uploads=%d uploads_around_stops=%d upload_statuses=%v excuses=%v\n", seed, len(j.stops), uploads, stopping, statuses, excuses)
 }
--- a/internal/soak/uploadcheck_test.go
+++ b/internal/soak/uploadcheck_test.go
@@ -36,10 +36,17 @@
 		return o
 	}
 	with := func(o outcome, change func(*outcome)) outcome { change(&o); return o }
+	status := func(o outcome, status int) outcome { o.status = status; return o }
+	broken := func(from, end float64) []run {
+		runs := ran(from, end)
+		runs[0].brokenOff = true
+		return runs
+	}
 	cases := map[string]struct {
 		outcome outcome
 		runs    []run
 		noStop  bool
+		stopsTo float64 // when the target's node gets SIGTERM
 		fault   *fault
 		killed  *node
 		want    string
@@ -74,6 +81,14 @@
 		"node was killed":                         {outcome: sent(11, 11.1, 11.4), killed: n},
 		"another node was killed":                 {outcome: sent(11, 11.1, 11.4), killed: other, want: cut},
 		"node of the target was killed":           {outcome: sent(11, 11.1, 11.4), runs: ran(11.2, 11.4), killed: other},
+		"broken off":                              {outcome: status(sent(11, 11.1, 12), 502), runs: broken(11.2, 12), want: "was broken off in the stop"},
+		"broken off and refused":                  {outcome: status(sent(11, 11.1, 12), 503), runs: broken(11.2, 12), want: "refused as not run"},
+		"broken off outside of a stop":            {outcome: status(sent(11, 11.1, 12), 502), runs: broken(11.2, 12), noStop: true},
+		"broken off at the end":                   {outcome: status(sent(12, 12.1, 15.1), 502), runs: broken(12.2, 15.1)},
+		"broken off at the deadline":              {outcome: status(sent(11, 11.1, 15), 502), runs: broken(11.2, 15)},
+		"broken off by the stop of another node":  {outcome: status(sent(11, 11.1, 13.1), 502), runs: broken(11.2, 13.1), stopsTo: 8},
+		"broken off early in that stop":           {outcome: status(sent(11, 11.1, 13.1), 502), runs: broken(11.2, 13.1), stopsTo: 8.5, want: "was broken off in the stop"},
+		"failed by the target":                    {outcome: status(sent(11, 11.1, 12), 502), runs: ran(11.2, 12)},
 		"valid key refused":                       {outcome: with(sent(11, 11.1, 11.4), func(o *outcome) { o.status = 401 }), want: "although its key is valid"},
 		"unknown key refused":                     {outcome: with(sent(11, 11.1, 11.4), func(o *outcome) { o.status, o.upload.key = 401, unknownKey })},
 		"unknown key passed on":                   {outcome: with(sent(11, 11.1, 11.4), func(o *outcome) { o.status, o.complete, o.upload.key = 200, true, unknownKey }), runs: ran(11.2, 11.4), want: "without a valid key"},
@@ -86,6 +101,9 @@
 			if !tc.noStop {
 				j.stops[process{n, 1}] = at(10)
 			}
+			if tc.stopsTo > 0 {
+				j.stops[process{other, 1}] = at(tc.stopsTo)
+			}
 			if tc.fault != nil {
 				j.faults = append(j.faults, tc.fault)
 			}
--- a/internal/soak/uploadtargets.go
+++ b/internal/soak/uploadtargets.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -47,7 +49,8 @@
 	number := journal.recordRun(run{
 		id: id, target: t, at: time.Now(), acked: acked, path: req.RequestURI, caller: req.Header.Get(names.CallerService),
 	})
-	defer journal.endRun(number)
+	brokenOff := false
+	defer func() { journal.endRun(number, brokenOff) }()
 	remainingMS, err := strconv.Atoi(req.Header.Get(names.DeadlineMs))
 	if err != nil || remainingMS > int(uploadTimeout.Milliseconds())+500 {
 		journal.addViolation("upload %s: target %s received a deadline of %q ms", id, t.id, req.Header.Get(names.DeadlineMs))
@@ -59,8 +62,11 @@
 	case rand.IntN(4) == 0:
 		work += rand.N(2500 * time.Millisecond)
 	}
-	if fault != earlyAnswers && !awaitWork(c, r, work) {
-		return false
+	if fault != earlyAnswers {
+		if err := awaitWork(c, r, work); err != nil {
+			brokenOff = !errors.Is(err, net.ErrClosed) // otherwise the target has ended
+			return false
+		}
 	}
 	body := answerBody(id, t.id)
 	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s%s: s\r\nContent-Length: %d\r\n\r\n%s", names.RequestID, id, t.signals(draining), names.Stamp, len(body), body); err != nil {
@@ -73,12 +79,20 @@
 	return true
 }
 
-// awaitWork works for some time and reports false when the connection has closed meanwhile.
-func awaitWork(c *answerConn, r *bufio.Reader, duration time.Duration) bool {
+var errUnexpectedBytes = errors.New("bytes came while a call was run")
+
+// awaitWork works for some time. It returns an error when the connection ends meanwhile.
+func awaitWork(c *answerConn, r *bufio.Reader, duration time.Duration) error {
 	_ = c.SetReadDeadline(time.Now().Add(duration)) // an error makes the read fail
 	_, err := r.Peek(1)
 	_ = c.SetReadDeadline(time.Time{}) // as above
-	return isTimeout(err)
+	switch {
+	case err == nil:
+		return errUnexpectedBytes
+	case isTimeout(err):
+		return nil
+	}
+	return err
 }
 
 // readUpload reads the body of an upload and reports whether it arrived whole.
