Look for waiting connections once more before the listener closes

A stopping server closed its listener when three accept deadlines of 50 ms had passed. A last look of 2 ms now follows, which takes what waits.

TestShutdownTakesTheListenQueueAfterAStall fails without it. The log line of an ended call now also counts what was read of a refused body that was cut.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -64,6 +64,8 @@
 	// maxLastLooks bounds how often it waits for connections again. Without a bound it
 	// would not end while callers connect.
 	maxLastLooks = 2
+	// finalLookTime bounds the last look, which takes the connections that came meanwhile.
+	finalLookTime = 2 * time.Millisecond
 	// LastAnswerTime is how much longer than its limit a shutdown takes to answer the
 	// calls that have not ended.
 	LastAnswerTime       = 150 * time.Millisecond
@@ -152,9 +154,8 @@
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && s.shuttingDown.Load() {
 			// The deadline can pass before a process without processor time has looked for
-			// a connection.
-			if looks < maxLastLooks && s.setAcceptDeadline() {
-				looks++
+			// a connection. An accept looks once when its deadline has not passed before.
+			if looks++; looks <= maxLastLooks && s.setAcceptDeadline(lastArrivalTime) || looks == maxLastLooks+1 && s.setAcceptDeadline(finalLookTime) {
 				continue
 			}
 			_ = s.listener.Close() // no connection waits
@@ -184,7 +185,7 @@
 	until := time.Now().Add(limit)
 	s.draining.Store(true)
 	s.shuttingDown.Store(true)
-	if !s.setAcceptDeadline() {
+	if !s.setAcceptDeadline(lastArrivalTime) {
 		_ = s.listener.Close() // without a deadline, waiting connections cannot be told from none
 	}
 	s.mu.Lock()
@@ -217,9 +218,9 @@
 }
 
 // setAcceptDeadline bounds the wait for connections that have arrived already.
-func (s *Server) setAcceptDeadline() bool {
+func (s *Server) setAcceptDeadline(wait time.Duration) bool {
 	l, ok := s.listener.(interface{ SetDeadline(time.Time) error })
-	return ok && l.SetDeadline(time.Now().Add(lastArrivalTime)) == nil
+	return ok && l.SetDeadline(time.Now().Add(wait)) == nil
 }
 
 func (s *Server) openConns() int {
@@ -353,10 +354,14 @@
 		c.enqueue(pc)
 		c.server.Buffers.Hold(int64(len(refusal.Body)))
 		pc.response <- refusal
-		if pc.unread == nil || !c.discardBody(pc.unread) {
+		if pc.unread == nil {
+			return true
+		}
+		discarded := c.discardBody(pc.unread)
+		c.recordRead(pc, discarded)
+		if !discarded {
 			return true
 		}
-		c.recordRead(pc, true)
 		c.setSending(false)
 		if pc.last {
 			return true
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -225,3 +225,41 @@
 	}
 	<-ended
 }
+
+// stalledListener lets its deadline pass before each of a number of accepts, like one of
+// a process that gets no processor time.
+type stalledListener struct {
+	*net.TCPListener
+	stalls atomic.Int32
+}
+
+func (l *stalledListener) Accept() (net.Conn, error) {
+	if l.stalls.Add(-1) >= 0 {
+		time.Sleep(3 * lastArrivalTime)
+	}
+	return l.TCPListener.Accept()
+}
+
+// Guards against connections in the listen queue that are reset because the process got
+// no processor time whenever it was about to look for them.
+func TestShutdownTakesTheListenQueueAfterAStall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stalled := &stalledListener{TCPListener: l.(*net.TCPListener)}
+	stalled.stalls.Store(1 + maxLastLooks)
+	s := NewServer(stalled, echo, func() (traffic.Limits, bool) { return traffic.Limits{}, false })
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run() }()
+	c, r := dial(t, l.Addr().String())
+	_, _ = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: m\r\n\r\n")
+	for !s.accepting.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	s.Shutdown(shutdownLimit)
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the call in the listen queue got no response: %v", err)
+	}
+	<-ended
+}
