Let calls end before connections to a forgotten node close

Every 5 s a node closes its connections to nodes that have failed or left. Calls in progress there were ended with "unknown" (502), and cancelled at their targets, though the connection worked: a node counts as failed 3 s after its neighbours lost their links to it, which happens beside a stop or under load while it still works on calls.

A closed pool now sends nothing more, and each of its connections closes after its last call.

TestClosedPoolWaitsForItsCalls failed before: "connection to the node failed".

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -76,6 +77,7 @@
 	mu      sync.Mutex
 	conns   []*clientConn
 	dialing int // connections being opened
+	closed  bool
 }
 
 // NewPool returns a pool of connections to a node, opened from a local address.
@@ -130,14 +132,16 @@
 	}
 }
 
-// Close closes all connections.
+// Close closes the connections, each after its last call. Further calls are not sent.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	conns := p.conns
-	p.conns = nil
+	p.conns, p.closed = nil, true
 	p.mu.Unlock()
 	for _, c := range conns {
-		c.fail()
+		if c.leave(math.MaxUint64) == 0 {
+			c.fail()
+		}
 	}
 }
 
@@ -149,6 +153,8 @@
 	for {
 		c, mayDial := p.leastLoaded()
 		switch {
+		case p.isClosed():
+			return nil, errors.Join(ErrNotSent, net.ErrClosed)
 		case c == nil && mayDial:
 			return p.dial(ctx)
 		case c == nil:
@@ -200,10 +206,20 @@
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
+	if p.closed {
+		c.fail()
+		return nil, errors.Join(ErrNotSent, net.ErrClosed)
+	}
 	p.conns = append(p.conns, c)
 	return c, nil
 }
 
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 func (p *Pool) open(ctx context.Context) (*clientConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/internal/hop/drain_test.go
+++ b/internal/hop/drain_test.go
@@ -304,3 +304,39 @@
 	close(release)
 	wg.Wait()
 }
+
+// Guards against calls that are cut, or reported as unknown, when a node forgets the
+// connections to another one that has left or seems to have failed.
+func TestClosedPoolWaitsForItsCalls(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	s, address := startHopServer(t, handlerFunc(func(ctx context.Context, _ *Request) *Response {
+		close(started)
+		select {
+		case <-release:
+			return &Response{Outcome: Answered, Status: 200}
+		case <-ctx.Done():
+			return &Response{Outcome: Unknown}
+		}
+	}))
+	p := NewPool(loopback, address)
+	ended := make(chan reply, 1)
+	go func() {
+		resp, err := p.Call(t.Context(), Request{}, inTwoSeconds(), inTwoSeconds())
+		ended <- reply{resp, err}
+	}()
+	<-started
+	p.Close()
+	time.Sleep(20 * time.Millisecond)
+	close(release)
+	if r := <-ended; r.err != nil || r.resp.Status != 200 {
+		t.Errorf("call in progress: %+v, %v", r.resp, r.err)
+	}
+	if _, err := p.Call(t.Context(), Request{}, inTwoSeconds(), inTwoSeconds()); !errors.Is(err, ErrNotSent) {
+		t.Errorf("call after the close: %v", err)
+	}
+	for until := time.Now().Add(time.Second); s.openCallConns(false) > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the connection stays open after its last call")
+		}
+	}
+}
