End calls without waiting for a large request to be sent

Calls to one node share connections, and a large request can take seconds on a slow link. A call whose own request, or one before it, was being written looked at nothing else: neither at the message of a stopping node that it does not handle the call, nor at its deadline. It went to another target late, was sent all the same, or ended late and with 504 though it had not run. The ping of an idle connection, which may take 150 ms, waited as well.

A request that is large, or has to wait for another one, is now written in the background. A call that ends before its write has begun is not written, and is reported as not sent; one that is cancelled meanwhile is cancelled at the node once it is written. Of the calls that a stopping node says it handles, those of which nothing is sent end too: concurrent requests can be written in another order than they were numbered.

TestCallsLeaveAStoppingNodeBeforeTheyAreSent, TestCallEndsInTimeWhileALargeOneIsSent and TestLargeCallIsCancelledOnceItIsSent failed before: the calls had not ended after 0.5 s. They and the tests of drains, cancels and cuts pass 15 times, and those of internal/hop, entry and owner pass, with the race detector.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -52,6 +52,9 @@
 	// The two ends of a connection hold some 100 KB for buffers and compression, and a new
 	// one costs two round trips.
 	surplusIdleTime = 5 * time.Second
+	// backgroundBytes is the size of a body from which a request is written in the
+	// background. A smaller one mostly fits in the socket's buffer.
+	backgroundBytes = 16 << 10
 )
 
 // Errors of a call without a response.
@@ -227,11 +230,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{conn: newConn(raw), pending: make(map[uint64]pendingCall), lastReceived: time.Now(), failedCh: make(chan struct{})}
+	c := &clientConn{conn: newConn(raw), pending: make(map[uint64]*pendingCall), lastReceived: time.Now(), failedCh: make(chan struct{})}
 	if err := c.handshake(); err != nil {
 		_ = raw.Close() // the handshake error is returned
 		return nil, err
 	}
+	c.guard = p.Guard
 	c.livenessTimer = time.AfterFunc(time.Hour, c.checkLiveness) // reset to maxSilence by a pending call
 	go func() {
 		defer c.fail()
@@ -243,13 +247,14 @@
 // clientConn is a connection with its pending calls.
 type clientConn struct {
 	*conn
+	guard         *guard.Guard
 	clockOffset   int64 // lower bound of the node's clock minus this one, in microseconds
 	livenessTimer *time.Timer
 	failedCh      chan struct{} // closed when the connection has failed
 
 	mu           sync.Mutex
 	lastStream   uint64
-	pending      map[uint64]pendingCall
+	pending      map[uint64]*pendingCall
 	lastReceived time.Time     // when the last frame was received
 	lastCheck    time.Time     // when the connection was last checked, or its first call sent
 	silentFor    int           // checks in a row that found it silent
@@ -265,12 +270,15 @@
 	ended      chan reply
 	idempotent bool
 	sent       time.Time
+	begun      bool // its request is being written, or has been; guarded by clientConn.mu
+	cancelled  bool // the node is told once the request is written; guarded by clientConn.mu
 }
 
 // reply is the end of a pending call: its response, or an error.
 type reply struct {
-	resp *Response
-	err  error
+	resp   *Response
+	err    error
+	closed bool // the connection has closed, so that the write of the request ends
 }
 
 // handshake opens the connection and determines the offset of the node's clock.
@@ -311,7 +319,8 @@
 	}
 	c.lastStream++
 	r.Stream = c.lastStream
-	c.pending[r.Stream] = pendingCall{ended: ended, idempotent: r.Idempotent, sent: time.Now()}
+	call := &pendingCall{ended: ended, idempotent: r.Idempotent, sent: time.Now()}
+	c.pending[r.Stream] = call
 	if len(c.pending) == 1 {
 		c.lastCheck = time.Now()
 		c.livenessTimer.Reset(maxSilence)
@@ -319,19 +328,104 @@
 	c.mu.Unlock()
 	r.DeadlineAt = c.toPeerClock(deadline)
 	r.SoftDeadlineAt = c.toPeerClock(softDeadline)
-	if err := c.writeRequest(&r); err != nil {
-		c.dropPending(r.Stream)
-		return nil, errors.Join(ErrNotSent, err) // a node runs only what it has received whole
+	written := c.startWrite(call, &r)
+	for {
+		select {
+		case end := <-ended:
+			if end.closed && written != nil {
+				if err := <-written; err != nil {
+					return nil, errors.Join(ErrNotSent, err)
+				}
+			}
+			return end.resp, end.err
+		case err := <-written:
+			if err != nil {
+				c.dropPending(r.Stream)
+				return nil, errors.Join(ErrNotSent, err) // a node runs only what it has received whole
+			}
+			written = nil
+		case <-ctx.Done():
+			return nil, errors.Join(c.cancel(r.Stream, call, written), ctx.Err())
+		}
 	}
-	select {
-	case end := <-ended:
-		return end.resp, end.err
-	case <-ctx.Done():
-		c.dropPending(r.Stream)
-		// After an error the connection is closed, which cancels the call too.
-		_ = c.writeFrame(frameCancel, encodeUint(r.Stream))
-		return nil, errors.Join(ErrBroken, ctx.Err())
+}
+
+// errDropped means that a call had ended before its request was written.
+var errDropped = errors.New("the call has ended")
+
+// startWrite writes the request of a call. It does not wait for others that are being
+// written, or for a large body: the returned channel receives the result.
+func (c *clientConn) startWrite(call *pendingCall, r *Request) <-chan error {
+	written := make(chan error, 1)
+	if len(r.Body) < backgroundBytes && c.conn.mu.TryLock() {
+		defer c.conn.mu.Unlock()
+		written <- c.writeIfPending(call, r)
+		return written
+	}
+	request := *r
+	go func() {
+		err := error(errMalformedFrame)
+		c.guard.Run("hop_request", func() {
+			c.conn.mu.Lock()
+			defer c.conn.mu.Unlock()
+			err = c.writeIfPending(call, &request)
+		})
+		written <- err
+		if err == nil && c.isCancelled(call) {
+			c.sendCancel(request.Stream)
+		}
+	}()
+	return written
+}
+
+// writeIfPending writes the request of a call that has not ended; c.conn.mu must be held.
+func (c *clientConn) writeIfPending(call *pendingCall, r *Request) error {
+	c.mu.Lock()
+	call.begun = c.pending[r.Stream] == call
+	begun := call.begun
+	c.mu.Unlock()
+	if !begun {
+		return errDropped
 	}
+	return c.writeRequestLocked(r)
+}
+
+func (c *clientConn) isCancelled(call *pendingCall) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return call.cancelled
+}
+
+// cancel drops a call and tells the node, once the request is written: then startWrite
+// does, if it has not passed on the result of the write yet. It returns ErrNotSent if the
+// request has not been and will not be written whole, and ErrBroken otherwise.
+func (c *clientConn) cancel(stream uint64, call *pendingCall, written <-chan error) error {
+	c.mu.Lock()
+	c.removePending(stream)
+	call.cancelled = true
+	begun := call.begun
+	c.mu.Unlock()
+	if !begun {
+		return ErrNotSent
+	}
+	if written != nil {
+		select {
+		case err := <-written:
+			if err != nil {
+				return ErrNotSent
+			}
+		default:
+			return ErrBroken
+		}
+	}
+	go c.sendCancel(stream)
+	return ErrBroken
+}
+
+// sendCancel tells the node that a call is cancelled. After an error the connection is
+// closed, which cancels the call too.
+func (c *clientConn) sendCancel(stream uint64) {
+	_ = c.writeFrame(frameCancel, encodeUint(stream))
 }
 
 func (c *clientConn) toPeerClock(t time.Time) int64 {
@@ -390,14 +484,15 @@
 	return c.failed || c.leaving || c.retired
 }
 
-// leave ends the calls after the last one that the node handles: they have not run.
-// The others wait for their responses; leave returns their number.
+// leave ends the calls after the last one that the node handles, and those of which
+// nothing is sent: they have not run. The others wait for their responses; leave returns
+// their number.
 func (c *clientConn) leave(last uint64) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaving = true
 	for stream, call := range c.pending {
-		if stream > last {
+		if stream > last || !call.begun {
 			call.ended <- reply{err: ErrNotSent}
 			c.removePending(stream)
 		}
@@ -470,8 +565,7 @@
 	}
 	c.mu.Unlock()
 	for _, stream := range ended {
-		// After an error the connection is closed, which cancels the calls too.
-		_ = c.writeFrame(frameCancel, encodeUint(stream))
+		c.sendCancel(stream)
 	}
 }
 
@@ -483,8 +577,9 @@
 	}
 	pong := c.pongReceived
 	c.mu.Unlock()
-	// An error closes the connection, which ends readLoop.
-	_ = c.writeFrame(framePing, nil)
+	// The ping may have to wait for a large frame. An error closes the connection, which
+	// ends readLoop.
+	go func() { _ = c.writeFrame(framePing, nil) }()
 	return pong
 }
 
@@ -553,12 +648,12 @@
 	}
 	c.failed = true
 	pending := c.pending
-	c.pending = make(map[uint64]pendingCall)
+	c.pending = make(map[uint64]*pendingCall)
 	c.mu.Unlock()
 	close(c.failedCh)
 	c.livenessTimer.Stop()
 	_ = c.Close() // nothing more is sent or read
 	for _, call := range pending {
-		call.ended <- reply{err: ErrBroken}
+		call.ended <- reply{err: ErrBroken, closed: true}
 	}
 }
--- a/internal/hop/drain_test.go
+++ b/internal/hop/drain_test.go
@@ -322,7 +322,7 @@
 	ended := make(chan reply, 1)
 	go func() {
 		resp, err := p.Call(t.Context(), Request{}, inTwoSeconds(), inTwoSeconds())
-		ended <- reply{resp, err}
+		ended <- reply{resp: resp, err: err}
 	}()
 	<-started
 	p.Close()
--- a/internal/hop/fields.go
+++ b/internal/hop/fields.go
@@ -132,6 +132,11 @@
 func (c *conn) writeRequest(r *Request) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.writeRequestLocked(r)
+}
+
+// writeRequestLocked is writeRequest with c.mu held.
+func (c *conn) writeRequestLocked(r *Request) error {
 	fields, err := c.encoder.encode([]hpack.HeaderField{
 		{Name: fieldTarget, Value: string(r.Target)},
 		{Name: fieldService, Value: string(r.Service)},
--- /dev/null
+++ b/internal/hop/waiting_test.go
@@ -0,0 +1,156 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+// startNode accepts one connection, answers its hello, and passes it to the test.
+func startNode(t *testing.T) (address string, accepted <-chan *conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns := make(chan *conn, 1)
+	go func() {
+		raw, err := l.Accept()
+		if err != nil {
+			return
+		}
+		c := newConn(raw)
+		_, _ = c.r.Discard(1) // the preamble
+		if _, _, err := c.readFrame(); err == nil {
+			_ = c.writeFrame(frameHelloAck, encodeUint(0)) // a failure shows at the peer
+		}
+		conns <- c
+	}()
+	return l.Addr().String(), conns
+}
+
+// cloggedConn is a connection with a small call that the node has read and a large one of
+// which it has read nothing.
+type cloggedConn struct {
+	client       *clientConn
+	node         *conn
+	first, large chan reply
+}
+
+func newCloggedConn(t *testing.T) *cloggedConn {
+	t.Helper()
+	address, accepted := startNode(t)
+	client, err := NewPool(loopback, address).open(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.fail)
+	c := &cloggedConn{client: client, node: <-accepted}
+	t.Cleanup(func() { _ = c.node.Close() })
+	c.first = c.call(t.Context(), Request{ID: "first"})
+	if kind, _, err := c.node.readFrame(); err != nil || kind != frameRequest {
+		t.Fatal(kind, err)
+	}
+	c.large = c.call(t.Context(), Request{ID: "large", Body: make([]byte, 8<<20)})
+	time.Sleep(50 * time.Millisecond) // the sockets hold less
+	return c
+}
+
+func (c *cloggedConn) call(ctx context.Context, r Request) chan reply {
+	ended := make(chan reply, 1)
+	go func() {
+		resp, err := c.client.call(ctx, r, inTwoSeconds(), inTwoSeconds())
+		ended <- reply{resp: resp, err: err}
+	}()
+	return ended
+}
+
+// soon returns the end of a call, which must not wait for the large one to be sent.
+func soon(t *testing.T, name string, ended <-chan reply) reply {
+	t.Helper()
+	select {
+	case r := <-ended:
+		return r
+	case <-time.After(500 * time.Millisecond):
+		t.Fatalf("%s: the call has not ended", name)
+	}
+	return reply{}
+}
+
+// Guards against calls that stay with a node which has said that it does not handle them
+// until a large one is sent, and against sending them all the same.
+func TestCallsLeaveAStoppingNodeBeforeTheyAreSent(t *testing.T) {
+	c := newCloggedConn(t)
+	small := c.call(t.Context(), Request{ID: "small"})
+	time.Sleep(20 * time.Millisecond)
+	if err := c.node.writeFrame(frameGoAway, encodeUint(1)); err != nil {
+		t.Fatal(err)
+	}
+	for name, ended := range map[string]<-chan reply{"large": c.large, "small": small} {
+		if r := soon(t, name, ended); !errors.Is(r.err, ErrNotSent) {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+	if kind, payload, err := c.node.readFrame(); err != nil || kind != frameRequest || len(payload) < 8<<20 {
+		t.Errorf("kind %d, %d bytes, %v; want the large call", kind, len(payload), err)
+	}
+	if err := c.node.writeResponse(&Response{Stream: 1, Outcome: Answered, Status: 200}); err != nil {
+		t.Error(err)
+	}
+	if r := soon(t, "first", c.first); r.err != nil || r.resp.Status != 200 {
+		t.Errorf("first: %+v", r)
+	}
+	if kind, _, err := c.node.readFrame(); err == nil {
+		t.Errorf("a frame of kind %d arrives after the last response", kind)
+	}
+}
+
+// Guards against calls that outlast their deadline while a large one of the same
+// connection is sent, and against reporting them as sent.
+func TestCallEndsInTimeWhileALargeOneIsSent(t *testing.T) {
+	c := newCloggedConn(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if r := soon(t, "small", c.call(ctx, Request{ID: "small"})); !errors.Is(r.err, ErrNotSent) {
+		t.Errorf("a call that waits: %+v", r)
+	}
+	pinged := make(chan reply, 1)
+	go func() {
+		c.client.ping(t.Context(), reusePingTimeout)
+		pinged <- reply{}
+	}()
+	soon(t, "ping", pinged)
+	c.node.Close()
+	for name, want := range map[string]error{"first": ErrBroken, "large": ErrNotSent} {
+		ended := map[string]<-chan reply{"first": c.first, "large": c.large}[name]
+		if r := soon(t, name, ended); !errors.Is(r.err, want) {
+			t.Errorf("%s: %+v, want %v", name, r, want)
+		}
+	}
+}
+
+// Guards against a target that works on a large call which was given up while it was sent.
+func TestLargeCallIsCancelledOnceItIsSent(t *testing.T) {
+	address, accepted := startNode(t)
+	client, err := NewPool(loopback, address).open(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.fail)
+	c := &cloggedConn{client: client, node: <-accepted}
+	ctx, cancel := context.WithCancel(t.Context())
+	large := c.call(ctx, Request{ID: "large", Body: make([]byte, 8<<20)})
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	if r := soon(t, "large", large); !errors.Is(r.err, ErrBroken) {
+		t.Errorf("large: %+v", r)
+	}
+	for _, want := range []byte{frameRequest, frameCancel} {
+		if kind, _, err := c.node.readFrame(); err != nil || kind != want {
+			t.Errorf("frame of kind %d, want %d: %v", kind, want, err)
+		}
+	}
+}
