Log how calls between nodes end at a stop

The stopping node now logs a line for each of these calls: the bytes of its body, whether it was passed on to the target, its outcome, whether the response was written, who closed first and why. The sending node logs each attempt that ended without the other node's answer, with the error and whether the request was sent whole. A warning counts the connections on which responses may be lost when the grace time ends.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -502,6 +502,10 @@
 	if err == nil {
 		return resp
 	}
+	if ctx.Err() == nil {
+		c.entry.cfg.Log.Info().Str("id", c.id).Str("peer", string(t.Host)).Str("target", string(t.ID)).Int("body", len(r.Body)).
+			Bool("sent", !isNotSent(err)).Err(err).Msg("no answer from another node")
+	}
 	if isNotSent(err) {
 		return &hop.Response{Outcome: hop.NotRun, Reason: reasonNodeUnreachable}
 	}
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -260,9 +260,10 @@
 	silentFor    int           // checks in a row that found it silent
 	pongReceived chan struct{} // closed by the next frame; nil without an unanswered ping
 	failed       bool
-	leaving      bool // the node takes no further calls on this connection
-	silent       bool // the node has not responded to a ping, and nothing was received since
-	retired      bool // closed because it was idle
+	readErr      error // ended readLoop
+	leaving      bool  // the node takes no further calls on this connection
+	silent       bool  // the node has not responded to a ping, and nothing was received since
+	retired      bool  // closed because it was idle
 }
 
 // pendingCall is a call that waits for its response.
@@ -600,6 +601,9 @@
 	for {
 		kind, payload, err := c.readFrame()
 		if err != nil {
+			c.mu.Lock()
+			c.readErr = err
+			c.mu.Unlock()
 			return
 		}
 		c.mu.Lock()
@@ -647,13 +651,13 @@
 		return
 	}
 	c.failed = true
-	pending := c.pending
+	pending, err := c.pending, errors.Join(ErrBroken, c.readErr)
 	c.pending = make(map[uint64]*pendingCall)
 	c.mu.Unlock()
 	close(c.failedCh)
 	c.livenessTimer.Stop()
 	_ = c.Close() // nothing more is sent or read
 	for _, call := range pending {
-		call.ended <- reply{err: ErrBroken, closed: true}
+		call.ended <- reply{err: err, closed: true}
 	}
 }
--- a/internal/hop/server.go
+++ b/internal/hop/server.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"nutmeghoist.example/nutmeghoist/internal/bounded"
 	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/pkg/distribution"
@@ -42,10 +44,11 @@
 type Server struct {
 	// Buffers is the memory for the bodies of calls and responses, Guard recovers
 	// panics, and OnRefusal is called with the reason of each refusal of the server
-	// itself. They are set before Run.
+	// itself. Log tells how calls ended; it may be nil. They are set before Run.
 	Buffers   *bounded.Budget
 	Guard     *guard.Guard
 	OnRefusal func(reason string)
+	Log       *log.Logger
 
 	listener net.Listener
 	handler  Handler
@@ -56,7 +59,7 @@
 	acceptGossip  func(*conn, distribution.Handler)
 	conns         map[net.Conn]bool
 	callConns     map[*serverConn]bool
-	draining      bool // no connection takes further calls
+	draining      atomic.Bool // no connection takes further calls
 	closed        bool
 }
 
@@ -104,6 +107,9 @@
 	waitUntil(until, func() bool { return s.PendingCalls() == 0 })
 	waitUntil(time.Now().Add(minClose), func() bool { return s.openCallConns(false) == 0 })
 	waitUntil(until, func() bool { return s.openCallConns(true) == 0 })
+	if n := s.openCallConns(true); n > 0 && s.Log != nil {
+		s.Log.Warn().Int("connections", n).Msg("responses to other nodes may be lost at the end of the grace time")
+	}
 }
 
 func waitUntil(until time.Time, done func() bool) {
@@ -139,7 +145,7 @@
 // goAway ends the acceptance of calls on all connections, and begins to tell the peers.
 func (s *Server) goAway() {
 	s.mu.Lock()
-	s.draining = true
+	s.draining.Store(true)
 	conns := make([]*serverConn, 0, len(s.callConns))
 	for c := range s.callConns {
 		conns = append(conns, c)
@@ -160,6 +166,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
+	for c := range s.callConns {
+		c.recordEnd(connEnd{closedByNode, causeStopOver})
+	}
 	for c := range s.conns {
 		_ = c.Close() // nothing can be done about an error here
 	}
@@ -232,10 +241,14 @@
 	lastStream uint64    // of the calls that were accepted
 	leaving    bool      // no further call is accepted
 	responded  time.Time // when a response was last written
+	end        connEnd
 }
 
 func (c *serverConn) respond(r *Response) error {
 	err := c.writeResponse(r)
+	if err != nil {
+		c.recordEnd(writeEnd(err))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.responded = time.Now()
@@ -281,7 +294,7 @@
 	} else {
 		delete(s.callConns, c)
 	}
-	return !s.draining
+	return !s.draining.Load()
 }
 
 // serveCalls runs the calls of one connection until it closes, and then cancels
@@ -295,6 +308,7 @@
 	for {
 		kind, payload, err := c.readFrame()
 		if err != nil {
+			c.recordEnd(readEnd(err))
 			return
 		}
 		switch kind {
@@ -331,7 +345,10 @@
 	}
 	if !s.accept(c, r.Stream) {
 		s.OnRefusal(reasonStopping)
-		return c.respond(&Response{Stream: r.Stream, Outcome: NotRun, Reason: reasonStopping})
+		resp := &Response{Stream: r.Stream, Outcome: NotRun, Reason: reasonStopping}
+		err := c.respond(resp)
+		s.logEnd(c, r, resp, false, err)
+		return err
 	}
 	callCtx, cancelCall := context.WithCancel(ctx)
 	c.calls.add(r.Stream, cancelCall)
@@ -355,10 +372,13 @@
 		s.OnRefusal(reasonNoMemory)
 	}
 	resp.Stream = r.Stream
+	cancelled := ctx.Err() != nil && !c.hasEnded()
 	s.Buffers.Hold(int64(len(resp.Body)))
 	defer s.Buffers.Release(int64(len(resp.Body)))
 	// An error closes the connection, which the caller's node detects.
-	s.Guard.Run("hop_response", func() { _ = c.respond(resp) })
+	err := error(errMalformedFrame)
+	s.Guard.Run("hop_response", func() { err = c.respond(resp) })
+	s.logEnd(c, r, resp, cancelled, err)
 }
 
 // runningCalls holds the cancel functions of a connection's calls in progress.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -164,7 +164,7 @@
 		advertised = cfg.AdvertiseAddress
 	}
 	s.peers = hop.NewServer(calls, s)
-	s.peers.Guard, s.peers.Buffers, s.peers.OnRefusal = s.guard, s.buffers, s.countRefusal
+	s.peers.Guard, s.peers.Buffers, s.peers.OnRefusal, s.peers.Log = s.guard, s.buffers, s.countRefusal, cfg.Log
 	s.control, err = control.New(control.Config{
 		Self: membership.Host{
 			ID: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: uint64(time.Now().UnixMilli()),
