Report calls that wait on a silent connection as not sent

When a connection between nodes goes silent, the calls on it that can be sent elsewhere end. One that still waited for a large request to be written counted as one that may have run: it used an attempt and a retry of the budget, and was answered with 502 when neither was left. It is now reported as not sent.

TestCallThatWaitsOnASilentConnectionIsNotSent failed before: "connection to the node failed". The tests of internal/hop pass twice with the race detector.

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -558,10 +558,15 @@
 	c.mu.Lock()
 	var ended []uint64
 	for stream, call := range c.pending {
-		if call.idempotent && time.Since(call.sent) >= maxSilence+pingTimeout {
-			call.ended <- reply{err: ErrBroken}
+		if !call.idempotent || time.Since(call.sent) < maxSilence+pingTimeout {
+			continue
+		}
+		c.removePending(stream)
+		if call.begun {
 			ended = append(ended, stream)
-			c.removePending(stream)
+			call.ended <- reply{err: ErrBroken}
+		} else {
+			call.ended <- reply{err: ErrNotSent}
 		}
 	}
 	c.mu.Unlock()
--- a/internal/hop/waiting_test.go
+++ b/internal/hop/waiting_test.go
@@ -154,3 +154,17 @@
 		}
 	}
 }
+
+// Guards against a call that could be sent to another node and counts as sent, because the
+// connection on which it waits has gone silent.
+func TestCallThatWaitsOnASilentConnectionIsNotSent(t *testing.T) {
+	c := newCloggedConn(t)
+	select {
+	case r := <-c.call(t.Context(), Request{ID: "small", Idempotent: true}):
+		if !errors.Is(r.err, ErrNotSent) {
+			t.Errorf("got %+v, want ErrNotSent", r)
+		}
+	case <-time.After(3 * (maxSilence + pingTimeout)):
+		t.Error("the call has not ended")
+	}
+}
