Keep what targets report under the owner's lock

Calls read the heartbeat of their target without Owner.mu, which Heartbeat writes under it: when a request completes and is cleared, when a target ends under its calls, and when a call carries what the target has said. The embedded struct made each of these reads look like one of a constant.

A target now has its ID and its start as fields of its own, which do not change, and the newest heartbeat in a named field that Owner.mu guards. The end of a target takes its service as an argument, read under the lock.

--- a/internal/owner/call.go
+++ b/internal/owner/call.go
@@ -208,7 +208,7 @@
 	defer o.mu.Unlock()
 	t := o.targets[r.Target]
 	switch {
-	case t == nil || t.Service != r.Service || t.Version != r.Version:
+	case t == nil || t.reported.Service != r.Service || t.reported.Version != r.Version:
 		return nil, reasonTargetUnknown
 	case t.hasDrainedFor(admissionShare):
 		return nil, reasonDraining
--- a/internal/owner/cold.go
+++ b/internal/owner/cold.go
@@ -44,20 +44,20 @@
 // hearCold applies the cold time that a heartbeat names, and reports whether it has to be
 // published; o.mu must be held.
 func (o *Owner) hearCold(t *target) bool {
-	t.limiter.HearCold(t.WarmUp, time.Duration(heartbeatTrust*float64(o.bounds.HeartbeatInterval)))
+	t.limiter.HearCold(t.reported.WarmUp, time.Duration(heartbeatTrust*float64(o.bounds.HeartbeatInterval)))
 	o.noteCold(t)
-	end := t.lastHeartbeat.Add(t.WarmUp)
-	if t.WarmUp <= 0 || end.Sub(t.cold.end).Abs() < coldEndStep {
+	end := t.lastHeartbeat.Add(t.reported.WarmUp)
+	if t.reported.WarmUp <= 0 || end.Sub(t.cold.end).Abs() < coldEndStep {
 		return false
 	}
 	t.cold.end = end
-	return o.coldRate(t.Service).PerSecond > 0
+	return o.coldRate(t.reported.Service).PerSecond > 0
 }
 
 // coldUntil returns the end of the cold time of a target in Unix milliseconds for its
 // record, or 0; o.mu must be held.
 func (o *Owner) coldUntil(t *target) int64 {
-	if t.cold.end.IsZero() || o.coldRate(t.Service).PerSecond == 0 {
+	if t.cold.end.IsZero() || o.coldRate(t.reported.Service).PerSecond == 0 {
 		return 0
 	}
 	return t.cold.end.UnixMilli()
@@ -74,10 +74,10 @@
 	case a.cause == "":
 		a.sent, a.since = 0, time.Now()
 		o.count("target.cold")
-		o.cfg.Log.Info().Str("target", string(t.ID)).Str("service", string(t.Service)).Str("cause", string(cause)).
-			Dur("left", t.WarmUp).Float64("per_second", o.coldRate(t.Service).PerSecond).Msg("target is cold")
+		o.cfg.Log.Info().Str("target", string(t.id)).Str("service", string(t.reported.Service)).Str("cause", string(cause)).
+			Dur("left", t.reported.WarmUp).Float64("per_second", o.coldRate(t.reported.Service).PerSecond).Msg("target is cold")
 	case cause == "":
-		o.cfg.Log.Info().Str("target", string(t.ID)).Str("service", string(t.Service)).Str("cause", string(a.cause)).
+		o.cfg.Log.Info().Str("target", string(t.id)).Str("service", string(t.reported.Service)).Str("cause", string(a.cause)).
 			Int("sent", a.sent).Dur("span", time.Since(a.since)).Msg("target is warm")
 	}
 	a.cause = cause
@@ -111,7 +111,7 @@
 	defer o.mu.Unlock()
 	n := 0
 	for _, t := range o.targets {
-		if !t.Draining && t.limiter.Cold() != "" {
+		if !t.reported.Draining && t.limiter.Cold() != "" {
 			n++
 		}
 	}
--- a/internal/owner/ended.go
+++ b/internal/owner/ended.go
@@ -8,6 +8,7 @@
 	"nutmeghoist.example/nutmeghoist/internal/exchange"
 	"nutmeghoist.example/nutmeghoist/internal/hop"
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
+	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/suspect"
 )
 
@@ -42,7 +43,7 @@
 			t.running.AddProven(key())
 			if known && o.cfg.Suspects.RecordCompletion(key()) {
 				o.count("suspects.cleared")
-				o.cfg.Log.Info().Str("request", key().String()).Str("target", string(t.ID)).Msg("request has completed and is cleared")
+				o.cfg.Log.Info().Str("request", key().String()).Str("target", string(t.id)).Msg("request has completed and is cleared")
 			}
 		}
 	case res.Kind == exchange.NotRun:
@@ -67,18 +68,25 @@
 // address any more.
 func (o *Owner) hasEnded(ctx context.Context, t *target) bool {
 	listening := func() bool { return t.client.Listening(context.WithoutCancel(ctx)) }
-	return t.running.CheckEnded(listening, func() { o.recordEnd(t) })
+	return t.running.CheckEnded(listening, func() { o.recordEnd(t, o.serviceOf(t)) })
 }
 
-// recordEnd records that a target has ended under the calls that it ran.
-func (o *Owner) recordEnd(t *target) {
+// serviceOf returns the service that a target has reported; o.mu must not be held.
+func (o *Owner) serviceOf(t *target) mesh.ServiceName {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return t.reported.Service
+}
+
+// recordEnd records that a target of a service has ended under the calls that it ran.
+func (o *Owner) recordEnd(t *target, service mesh.ServiceName) {
 	running, end, first := t.running.Close()
 	if !first || len(running) == 0 {
 		return
 	}
 	o.count("targets.ended")
-	o.cfg.Log.Warn().Str("target", string(t.ID)).Str("service", string(t.Service)).Int("requests", len(running)).
-		Dur("age", time.Since(time.UnixMilli(t.Started))).Msg("target ended")
+	o.cfg.Log.Warn().Str("target", string(t.id)).Str("service", string(service)).Int("requests", len(running)).
+		Dur("age", time.Since(time.UnixMilli(t.started))).Msg("target ended")
 	for key, ends := range o.cfg.Suspects.RecordEnd(end, running) {
 		if ends < suspect.MaxEnds {
 			continue
@@ -90,10 +98,10 @@
 
 // recordUnseenEnd records the end of a target whose next start has shown it: it was back
 // before a check of its address, or its connections have gone silent. The end of a
-// target that was leaving says nothing.
+// target that was leaving says nothing. o.mu must be held.
 func (o *Owner) recordUnseenEnd(t *target) {
 	if t.drainStart.IsZero() {
-		o.recordEnd(t)
+		o.recordEnd(t, t.reported.Service)
 	}
 }
 
--- a/internal/owner/ended_test.go
+++ b/internal/owner/ended_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/exchange"
 	"nutmeghoist.example/nutmeghoist/internal/hop"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/suspect"
@@ -98,3 +101,43 @@
 		})
 	}
 }
+
+// Guards against a call that reads without the lock what a heartbeat writes: when it
+// carries what the target has said, when it clears its request, and when its target has
+// ended under it. Only the race detector sees it.
+func TestOutcomesBesideHeartbeats(t *testing.T) {
+	r := request("a", time.Second)
+	key := func() suspect.Key { return keyOf(r) }
+	for name, act := range map[string]func(*Owner, *target){
+		"signals": func(o *Owner, a *target) { o.applySignals(a, &hop.TargetSignals{Started: 10}) },
+		"completion": func(o *Owner, a *target) {
+			call := a.running.Begin(func() (suspect.Key, bool) { return key(), true })
+			o.endCall(t.Context(), a, call, key, 0, &exchange.Result{Kind: exchange.Answered, Status: http.StatusOK})
+		},
+		"end": func(o *Owner, a *target) {
+			a.running.Begin(func() (suspect.Key, bool) { return key(), true })
+			if !o.hasEnded(t.Context(), a) {
+				t.Error("the end was not seen")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwner(nil)
+			h := heartbeat("a", 10, 1, false) // nothing listens at its address
+			if err := o.Heartbeat(h); err != nil {
+				t.Fatal(err)
+			}
+			o.cfg.Suspects.RecordEnd(1, []suspect.Observation{{Key: key()}})
+			a := o.targets["a"]
+			var heartbeat sync.WaitGroup
+			heartbeat.Go(func() {
+				h.Sequence++
+				_ = o.Heartbeat(h)
+			})
+			// Unlike a channel, a sleep does not order the heartbeat before the call.
+			time.Sleep(10 * time.Millisecond)
+			act(o, a)
+			heartbeat.Wait()
+		})
+	}
+}
--- a/internal/owner/evacuation.go
+++ b/internal/owner/evacuation.go
@@ -34,7 +34,7 @@
 	defer o.mu.Unlock()
 	for _, t := range o.targets {
 		load := t.limiter.Load()
-		o.cfg.Log.Info().Str("target", string(t.ID)).Int("in_flight", load.InFlight).Int("queued", load.Queued).
+		o.cfg.Log.Info().Str("target", string(t.id)).Int("in_flight", load.InFlight).Int("queued", load.Queued).
 			Msg("target gets no calls; its data centre is evacuated")
 		t.limiter.RefuseQueued(admission.Reason(reasonEvacuated))
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -132,19 +132,24 @@
 
 // target is the state of a target since its last start. A restart replaces it.
 type target struct {
-	Heartbeat
-	limiter       *admission.Limiter
-	client        *exchange.Client
+	// These fields do not change, and calls use them without a lock.
+	id      mesh.TargetID
+	started int64 // Unix milliseconds; 0 when not reported
+	limiter *admission.Limiter
+	client  *exchange.Client
+	running suspect.Running
+	trials  suspect.TrialSlot
+
+	// The fields below are guarded by Owner.mu.
+	reported      Heartbeat // the newest one
 	lastHeartbeat time.Time
 	drainStart    time.Time     // when the drain was acknowledged; zero before
 	drainTime     time.Duration // from drainStart until no call may reach it
 	silent        bool          // heartbeats stopped
 	saidLeaving   bool          // in an answer
 	verification  *verification // not nil while the target may have left unnoticed
-	running       suspect.Running
-	trials        suspect.TrialSlot
-	rate          rateAccount // guarded by Owner.mu
-	cold          coldAccount // guarded by Owner.mu
+	rate          rateAccount
+	cold          coldAccount
 }
 
 // verification counts the heartbeats of a target that may have left unnoticed.
@@ -191,13 +196,13 @@
 		return err
 	}
 	switch {
-	case t != nil && h.Started < t.Started:
+	case t != nil && h.Started < t.started:
 		return nil
-	case t != nil && h.Started > t.Started:
+	case t != nil && h.Started > t.started:
 		o.recordUnseenEnd(t)
 		o.remove(t, "restarted")
 		t = nil
-	case t != nil && h.Sequence < t.Sequence:
+	case t != nil && h.Sequence < t.reported.Sequence:
 		return nil
 	}
 	isNew := t == nil
@@ -207,17 +212,17 @@
 		}
 		t = o.addTarget(h)
 	}
-	before, wasSilent := t.Heartbeat, t.silent
+	before, wasSilent := t.reported, t.silent
 	verified := o.verify(t, h, isNew)
-	t.Heartbeat, t.lastHeartbeat, t.silent = h, time.Now(), false
+	t.reported, t.lastHeartbeat, t.silent = h, time.Now(), false
 	if !t.drainStart.IsZero() {
-		t.Draining = true // a draining target does not become ready again in the same start
+		t.reported.Draining = true // a draining target does not become ready again in the same start
 	}
-	if t.Draining && t.drainStart.IsZero() {
+	if t.reported.Draining && t.drainStart.IsZero() {
 		o.startDrain(t, "draining")
 	}
 	t.limiter.Resize(o.limiterConfig(h)) // the configuration can change the limits too
-	if coldEndMoved := o.hearCold(t); isNew || coldEndMoved || verified || t.Draining != before.Draining || wasSilent || before.Slots != h.Slots || before.Version != h.Version {
+	if coldEndMoved := o.hearCold(t); isNew || coldEndMoved || verified || t.reported.Draining != before.Draining || wasSilent || before.Slots != h.Slots || before.Version != h.Version {
 		o.publish()
 	}
 	return nil
@@ -227,12 +232,12 @@
 // may be of another writer: it names a service that is not configured, and would take the
 // place of a target of one that is, or there are too many targets.
 func (o *Owner) checkNew(t *target, h Heartbeat) error {
-	if t != nil && h.Started <= t.Started {
+	if t != nil && h.Started <= t.started {
 		return nil
 	}
 	if !o.knowsService(h.Service) {
 		for _, other := range o.targets {
-			if (other.ID == h.ID || other.Address == h.Address) && o.knowsService(other.Service) {
+			if (other.id == h.ID || other.reported.Address == h.Address) && o.knowsService(other.reported.Service) {
 				return fmt.Errorf("target %s at %s: service %q is not configured", h.ID, h.Address, h.Service)
 			}
 		}
@@ -241,7 +246,7 @@
 		return nil
 	}
 	for _, other := range o.targets {
-		if other.silent || !o.knowsService(other.Service) {
+		if other.silent || !o.knowsService(other.reported.Service) {
 			o.remove(other, "too many")
 			return nil
 		}
@@ -263,14 +268,14 @@
 		return false
 	case t.verification == nil:
 		return false
-	case h.Sequence > t.Sequence:
+	case h.Sequence > t.reported.Sequence:
 		t.verification.heartbeats++
 	}
 	span := time.Duration(verifyIntervals * float64(o.bounds.HeartbeatInterval))
 	if t.verification.heartbeats < verifyHeartbeats || time.Since(t.verification.since) < span {
 		return false
 	}
-	o.cfg.Log.Info().Str("target", string(t.ID)).Str("by", "heartbeats").Msg("target verified")
+	o.cfg.Log.Info().Str("target", string(t.id)).Str("by", "heartbeats").Msg("target verified")
 	t.verification = nil
 	return true
 }
@@ -279,10 +284,10 @@
 // reports false when the target there is newer than that of the heartbeat.
 func (o *Owner) removeOlderAt(h Heartbeat) bool {
 	for _, other := range o.targets {
-		if other.Address != h.Address {
+		if other.reported.Address != h.Address {
 			continue
 		}
-		if other.Started > h.Started {
+		if other.started > h.Started {
 			return false
 		}
 		o.recordUnseenEnd(other)
@@ -298,7 +303,7 @@
 }
 
 func (o *Owner) addTarget(h Heartbeat) *target {
-	t := &target{Heartbeat: h, limiter: admission.New(o.limiterConfig(h)), client: exchange.NewClient(h.Address, o.cfg.HeaderNames)}
+	t := &target{id: h.ID, started: h.Started, reported: h, limiter: admission.New(o.limiterConfig(h)), client: exchange.NewClient(h.Address, o.cfg.HeaderNames)}
 	t.client.Buffers = o.cfg.Buffers
 	o.targets[h.ID] = t
 	o.cfg.Log.Info().Str("target", string(h.ID)).Str("service", string(h.Service)).Str("version", string(h.Version)).
@@ -310,10 +315,10 @@
 // of the drain time, and admitted ones are sent for a little longer.
 func (o *Owner) startDrain(t *target, cause string) {
 	t.drainStart, t.drainTime = time.Now(), o.bounds.Drain
-	t.Draining = true
+	t.reported.Draining = true
 	o.scheduleAdmissionEnd(t)
-	o.cfg.Log.Info().Str("target", string(t.ID)).Str("cause", cause).Int("in_flight", t.limiter.Load().InFlight).
-		Uint64("sequence", t.Sequence).Msg("target leaves")
+	o.cfg.Log.Info().Str("target", string(t.id)).Str("cause", cause).Int("in_flight", t.limiter.Load().InFlight).
+		Uint64("sequence", t.reported.Sequence).Msg("target leaves")
 	o.count("targets.leaving")
 }
 
@@ -340,10 +345,10 @@
 	case t == nil && started == 0:
 		started = time.Now().UnixMilli()
 	case t != nil && started == 0:
-		started = t.Started
+		started = t.started
 	}
 	o.recordDeparture(id, started)
-	if t == nil || t.Started > started {
+	if t == nil || t.started > started {
 		return started
 	}
 	if t.drainStart.IsZero() {
@@ -386,7 +391,7 @@
 	}
 	o.recordDeparture(id, started)
 	o.cfg.Log.Info().Str("target", string(id)).Int64("started", started).Msg("target had left before the node started")
-	if t := o.targets[id]; t != nil && t.Started <= started && !t.hasDrainedFor(sendShare) {
+	if t := o.targets[id]; t != nil && t.started <= started && !t.hasDrainedFor(sendShare) {
 		o.startDrain(t, "left before")
 		t.drainStart = t.drainStart.Add(-t.drainTime)
 		t.limiter.Drain()
@@ -410,10 +415,10 @@
 }
 
 func (o *Owner) remove(t *target, cause string) {
-	delete(o.targets, t.ID)
+	delete(o.targets, t.id)
 	t.limiter.Drain()
 	t.client.Close()
-	o.cfg.Log.Info().Str("target", string(t.ID)).Str("cause", cause).Msg("target removed")
+	o.cfg.Log.Info().Str("target", string(t.id)).Str("cause", cause).Msg("target removed")
 	o.publish()
 }
 
@@ -442,7 +447,7 @@
 		case t.silent:
 		case silence > limit:
 			t.silent = true
-			o.cfg.Log.Warn().Str("target", string(t.ID)).Dur("quiet", silence).Msg("heartbeats stopped")
+			o.cfg.Log.Warn().Str("target", string(t.id)).Dur("quiet", silence).Msg("heartbeats stopped")
 			o.count("targets.silent")
 			o.publish()
 		default:
@@ -460,15 +465,15 @@
 	for _, t := range o.targets {
 		state := membership.TargetReady
 		switch {
-		case t.Draining:
+		case t.reported.Draining:
 			state = membership.TargetDraining
 		case t.silent, t.verification != nil:
 			state = membership.TargetStarting
 		}
 		// Heartbeats report only when the target started, not when it became ready.
 		list = append(list, membership.Target{
-			ID: t.ID, Service: t.Service, Version: t.Version, Address: t.Address, Slots: t.Slots,
-			Connections: o.cfg.MaxConnections(t.Service), State: state, ReadySince: time.UnixMilli(t.Started).UTC(),
+			ID: t.id, Service: t.reported.Service, Version: t.reported.Version, Address: t.reported.Address, Slots: t.reported.Slots,
+			Connections: o.cfg.MaxConnections(t.reported.Service), State: state, ReadySince: time.UnixMilli(t.started).UTC(),
 			ColdUntil: o.coldUntil(t),
 		})
 	}
--- a/internal/owner/signals.go
+++ b/internal/owner/signals.go
@@ -11,7 +11,7 @@
 // applySignals applies what a target has said to an earlier process of this node, as
 // the node of a caller knows it. It does not apply to another start of the target.
 func (o *Owner) applySignals(t *target, s *hop.TargetSignals) {
-	if s == nil || s.Started != t.Started {
+	if s == nil || s.Started != t.started {
 		return
 	}
 	if s.RateLimit > 0 {
@@ -44,7 +44,7 @@
 	if named == 0 && !t.saidLeaving {
 		return nil
 	}
-	return &hop.TargetSignals{Started: t.Started, RateLimit: named, Leaving: t.saidLeaving}
+	return &hop.TargetSignals{Started: t.started, RateLimit: named, Leaving: t.saidLeaving}
 }
 
 // rateNotice returns what the outcome of a call says about the rate limit. A refusal
@@ -75,7 +75,7 @@
 	if res.Signals.Leaving {
 		if t.drainStart.IsZero() {
 			o.count("target.said_leaving")
-			o.cfg.Log.Info().Str("target", string(t.ID)).Str("id", id).Msg("target says that it leaves")
+			o.cfg.Log.Info().Str("target", string(t.id)).Str("id", id).Msg("target says that it leaves")
 		}
 		o.drainBySignal(t, "said so")
 	}
@@ -83,14 +83,14 @@
 	switch n.Kind {
 	case admission.RateUnreadable:
 		o.count("target.rate_limit_unreadable")
-		o.cfg.Log.Warn().Str("target", string(t.ID)).Str("id", id).Strs("value", res.Header.Values(o.cfg.HeaderNames.RateLimit)).Msg("rate limit cannot be read")
+		o.cfg.Log.Warn().Str("target", string(t.id)).Str("id", id).Strs("value", res.Header.Values(o.cfg.HeaderNames.RateLimit)).Msg("rate limit cannot be read")
 	case admission.RateLimited, admission.RateUnlimited:
 		limited := n.Kind == admission.RateLimited
 		if limited == a.limited && n.PerSecond == a.perSecond {
 			return
 		}
 		o.count("target.rate_limit_changes")
-		o.cfg.Log.Info().Str("target", string(t.ID)).Str("id", id).Bool("limited", limited).Float64("per_second", n.PerSecond).
+		o.cfg.Log.Info().Str("target", string(t.id)).Str("id", id).Bool("limited", limited).Float64("per_second", n.PerSecond).
 			Float64("before", a.perSecond).Msg("rate limit of target changed")
 		*a = rateAccount{limited: limited, perSecond: n.PerSecond, since: time.Now()}
 	}
@@ -108,7 +108,7 @@
 	a.sent++
 	o.count("target.sent_under_rate_limit")
 	if span := time.Since(a.since); span >= accountPeriod {
-		o.cfg.Log.Info().Str("target", string(t.ID)).Float64("per_second", a.perSecond).Int("sent", a.sent).Dur("span", span).Msg("calls sent under a rate limit")
+		o.cfg.Log.Info().Str("target", string(t.id)).Float64("per_second", a.perSecond).Int("sent", a.sent).Dur("span", span).Msg("calls sent under a rate limit")
 		a.since, a.sent = time.Now(), 0
 	}
 }
