--- a/internal/soak/uploadcheck.go
+++ b/internal/soak/uploadcheck.go
@@ -11,7 +11,7 @@
 
 const (
 	// A call that ends within lossSlack and is not passed on may have crossed the close
-	// of its connection.
+	// of its connection, when that had been used before or the node was stopping.
 	lossSlack = 200 * time.Millisecond
 	// A target that is at work in the last sixth of the grace time, on a call that was
 	// sent up to lateCallTime after SIGTERM, excuses the end of the call.
@@ -57,12 +57,8 @@
 // excuse returns why an upload may have no whole answer, or "".
 func (j *journal) excuse(o *outcome, runs []run) string {
 	u := o.upload
-	switch {
-	case o.end.Sub(o.begin) >= u.timeout:
-		return "deadline"
-	case len(runs) == 0 && o.end.Sub(o.begin) <= lossSlack:
-		return "crossed_close"
-	case j.hadUnplannedFault(o.node, o.begin.Add(-faultMargin), o.end):
+	stop, stopping := j.stopBefore(o)
+	if j.hadUnplannedFault(o.node, o.begin.Add(-faultMargin), o.end) {
 		return "fault"
 	}
 	for _, r := range runs {
@@ -70,8 +66,12 @@
 			return "fault_of_target"
 		}
 	}
-	stop, ok := j.stopBefore(o)
-	if !ok {
+	switch {
+	case o.end.Sub(o.begin) >= u.timeout:
+		return "deadline"
+	case (stopping || o.reused) && len(runs) == 0 && o.end.Sub(o.begin) <= lossSlack:
+		return "crossed_close"
+	case !stopping:
 		return ""
 	}
 	lastSixth := stop.Add(bounds.Grace * 5 / 6)
--- a/internal/soak/uploadcheck_test.go
+++ b/internal/soak/uploadcheck_test.go
@@ -60,6 +60,8 @@
 		"no stop":                                 {outcome: unsent(11, 13, 11.4), noStop: true, want: "outside of a stop"},
 		"stop of another process":                 {outcome: with(sent(11, 11.1, 11.4), func(o *outcome) { o.processNumber = 2 }), want: "outside of a stop"},
 		"crossed the close":                       {outcome: unsent(11, 13, 11.1)},
+		"cut at once on a new connection":         {outcome: unsent(11, 13, 11.1), noStop: true, want: "outside of a stop"},
+		"crossed the close of an open one":        {outcome: with(unsent(11, 13, 11.1), func(o *outcome) { o.reused = true }), noStop: true},
 		"crossed the close and ran":               {outcome: unsent(11, 13, 11.1), runs: ran(11, 11.1), want: cut},
 		"answered":                                {outcome: with(sent(11, 11.1, 11.4), func(o *outcome) { o.status = 429 })},
 		"never read":                              {outcome: with(sent(11, 11.1, 11.4), func(o *outcome) { o.upload.neverRead = true })},
@@ -139,7 +141,7 @@
 	if err := c.Check(); err != nil {
 		t.Fatal(err)
 	}
-	decoded, err := platform.DecodeConfig(platform.EncodeConfigWithKeys(c, teamKeys))
+	decoded, err := platform.DecodeConfig(platform.EncodeConfigWithTeams(c, teamKeys))
 	if err != nil {
 		t.Fatal(err)
 	}
