--- a/internal/soak/uploadcheck.go
+++ b/internal/soak/uploadcheck.go
@@ -11,7 +11,7 @@
 
 const (
 	// A call that ends within lossSlack and is not passed on may have crossed the close
-	// of its connection, when that had been used before or the node was stopping.
+	// of its connection, when that had been used before or the drain time of a stop is over.
 	lossSlack = 200 * time.Millisecond
 	// A target that is at work in the last sixth of the grace time, on a call that was
 	// sent up to lateCallTime after SIGTERM, excuses the end of the call.
@@ -69,7 +69,7 @@
 	switch {
 	case o.end.Sub(o.begin) >= u.timeout:
 		return "deadline"
-	case (stopping || o.reused) && len(runs) == 0 && o.end.Sub(o.begin) <= lossSlack:
+	case (o.reused || stopping && o.end.After(stop.Add(bounds.Drain))) && len(runs) == 0 && o.end.Sub(o.begin) <= lossSlack:
 		return "crossed_close"
 	case !stopping:
 		return ""
