--- a/cmd/nutmeghoist-sidecar/stop_test.go
+++ b/cmd/nutmeghoist-sidecar/stop_test.go
@@ -81,7 +81,7 @@
 		}},
 		Teams: []traffic.Team{{Name: "clinic"}, {Name: "ward", Rate: 0.01, Burst: 1}},
 	}
-	value := platform.EncodeConfigWithKeys(config, map[mesh.TeamName][]string{"clinic": {clinicKey}, "ward": {wardKey}})
+	value := platform.EncodeConfigWithTeams(config, map[mesh.TeamName][]string{"clinic": {clinicKey}, "ward": {wardKey}})
 	must(t, platform.NewStore(server.URL, metrics.NewRegistry()).Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: platform.ConfigKey, Value: value}}}))
 	var processes []*process
 	for i := range hosts {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -298,7 +298,7 @@
 	version := c.written
 	c.mu.Unlock()
 	err := c.cluster.store.Commit(ctx, platform.Txn{Writes: []platform.Write{{
-		Key: platformwire.ConfigKey, Value: platformwire.EncodeConfigWithKeys(c.cluster.buildConfig(version), teamKeys),
+		Key: platformwire.ConfigKey, Value: platformwire.EncodeConfigWithTeams(c.cluster.buildConfig(version), teamKeys),
 	}}})
 	if err != nil {
 		return fmt.Errorf("configuration %d: %w", version, err)
@@ -340,7 +340,7 @@
 // writeAgain writes the newest configuration and the orders to a restored store.
 func (c *configWriter) writeAgain(ctx context.Context) {
 	c.mu.Lock()
-	again := append([]platform.Write{{Key: platformwire.ConfigKey, Value: platformwire.EncodeConfigWithKeys(c.cluster.buildConfig(c.version), teamKeys)}}, c.orders...)
+	again := append([]platform.Write{{Key: platformwire.ConfigKey, Value: platformwire.EncodeConfigWithTeams(c.cluster.buildConfig(c.version), teamKeys)}}, c.orders...)
 	c.mu.Unlock()
 	for _, w := range again {
 		c.put(ctx, w)
