--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -480,8 +480,8 @@
 	drained.Go(func() { s.peers.Drain(timeLeft(), hopDrainTimeout) })
 	s.callers.Shutdown(timeLeft())
 	drained.Wait()
-	if cut := s.callers.PendingCalls() + s.peers.PendingCalls(); cut > 0 {
-		s.cfg.Log.Warn().Int("in_flight", cut).Msg("calls were cut at the end of the grace time")
+	if callers, nodes := s.callers.PendingCalls(), s.peers.PendingCalls(); callers+nodes > 0 {
+		s.cfg.Log.Warn().Int("of_callers", callers).Int("of_nodes", nodes).Msg("calls were cut at the end of the grace time")
 	}
 }
 
