Bound and complete the end of callers' connections

What a caller may still send is now known as nothing, the rest of a body, or unknown, and bounds the wait: 0.3 s, bodyReadTimeout, or 1 s for each pause. 413 and refusals for memory discard the body that they name. The node ends its side whenever no further call is taken. A decided response is written also when the caller has closed its side. Close reports the calls that have not ended.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -621,15 +621,14 @@
 // failureResponse returns the response to a call that no target has answered
 // successfully.
 func (c *call) failureResponse() *Response {
-	stopped := errors.Is(context.Cause(c.callerCtx), ErrStopping)
 	switch {
 	case c.callerLeft():
 		return c.localResponse(http.StatusBadGateway, reasonCancelled, 0)
 	case c.serverError != nil:
 		return c.targetResponse(c.serverError)
-	case c.mayHaveRun && stopped:
+	case c.mayHaveRun && c.stopped():
 		return c.localResponse(http.StatusBadGateway, reasonStopping, 0)
-	case stopped:
+	case c.stopped():
 		return c.localResponse(http.StatusServiceUnavailable, reasonStopping, stopRetryAfter)
 	case c.mayHaveRun && c.ctx.Err() != nil:
 		return c.localResponse(http.StatusGatewayTimeout, reasonDeadline, 0)
@@ -643,9 +642,12 @@
 	return c.localResponse(http.StatusServiceUnavailable, reason, max(c.retryAfter, admission.MinRetryAfter))
 }
 
+// stopped reports whether the node no longer waits for the call.
+func (c *call) stopped() bool { return errors.Is(context.Cause(c.callerCtx), ErrStopping) }
+
 // callerLeft reports whether the caller has disconnected.
 func (c *call) callerLeft() bool {
-	return c.callerCtx.Err() != nil && !errors.Is(context.Cause(c.callerCtx), ErrStopping)
+	return c.callerCtx.Err() != nil && !c.stopped()
 }
 
 // localResponse returns a response that the node generates itself.
--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// recordReadEnd records how the connection ends at which a read has failed. Once the node
+// has ended its side, the end is its own, unless the caller resets the connection.
+func (c *callerConn) recordReadEnd(err error) {
+	end := readEnd(err)
+	c.mu.Lock()
+	finished, rest := !c.finished.IsZero(), c.rest
+	c.mu.Unlock()
+	switch {
+	case !finished || end.cause == causeReset || end.cause == causeStopOver:
+	case end.cause == causeIdle && rest != restNone:
+		end = connEnd{closedByNode, causeUnread}
+	default:
+		end = connEnd{closedByNode, causeAnswered}
+	}
+	c.recordEnd(end)
+}
+
 // consumed returns the bytes of the connection that belong to calls so far.
 func (c *callerConn) consumed() int64 { return c.input.Total - int64(c.r.Buffered()) }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -39,10 +39,12 @@
 	// connection.
 	idleSlack = 3 * time.Second
 	// lingerTimeout bounds the wait for the caller to close a connection after the last
-	// response, when the caller has nothing more to send. While it still sends a request,
-	// bodyReadTimeout does: a close with unread bytes resets the connection, and the caller
-	// may not have read the response yet.
+	// response, when the caller has nothing more to send. A close with unread bytes resets
+	// the connection, and the caller may not have read the response yet.
 	lingerTimeout = 300 * time.Millisecond
+	// unknownLingerTimeout is the same for each pause of a caller of which it is not known
+	// whether it still sends. bodyReadTimeout bounds both, and the rest of a body.
+	unknownLingerTimeout = time.Second
 	// maxDiscardedBytes bounds what is read of a connection after its last call.
 	maxDiscardedBytes = 64 << 20
 	// writeTimeout bounds the write of one response to a caller that does not
@@ -240,6 +242,7 @@
 	for c := range s.conns {
 		c.recordEnd(connEnd{closedByNode, causeStopOver})
 		_ = c.conn.Close() // nothing can be done about an error here
+		c.reportCalls()
 	}
 }
 
@@ -276,17 +279,27 @@
 	changed  *sync.Cond       // of pipeline and writing
 	pipeline []*pipelinedCall // calls whose responses are not being written yet
 	writing  bool             // writeLoop runs
-	broken   bool             // no further response can be written; only of writeLoop
+	broken   bool             // no further response can be written
 	pending  int              // calls read and not answered yet
 	closing  bool             // the connection closes after the response being written
 	idle     bool             // the next call has not begun to arrive
 	reading  bool             // a call is being read
-	sending  bool             // the caller may still be sending a request that is not run
-	finished time.Time        // when the last response was written
+	rest     restOfInput      // what the caller may still send of a call that is not run
+	noMore   bool             // no further call is taken
+	finished time.Time        // when the node ended its side
 	calls    []*callEnd       // without those whose end is not reported
 	end      connEnd
 }
 
+// restOfInput is what a caller may still send of a call that is not run.
+type restOfInput uint8
+
+const (
+	restNone    restOfInput = iota
+	restBody                // the rest of the body
+	restUnknown             // where the call ends is not known
+)
+
 // pipelinedCall is one call with its response.
 type pipelinedCall struct {
 	req      *Request
@@ -311,6 +324,7 @@
 
 func (c *callerConn) serve() {
 	if c.readLoop() {
+		c.endInput()
 		c.discardInput()
 	}
 	c.awaitWritten()
@@ -349,8 +363,11 @@
 			}
 			continue
 		}
-		pc.last = pc.last || pc.unread == nil
-		c.setSending(true)
+		rest := restBody
+		if pc.unread == nil {
+			pc.last, rest = true, restUnknown
+		}
+		c.setRest(rest)
 		c.enqueue(pc)
 		c.server.Buffers.Hold(int64(len(refusal.Body)))
 		pc.response <- refusal
@@ -360,9 +377,10 @@
 		discarded := c.discardBody(pc.unread)
 		c.recordRead(pc, discarded)
 		if !discarded {
+			c.setRest(restUnknown)
 			return true
 		}
-		c.setSending(false)
+		c.setRest(restNone)
 		if pc.last {
 			return true
 		}
@@ -378,7 +396,8 @@
 		_, err := c.r.Peek(1)
 		c.mu.Lock()
 		c.idle = false
-		waiting := c.pending > 0
+		finished := !c.finished.IsZero()
+		waiting := c.pending > 0 || c.writing && !finished
 		c.mu.Unlock()
 		if err == nil {
 			return true
@@ -388,12 +407,12 @@
 		if isTimeout && waiting {
 			continue
 		}
-		if isTimeout && !checkedAgain && c.server.shuttingDown.Load() {
+		if isTimeout && !checkedAgain && !finished && c.server.shuttingDown.Load() {
 			// As for connections: a call can have arrived before the deadline.
 			checkedAgain = true
 			continue
 		}
-		c.recordEnd(readEnd(err))
+		c.recordReadEnd(err)
 		if !isTimeout {
 			c.cancel() // after a timeout the caller is still there, and a response may be on its way
 		}
@@ -428,16 +447,21 @@
 	c.setReadDeadlineLocked(t)
 }
 
-// setReadDeadlineLocked is setReadDeadline for a holder of c.mu. After the last response,
-// reads end when the caller has had its time to close the connection.
+// setReadDeadlineLocked is setReadDeadline for a holder of c.mu. Once the node has ended
+// its side, reads end when the caller has had its time to close the connection.
 func (c *callerConn) setReadDeadlineLocked(t time.Time) {
 	if !c.finished.IsZero() {
-		linger := time.Now().Add(lingerTimeout)
-		if c.sending {
-			linger = c.finished.Add(bodyReadTimeout)
+		latest := c.finished.Add(bodyReadTimeout)
+		switch c.rest {
+		case restNone:
+			t = time.Now().Add(lingerTimeout)
+		case restBody:
+			t = latest
+		case restUnknown:
+			t = time.Now().Add(unknownLingerTimeout)
 		}
-		if t.IsZero() || linger.Before(t) {
-			t = linger
+		if latest.Before(t) {
+			t = latest
 		}
 	}
 	if c.reading && c.server.ending.Load() {
@@ -462,30 +486,50 @@
 	}
 }
 
-// setSending records whether the caller may still be sending a request that is not run.
-func (c *callerConn) setSending(sending bool) {
+func (c *callerConn) setRest(rest restOfInput) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sending = sending
+	c.rest = rest
+}
+
+// endInput records that no further call is taken. The node ends its side after the last
+// response.
+func (c *callerConn) endInput() {
+	c.mu.Lock()
+	c.noMore = true
+	writing := c.writing
+	c.mu.Unlock()
+	if !writing {
+		c.finish()
+	}
 }
 
 // discardInput reads what still arrives after the last call, so that the close of the
 // connection does not reset it before the caller has read the response. It ends when the
-// caller closes its side, lingerTimeout after the last response, or bodyReadTimeout after
-// it while the caller may still send. A caller that closes before has left.
+// caller closes its side, or when its time to do so is over. A caller that closes its side
+// before the last response has left.
 func (c *callerConn) discardInput() {
-	c.setReadDeadline(time.Time{})
-	n, err := io.Copy(io.Discard, io.LimitReader(c.r, maxDiscardedBytes))
-	var timeout net.Error
-	if n == maxDiscardedBytes || errors.As(err, &timeout) && timeout.Timeout() {
+	n, err := io.Copy(io.Discard, io.LimitReader(inputReader{c}, maxDiscardedBytes))
+	if n == maxDiscardedBytes {
 		c.recordEnd(connEnd{closedByNode, causeUnread})
 		return
 	}
 	if err == nil {
 		err = io.EOF
 	}
-	c.recordEnd(readEnd(err))
-	c.cancel()
+	c.recordReadEnd(err)
+	var timeout net.Error
+	if !errors.As(err, &timeout) || !timeout.Timeout() {
+		c.cancel()
+	}
+}
+
+// inputReader reads the connection and bounds each wait for the caller.
+type inputReader struct{ c *callerConn }
+
+func (r inputReader) Read(b []byte) (int, error) {
+	r.c.setReadDeadline(time.Time{})
+	return r.c.r.Read(b)
 }
 
 // beginCall counts a new call. It reports false when the connection closes
@@ -516,13 +560,14 @@
 	pc.last = req.Close
 	bound := min(limits.BodyBytes, maxBodyBytes)
 	if limits.BodyBytes > 0 && req.ContentLength > limits.BodyBytes {
+		pc.refuseBody(req)
 		return statusResponse(http.StatusRequestEntityTooLarge)
 	}
 	path, _, _ := strings.Cut(req.RequestURI, "?")
 	pc.req = &Request{
 		Method: req.Method, URI: req.RequestURI, Path: path, Host: req.Host, Header: req.Header, Arrived: time.Now(),
 	}
-	waits := strings.EqualFold(req.Header.Get("Expect"), "100-continue")
+	waits := awaitsContinue(req)
 	if refusal := c.screen(pc, req, waits); refusal != nil {
 		return refusal
 	}
@@ -541,8 +586,10 @@
 		}
 		switch {
 		case errors.Is(err, bounded.ErrBodyTooLong) && bound == limits.BodyBytes:
+			pc.refuseBody(req)
 			return statusResponse(http.StatusRequestEntityTooLarge)
 		case errors.Is(err, bounded.ErrBodyTooLong), errors.Is(err, bounded.ErrNoMemory):
+			pc.refuseBody(req)
 			c.server.OnRefusal(reasonNoMemory)
 			return notRunResponse(memoryRetryAfter)
 		case err != nil:
@@ -554,6 +601,19 @@
 	return nil
 }
 
+// refuseBody makes the call the last one of its connection, of which the rest of the body
+// is discarded, unless the caller waits for 100 Continue before it sends it.
+func (pc *pipelinedCall) refuseBody(req *http.Request) {
+	pc.last = true
+	if !awaitsContinue(req) {
+		pc.unread = req.Body
+	}
+}
+
+func awaitsContinue(req *http.Request) bool {
+	return strings.EqualFold(req.Header.Get("Expect"), "100-continue")
+}
+
 func (c *callerConn) dropUnread(pc *pipelinedCall) {
 	if c.server.OnUnread != nil {
 		c.server.OnUnread(pc.req)
@@ -596,7 +656,7 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return statusResponse(http.StatusRequestTimeout)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &timeout):
-		c.recordEnd(readEnd(err))
+		c.recordReadEnd(err)
 		c.cancel()
 		return &Response{Abort: true}
 	default:
@@ -678,28 +738,37 @@
 			continue
 		}
 		last := c.endCall(pc.last || resp.Abort)
-		left := c.ctx.Err() != nil
-		ok := !resp.Abort && !left && c.send(pc, resp, last)
+		ok := !resp.Abort && c.send(pc, resp, last) // a caller that has closed its side may still read
 		c.recordWritten(pc, resp, ok)
 		c.server.end(pc, resp)
 		if ok && !last {
 			continue
 		}
-		c.broken = true
+		c.setBroken()
 		switch {
 		case ok:
 			c.finish() // readLoop or discardInput ends the connection
 			continue
 		case resp.Abort:
 			c.recordEnd(connEnd{closedByNode, causeAborted})
-		case left:
-			c.recordEnd(connEnd{closedByCaller, causeCallerLeft})
 		default:
 			c.recordEnd(connEnd{closedByNode, causeWrite})
 		}
 		c.cancel()
 		_ = c.conn.Close() // ends readLoop as well
 	}
+	c.mu.Lock()
+	noMore := c.noMore && !c.broken
+	c.mu.Unlock()
+	if noMore {
+		c.finish()
+	}
+}
+
+func (c *callerConn) setBroken() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken = true
 }
 
 // endCall counts a response and reports whether the connection closes after it:
@@ -735,13 +804,18 @@
 // finish ends the node's side of the connection after the last response, and bounds the
 // wait for the caller to close its own.
 func (c *callerConn) finish() {
-	c.recordEnd(connEnd{closedByNode, causeAnswered})
+	c.mu.Lock()
+	finished := !c.finished.IsZero()
+	if !finished {
+		c.finished = time.Now()
+	}
+	c.mu.Unlock()
+	if finished {
+		return
+	}
 	if half, ok := c.conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
 		_ = c.conn.Close() // the caller has closed it
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.finished = time.Now()
-	c.setReadDeadlineLocked(time.Time{})
+	c.setReadDeadline(time.Time{})
 }
--- a/internal/entry/team.go
+++ b/internal/entry/team.go
@@ -96,6 +96,9 @@
 		return nil
 	}
 	token, retryAfter, ok := limits.Take(c.ctx, c.team)
+	if !ok && c.stopped() {
+		return c.localResponse(http.StatusServiceUnavailable, reasonStopping, stopRetryAfter)
+	}
 	if !ok {
 		return c.localResponse(http.StatusTooManyRequests, reasonTeamLimit, max(retryAfter, admission.MinRetryAfter))
 	}
