Read what callers still send to nutmeghoistd after their answer

Callers that send a request for longer than it takes to refuse it, and read once all is sent, saw a broken connection instead of the answer: at any refusal by the head of a call, outside of a stop and in each phase of one.

The cause: net/http closes a connection whose request it has not read. With "Connection: close" in the request, an unknown expectation or coding, or a malformed head it closes at once; after 256 KB of unread body, or a head that is too long, 500 ms after the answer, during which it reads nothing. A closed connection answers further bytes with a reset, and a reset discards what the caller has not read. Expect: 100-continue is no exception: net/http does not even wait when more than 256 KB of the body are unread. A stop did not wait either, so that the exit had the same effect.

Connections of all listeners of a node are now closed in two steps: the end of the stream is sent, and what the caller still sends is discarded until it closes, is silent for 5 s, or 30 s have passed. A stop waits for that within the drain timeout. It is a property of the connection, not of an answer, and so holds for the answers that net/http writes itself. A caller that keeps an idle connection open after its end can delay a stop by 5 s.

--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/linger"
 	"nutmeghoist.example/nutmeghoist/internal/opapi"
 	"nutmeghoist.example/nutmeghoist/internal/telemetry"
 	"nutmeghoist.example/nutmeghoist/pkg/move"
@@ -27,15 +28,18 @@
 type server struct {
 	http     *http.Server
 	listener net.Listener
+	tcp      *linger.Listener // below TLS, if any
 }
 
 func (s *server) serve() error { return s.http.Serve(s.listener) }
 
-// stop waits for requests in flight and closes those that remain when ctx ends.
+// stop waits for requests in flight, and for answers to reach callers that are still
+// sending. It closes the requests that remain when ctx ends.
 func (s *server) stop(ctx context.Context) {
 	if s.http.Shutdown(ctx) != nil {
 		_ = s.http.Close()
 	}
+	_ = s.tcp.Wait(ctx) // the rest is cut at the end of ctx
 }
 
 // listen opens all listeners. On an error it closes those already open.
@@ -73,10 +77,12 @@
 	if err != nil {
 		return nil, err
 	}
+	lingering := linger.NewListener(l)
+	l = lingering
 	if tlsConfig != nil {
 		l = tls.NewListener(l, tlsConfig)
 	}
-	return &server{listener: l, http: &http.Server{
+	return &server{listener: l, tcp: lingering, http: &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: n.log.Std("", 0),
 	}}, nil
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/linger"
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -91,6 +92,7 @@
 func (m *testMesh) serve(h http.Handler) *httptest.Server {
 	s := httptest.NewUnstartedServer(h)
 	s.Config.ErrorLog = log.New(m, "", 0)
+	s.Listener = linger.NewListener(s.Listener)
 	s.Start()
 	return s
 }
