Close a connection whose request nutmeghoistd has not read whole

A caller whose target answered before the body was read lost the answer when it went on sending for more than 250 ms, and a caller that sent a malformed chunk had the bytes after it run as a call of its own.

The cause: a streamed body is read in full-duplex mode, in which net/http leaves an unread body to the handler. requestBody.close read on for 250 ms or 256 KB. What came later was read by net/http as the next request of the connection, refused as malformed, and the connection reset. After a malformed chunk nothing was left to read, and the rest of the body was the next call.

An answer whose request has not been read whole now ends its connection (Connection: close), and the handler no longer reads the rest: it is discarded when the connection is closed. Answers to bodies that were read whole, which all ordinary uploads are, keep the connection.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -90,7 +90,7 @@
 	rc := http.NewResponseController(w)
 	if d, ok := resp.Request.Context().Deadline(); ok && (resp.ContentLength < 0 || resp.ContentLength > maxBufferedAnswer) {
 		// A caller that does not read must not occupy a slot of the target.
-		_ = rc.SetWriteDeadline(d.Add(lingerTimeout))
+		_ = rc.SetWriteDeadline(d.Add(deadlineSlack))
 		defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	}
 	if resp.ContentLength < 0 {
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -13,13 +13,9 @@
 // maxReplayBytes bounds the part of a request body that is buffered for a retry.
 const maxReplayBytes = 64 << 10
 
-// lingerTimeout and maxLingerBytes bound how long and how much of an unneeded
-// request body the node still reads, so that the caller can read its answer
-// before the connection closes (lingering close).
-const (
-	lingerTimeout  = 250 * time.Millisecond
-	maxLingerBytes = 256 << 10
-)
+// deadlineSlack is how long after the deadline of a call its connection is still read
+// and written, so that the caller gets the answer that reports the deadline.
+const deadlineSlack = 250 * time.Millisecond
 
 var (
 	errBodyClosed   = errors.New("request body is closed")
@@ -60,7 +56,7 @@
 	}
 	b.control = http.NewResponseController(w)
 	// The error is ignored because test recorders support no deadlines.
-	_ = b.control.SetReadDeadline(deadline.Add(lingerTimeout))
+	_ = b.control.SetReadDeadline(deadline.Add(deadlineSlack))
 	if n > 0 && n <= maxReplayBytes {
 		b.buffered = make([]byte, n)
 		_, err := io.ReadFull(r.Body, b.buffered)
@@ -88,9 +84,17 @@
 // replayable reports whether the body can be sent again from its start.
 func (b *requestBody) replayable() bool { return !b.overflow.Load() }
 
-// close ends all reads before the handler returns. It discards the rest of the
-// body itself: when net/http does so in full-duplex mode and reaches the end, it
-// panics because its background read for the next request has started.
+// endConnection makes an answer the last one of its connection unless the whole request
+// was read: the rest of the body would be taken for the next call. It must be called
+// before the headers are written.
+func (b *requestBody) endConnection(h http.Header) {
+	if b.src != nil && !b.reachedEOF.Load() {
+		h["Connection"] = []string{"close"}
+	}
+}
+
+// close ends all reads before the handler returns. The rest of the body is discarded
+// when the connection is closed.
 func (b *requestBody) close() {
 	if b.src == nil {
 		return
@@ -99,11 +103,9 @@
 	if b.aborted.Load() || b.reachedEOF.Load() {
 		return
 	}
-	_ = b.control.Flush() // the answer is complete
-	_ = b.control.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = b.control.SetReadDeadline(time.Unix(1, 0)) // ends a read in progress, and those of net/http
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	_, _ = io.CopyN(io.Discard, b.src, maxLingerBytes)
 }
 
 // bodyReader reads the body for one attempt.
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -46,7 +46,9 @@
 	silenceTimer  *time.Timer
 }
 
-// CallerHandler returns the handler for calls from callers.
+// CallerHandler returns the handler for calls from callers. It must be served on the
+// connections of a linger.Listener, which discards what callers still send after an
+// answer that ends the connection.
 func (p *Proxy) CallerHandler() http.Handler { return http.HandlerFunc(p.serveCaller) }
 
 func (p *Proxy) serveCaller(w http.ResponseWriter, r *http.Request) {
@@ -198,5 +200,8 @@
 		kind = kindRefused
 	}
 	c.proxy.counters.inc(kind, reason)
+	if c.body != nil {
+		c.body.endConnection(c.w.Header())
+	}
 	writeFailure(c.w, c.state.outcome, reason, retryAfter)
 }
--- a/internal/proxy/peer.go
+++ b/internal/proxy/peer.go
@@ -18,7 +18,7 @@
 // timeout of the server must exceed 90 s, after which other nodes close idle
 // connections: a call that is sent on a connection as the server closes it has an
 // unknown outcome. For the same reason a planned stop drains before it closes
-// connections.
+// connections. The connections must be those of a linger.Listener, as those of callers.
 func (p *Proxy) PeerHandler() http.Handler { return http.HandlerFunc(p.servePeer) }
 
 // hop is a call from another node.
@@ -97,6 +97,7 @@
 func (h *hop) forward(res *result) {
 	h.state.apply(eventAnswer)
 	h.setLoadHeader(res)
+	h.body.endConnection(h.w.Header())
 	err := forwardAnswer(h.w, res.resp)
 	_ = res.resp.Body.Close()
 	res.run.endForwarded(res.resp.StatusCode, err)
@@ -121,6 +122,9 @@
 	h.proxy.counters.inc(kind, res.reason)
 	h.setLoadHeader(res)
 	setEndedHeader(h.w.Header(), res.ended)
+	if h.body != nil {
+		h.body.endConnection(h.w.Header())
+	}
 	writeFailure(h.w, h.state.outcome, res.reason, res.retryAfter)
 }
 
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -186,6 +186,7 @@
 // forward streams the target's answer to the caller and records the outcome.
 func (c *call) forward(t *routing.Candidate, res *result) {
 	c.state.apply(eventAnswer)
+	c.body.endConnection(c.w.Header())
 	err := forwardAnswer(c.w, res.resp)
 	_ = res.resp.Body.Close()
 	res.run.endForwarded(res.resp.StatusCode, err)
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -235,3 +237,81 @@
 	waitFor(t, func() bool { return b.InFlight() == 1 })
 	waitFor(t, func() bool { return b.targets["t"].limiter.Load().InFlight == 0 && a.InFlight() == 0 })
 }
+
+// sendSlowly sends a request with a body in parts, reads the answers once all is sent,
+// and returns the first.
+func sendSlowly(t *testing.T, n *testNode, head string, parts []string, pause time.Duration) (*http.Response, string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.caller.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, part := range append([]string{head}, parts...) {
+		if _, err := io.WriteString(c, part); err != nil {
+			return nil, "", err
+		}
+		time.Sleep(pause)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// Guards against an answer that is lost because the caller is still sending the body
+// when the target answers, and against the rest of a body that is taken for the next
+// call of the connection.
+func TestEarlyAnswerReachesACallerThatIsStillSending(t *testing.T) {
+	const smuggled = "GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+	part := strings.Repeat("x", 64<<10)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+	smuggledChunk := fmt.Sprintf("%x\r\n%s\r\n", len(smuggled), smuggled)
+	declared := func(n int) string {
+		return "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: " + strconv.Itoa(n) + "\r\n\r\n"
+	}
+	const chunked = "POST /orders HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, tc := range []struct {
+		name  string
+		head  string
+		parts []string
+		pause time.Duration
+	}{
+		{"slow", declared(16 * len(part)), slices.Repeat([]string{part}, 16), 75 * time.Millisecond},
+		{"slow, in chunks", chunked, append(slices.Repeat([]string{chunk}, 16), "0\r\n\r\n"), 75 * time.Millisecond},
+		{"at once", declared(64 * len(part)), slices.Repeat([]string{part}, 64), 0},
+		{"pause in the body", declared(2*len(part) + len(smuggled)), []string{part, smuggled, part}, 400 * time.Millisecond},
+		{"pause between chunks", chunked, []string{chunk, smuggled, chunk, "0\r\n\r\n"}, 400 * time.Millisecond},
+		{"pause in a chunk", chunked, []string{chunk, smuggledChunk[:4], smuggledChunk[4:], "0\r\n\r\n"}, 400 * time.Millisecond},
+		{"malformed chunk", chunked, []string{chunk, "z\r\n" + smuggled, smuggled}, 50 * time.Millisecond},
+	} {
+		for _, hops := range []string{"direct", "through a node"} {
+			t.Run(tc.name+", "+hops, func(t *testing.T) {
+				t.Parallel()
+				m := newMesh(t, rules.Rule{Prefix: "/"})
+				entry, owner := m.node("a", "dc1"), m.node("b", "dc1")
+				if hops == "direct" {
+					owner = entry
+				}
+				m.target(owner, "t", 4, func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/smuggled" {
+						t.Error("a part of the body was taken for a call")
+					}
+					rc := http.NewResponseController(w)
+					_ = rc.EnableFullDuplex()
+					w.Header().Set("Content-Length", "4")
+					w.Header().Set("Connection", "close")
+					_, _ = io.WriteString(w, "good")
+					_ = rc.Flush()
+				})
+				resp, body, err := sendSlowly(t, entry, tc.head, tc.parts, tc.pause)
+				if err != nil || resp.StatusCode != 200 || body != "good" {
+					t.Errorf("got %v %q %v, want the target's answer", resp, body, err)
+				}
+			})
+		}
+	}
+}
