End calls with their contexts during handshakes and behind large calls

Two waits of a call to another node still ignored its context: the handshake of a new connection (300 ms), and the write of a small request when a large one before it has filled the socket's buffer (2 s). Which of them it was is not known.

The end of the context now closes a connection that is being opened, and small requests are written in the background within a second of a large one.

TestCallEndsWithItsContextDuringTheHandshake and TestCallEndsWithItsContextBehindALargeOne failed before (300 ms, and not ended).

--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -55,6 +55,9 @@
 	// backgroundBytes is the size of a body from which a request is written in the
 	// background. A smaller one mostly fits in the socket's buffer.
 	backgroundBytes = 16 << 10
+	// drainTime is how long after the write of such a request the socket's buffer can still
+	// be full, so that others are written in the background as well.
+	drainTime = time.Second
 )
 
 // Errors of a call without a response.
@@ -231,7 +234,12 @@
 		return nil, err
 	}
 	c := &clientConn{conn: newConn(raw), pending: make(map[uint64]*pendingCall), lastReceived: time.Now(), failedCh: make(chan struct{})}
-	if err := c.handshake(); err != nil {
+	stop := context.AfterFunc(ctx, func() { _ = raw.Close() }) // ends the handshake
+	err = c.handshake()
+	if !stop() {
+		err = errors.Join(ctx.Err(), err)
+	}
+	if err != nil {
 		_ = raw.Close() // the handshake error is returned
 		return nil, err
 	}
@@ -251,6 +259,7 @@
 	clockOffset   int64 // lower bound of the node's clock minus this one, in microseconds
 	livenessTimer *time.Timer
 	failedCh      chan struct{} // closed when the connection has failed
+	largeWritten  time.Time     // when a large request was last written; guarded by conn.mu
 
 	mu           sync.Mutex
 	lastStream   uint64
@@ -359,9 +368,12 @@
 func (c *clientConn) startWrite(call *pendingCall, r *Request) <-chan error {
 	written := make(chan error, 1)
 	if len(r.Body) < backgroundBytes && c.conn.mu.TryLock() {
-		defer c.conn.mu.Unlock()
-		written <- c.writeIfPending(call, r)
-		return written
+		if time.Since(c.largeWritten) > drainTime {
+			defer c.conn.mu.Unlock()
+			written <- c.writeIfPending(call, r)
+			return written
+		}
+		c.conn.mu.Unlock()
 	}
 	request := *r
 	go func() {
@@ -370,6 +382,9 @@
 			c.conn.mu.Lock()
 			defer c.conn.mu.Unlock()
 			err = c.writeIfPending(call, &request)
+			if len(request.Body) >= backgroundBytes {
+				c.largeWritten = time.Now()
+			}
 		})
 		written <- err
 		if err == nil && c.isCancelled(call) {
--- a/internal/hop/waiting_test.go
+++ b/internal/hop/waiting_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -168,3 +170,72 @@
 		t.Error("the call has not ended")
 	}
 }
+
+// Guards against a call that does not end with its context because the other node accepts
+// the connection and does not answer its hello.
+func TestCallEndsWithItsContextDuringTheHandshake(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := NewPool(loopback, l.Addr().String())
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	if _, err := p.Call(ctx, Request{}, inTwoSeconds(), inTwoSeconds()); !errors.Is(err, ErrNotSent) {
+		t.Errorf("got %v", err)
+	}
+	if took := time.Since(began); took > 150*time.Millisecond {
+		t.Errorf("ended after %s", took)
+	}
+}
+
+// fullConn is a connection to a peer that does not read, whose buffer has room for a
+// number of bytes.
+type fullConn struct {
+	net.Conn
+	room   atomic.Int64
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *fullConn) Write(b []byte) (int, error) {
+	if c.room.Add(-int64(len(b))) < 0 {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return len(b), nil
+}
+
+func (c *fullConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *fullConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// Guards against a small call that does not end with its context because a large one
+// before it has filled the buffer of the connection.
+func TestCallEndsWithItsContextBehindALargeOne(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	full := &fullConn{Conn: near, closed: make(chan struct{})}
+	full.room.Store(100 << 10)
+	c := &clientConn{conn: newConn(full), pending: make(map[uint64]*pendingCall), lastReceived: time.Now(), failedCh: make(chan struct{})}
+	c.livenessTimer = time.AfterFunc(time.Hour, func() {})
+	defer c.fail()
+	for _, size := range []int{100<<10 - 1000, 2000} {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		ended := make(chan reply, 1)
+		go func() {
+			_, err := c.call(ctx, Request{Body: make([]byte, size)}, inTwoSeconds(), inTwoSeconds())
+			ended <- reply{err: err}
+		}()
+		if r := soon(t, "call", ended); !errors.Is(r.err, ErrBroken) {
+			t.Errorf("call of %d bytes: %v", size, r.err)
+		}
+	}
+}
