--- a/internal/soak/uploadcheck.go
+++ b/internal/soak/uploadcheck.go
@@ -67,7 +67,7 @@
 		}
 	}
 	switch {
-	case o.end.Sub(o.begin) >= u.timeout:
+	case o.end.Sub(o.begin) >= u.timeout && u.key != unknownKey: // without a key the head decides
 		return "deadline"
 	case (o.reused || stopping && o.end.After(stop.Add(bounds.Drain))) && len(runs) == 0 && o.end.Sub(o.begin) <= lossSlack:
 		return "crossed_close"
--- a/internal/soak/uploadcheck_test.go
+++ b/internal/soak/uploadcheck_test.go
@@ -67,6 +67,7 @@
 		"answered":                                {outcome: with(sent(11, 11.1, 11.4), func(o *outcome) { o.status = 429 })},
 		"never read":                              {outcome: with(sent(11, 11.1, 11.4), func(o *outcome) { o.upload.neverRead = true })},
 		"deadline reached":                        {outcome: sent(11, 11.1, 15)},
+		"refused by its head, deadline reached":   {outcome: with(unsent(11, 13, 15), func(o *outcome) { o.upload.key = unknownKey }), want: cut},
 		"sent too late":                           {outcome: unsent(14, 15.5, 15.1)},
 		"sent late, read and cut at once":         {outcome: sent(14, 15.1, 15.2)},
 		"sent late, cut later":                    {outcome: sent(14, 15.1, 15.4), want: cut},
