--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -45,7 +45,8 @@
 	path   string
 	caller string
 	// Of an upload: when its target no longer worked on it, zero if it did to the end, and
-	// whether it stopped since its connection was closed from the other side.
+	// whether it stopped since the other side closed its connection before the deadline that
+	// the target had received.
 	end       time.Time
 	brokenOff bool
 }
--- a/internal/soak/uploadcheck_test.go
+++ b/internal/soak/uploadcheck_test.go
@@ -1,9 +1,15 @@
 package soak
 
 import (
+	"bufio"
+	"bytes"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
@@ -171,3 +177,38 @@
 		}
 	}
 }
+
+// Guards against a target that counts as broken off though its deadline was over, or as
+// undisturbed though its connection was closed before.
+func TestTargetRecordsWhetherItsWorkIsBrokenOff(t *testing.T) {
+	for name, tc := range map[string]struct {
+		timeout   time.Duration
+		closeAt   time.Duration
+		brokenOff bool
+	}{
+		"before the deadline": {timeout: time.Second, closeAt: 500 * time.Millisecond, brokenOff: true},
+		"after the deadline":  {timeout: time.Second, closeAt: 1010 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := &cluster{journal: newJournal()}
+			to := newTarget(&node{cluster: c, host: "node-0"}, "t1", "v1")
+			to.slowFactor.Store(1000)
+			caller, served := net.Pipe()
+			time.AfterFunc(tc.closeAt, func() { _ = caller.Close() })
+			req, err := http.NewRequest(http.MethodPost, uploadPrefix+"a", bytes.NewReader(uploadBody("a", 100)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set(platform.Headers.RequestID, "a")
+			req.Header.Set(platform.Headers.ExpectInstance, "t1")
+			req.Header.Set(platform.Headers.DeadlineMs, fmt.Sprint(tc.timeout.Milliseconds()))
+			open := to.handleUpload(req, &answerConn{Conn: served}, bufio.NewReader(served))
+			if got := c.journal.runs; open || len(got) != 1 || got[0].brokenOff != tc.brokenOff || got[0].end.IsZero() {
+				t.Errorf("%s: open %v, runs %+v, want broken off: %v", name, open, got, tc.brokenOff)
+			}
+			if len(c.journal.violations) > 0 {
+				t.Errorf("%s: %v", name, c.journal.violations)
+			}
+		})
+	}
+}
--- a/internal/soak/uploadtargets.go
+++ b/internal/soak/uploadtargets.go
@@ -55,6 +55,7 @@
 	if err != nil || remainingMS > int(uploadTimeout.Milliseconds())+500 {
 		journal.addViolation("upload %s: target %s received a deadline of %q ms", id, t.id, req.Header.Get(names.DeadlineMs))
 	}
+	deadline := time.Now().Add(time.Duration(remainingMS) * time.Millisecond)
 	work := time.Duration((0.5 + rand.Float64()) * float64(meanServiceTime) * float64(t.slowFactor.Load()))
 	switch {
 	case fault == muteUploads:
@@ -64,7 +65,8 @@
 	}
 	if fault != earlyAnswers {
 		if err := awaitWork(c, r, work); err != nil {
-			brokenOff = !errors.Is(err, net.ErrClosed) // otherwise the target has ended
+			// Otherwise the target has ended, or must stop work by itself.
+			brokenOff = !errors.Is(err, net.ErrClosed) && time.Now().Before(deadline)
 			return false
 		}
 	}
