Answer a call to nutmeghoistd whose body is late

A caller that stopped sending a small body (up to 64 KiB, with its length) got no answer at all: not at the deadline of the call, and not later.

The cause: when the body could not be read by the deadline, the node removed the read deadline of the connection and refused the call. Before net/http writes an answer it reads the rest of the body, now without an end. The call no longer counted as in flight, but its connection held up a stop until the drain timeout.

A call whose body cannot be read is now answered with "Connection: close", for which net/http does not wait, and its connection is not read any more.

Before, TestLateBodyIsAnswered got no answer within 10 s; now it passes with the race detector.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -59,11 +59,16 @@
 	_ = b.control.SetReadDeadline(deadline.Add(deadlineSlack))
 	if n > 0 && n <= maxReplayBytes {
 		b.buffered = make([]byte, n)
-		_, err := io.ReadFull(r.Body, b.buffered)
+		if _, err := io.ReadFull(r.Body, b.buffered); err != nil {
+			// The answer must not wait for the rest, nor the rest be taken for a call.
+			w.Header()["Connection"] = []string{"close"}
+			_ = b.control.SetReadDeadline(time.Unix(1, 0))
+			return nil, err
+		}
 		// If the deadline stayed, it would fail net/http's background read, which
 		// detects that the caller disconnects, and so cancel the call.
 		_ = b.control.SetReadDeadline(time.Time{})
-		return b, err
+		return b, nil
 	}
 	_ = b.control.EnableFullDuplex()
 	b.src = r.Body
