Answer announcements in progress when a sidecar stops

A target whose heartbeat or leave request was being handled when its node stopped got no answer: http.Server.Close cuts requests in flight, whether they were applied or not. A departure that is written to the store, which takes up to 800 ms, is the longest of them.

The HTTP interfaces of the sidecar (announcements, readiness, metrics) are now stopped like those of nutmeghoistd: no new connections, then up to 200 ms for the requests in flight and for answers on their way. That is part of the 300 ms for which the node waits for its goroutines, so that the end of the grace time is not nearer. A departure that the store takes longer for is still cut, and the target repeats it.

The stop moves to linger.Listener. With Close in place of Shutdown, TestStopAnswersRequestsInFlight fails ("heartbeat: EOF"); now it passes three times with the race detector. The tests of internal/sidecar were not run for this commit, and no heartbeat was seen to be cut in a run of the program: the fault was found by reading.

--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,16 @@
 	return nil
 }
 
+// Stop ends an HTTP server on this listener. It waits for the requests in flight, and for
+// answers to reach peers that are still sending. It closes the connections that remain
+// when ctx ends.
+func (l *Listener) Stop(ctx context.Context, s *http.Server) {
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+	_ = l.Wait(ctx) // the rest is cut at the end of ctx
+}
+
 type writeCloser interface{ CloseWrite() error }
 
 type conn struct {
--- a/internal/linger/linger_test.go
+++ b/internal/linger/linger_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,3 +131,43 @@
 		})
 	}
 }
+
+// Guards against an acknowledgement that is decided and does not reach its target: a
+// request in flight is answered, and one that does not end does not hold up the stop.
+func TestStopAnswersRequestsInFlight(t *testing.T) {
+	for _, tc := range []struct {
+		path     string
+		answered bool
+	}{{"/heartbeat", true}, {"/stuck", false}} {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, arrived, release := NewListener(tcp), make(chan bool, 1), make(chan bool)
+		server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			arrived <- true
+			if r.URL.Path == "/stuck" {
+				<-release
+			}
+			time.Sleep(50 * time.Millisecond)
+		})}
+		go func() { _ = server.Serve(l) }()
+		got := make(chan error, 1)
+		go func() {
+			resp, err := http.Post("http://"+l.Addr().String()+tc.path, "", strings.NewReader("{}"))
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+			got <- err
+		}()
+		<-arrived
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		l.Stop(ctx, server)
+		timedOut := ctx.Err() != nil
+		cancel()
+		if err := <-got; (err == nil) != tc.answered || timedOut == tc.answered {
+			t.Errorf("%s: got %v, the stop reached its bound: %t", tc.path, err, timedOut)
+		}
+		close(release)
+	}
+}
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -35,12 +35,7 @@
 
 // stop waits for requests in flight, and for answers to reach callers that are still
 // sending. It closes the requests that remain when ctx ends.
-func (s *server) stop(ctx context.Context) {
-	if s.http.Shutdown(ctx) != nil {
-		_ = s.http.Close()
-	}
-	_ = s.tcp.Wait(ctx) // the rest is cut at the end of ctx
-}
+func (s *server) stop(ctx context.Context) { s.tcp.Stop(ctx, s.http) }
 
 // listen opens all listeners. On an error it closes those already open.
 func (n *Node) listen() ([]*server, error) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"nutmeghoist.example/nutmeghoist/internal/entry"
 	"nutmeghoist.example/nutmeghoist/internal/guard"
 	"nutmeghoist.example/nutmeghoist/internal/hop"
+	"nutmeghoist.example/nutmeghoist/internal/linger"
 	"nutmeghoist.example/nutmeghoist/internal/owner"
 	"nutmeghoist.example/nutmeghoist/internal/telemetry"
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
@@ -103,6 +104,9 @@
 	// closeTimeout bounds the wait for the node's goroutines, within graceMargin.
 	// A request to the store or a dial can wait for a peer that does not respond.
 	closeTimeout = 300 * time.Millisecond
+	// announceTimeout bounds the wait for answers to announcements in progress, within
+	// closeTimeout.
+	announceTimeout = 200 * time.Millisecond
 	// hopDrainTimeout bounds the wait for other nodes to close their connections
 	// after the last response, within graceMargin.
 	hopDrainTimeout = 200 * time.Millisecond
@@ -430,8 +434,10 @@
 	cancelRun()
 	s.callers.Close()
 	s.peers.Close()
+	closing, cancelClosing := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancelClosing()
 	for _, h := range servers {
-		_ = h.server.Close() // the process ends
+		wg.Go(func() { h.listener.Stop(closing, h.server) })
 	}
 	if !waitAtMost(&wg, closeTimeout) {
 		s.cfg.Log.Warn().Msg("parts of the node did not end in time")
@@ -519,7 +525,7 @@
 // httpServer is one of the node's own HTTP interfaces.
 type httpServer struct {
 	server   *http.Server
-	listener net.Listener
+	listener *linger.Listener
 }
 
 func (h *httpServer) run() error { return h.server.Serve(h.listener) }
@@ -538,7 +544,7 @@
 		if err != nil {
 			return nil, err
 		}
-		out[name] = &httpServer{listener: l, server: &http.Server{Handler: h.handler, ReadHeaderTimeout: 5 * time.Second}}
+		out[name] = &httpServer{listener: linger.NewListener(l), server: &http.Server{Handler: h.handler, ReadHeaderTimeout: 5 * time.Second}}
 	}
 	return out, nil
 }
