Test faults of targets with a timeout that a pause does not use up

All calls of the test had a timeout of 150 ms, which is that of one case, the silent target. A pause that is longer makes an answer of any target a timeout.

Only the silent target keeps a short timeout, 1 s, and it stays silent until the node closes the connection; the others have 10 s. What is expected of each case has not changed. A pause of over 300 ms while a connection is opened can still fail it (connectTimeout).

--- a/internal/proxy/fault_test.go
+++ b/internal/proxy/fault_test.go
@@ -77,7 +77,10 @@
 // that looks complete, and an answer that reaches another call. Each fault occurs
 // at a target of the same host and at a target behind another node.
 func TestTargetFaults(t *testing.T) {
-	hang := func(c net.Conn, _, _ int) bool { time.Sleep(time.Second); return false }
+	hang := func(c net.Conn, _, _ int) bool {
+		_, _ = c.Read(make([]byte, 1)) // until the node closes the connection
+		return false
+	}
 	shed := func(c net.Conn, _, _ int) bool {
 		return writeText(c, "HTTP/1.1 503 Busy\r\nTarget-Not-Run: true\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -118,7 +121,13 @@
 		for _, hops := range []string{"direct", "through a node"} {
 			t.Run(tc.name+", "+hops, func(t *testing.T) {
 				t.Parallel()
-				m := newMesh(t, rules.Rule{Prefix: "/", Timeout: 150 * time.Millisecond})
+				// Only the silent target uses up the timeout. The others must be told apart
+				// from it even when this process is not scheduled for some 100 ms.
+				timeout := 10 * time.Second
+				if tc.reason == ReasonTimeout {
+					timeout = time.Second
+				}
+				m := newMesh(t, rules.Rule{Prefix: "/", Timeout: timeout})
 				entry, owner := m.node("a", "dc1"), m.node("b", "dc1")
 				faulty := entry
 				if hops != "direct" {
