Bound the wait for the body of a call that nodes refuse by its head

A caller that stopped sending the body of a call that was refused by its head (no route, no target, draining, up to 256 KB) got no answer: net/http reads such a body before it writes the answer, to keep the connection, and without a bound. When the node drains it answers first, but a body that is never whole then held up the stop until the drain timeout.

The wait is now bounded by 1 s. The answer to a body that takes longer ends the connection, and what still arrives is discarded.

Before, the new case of TestLateBodyIsAnswered got no answer within 10 s; now it passes with the race detector.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -89,6 +89,18 @@
 // replayable reports whether the body can be sent again from its start.
 func (b *requestBody) replayable() bool { return !b.overflow.Load() }
 
+// unreadBodyTime bounds how long the answer to a call that is refused by its head waits
+// for the body. net/http reads up to 256 KB of it first, to keep the connection.
+const unreadBodyTime = time.Second
+
+// boundUnreadBody bounds the wait for a body that nobody reads. The answer of a body that
+// takes longer ends the connection.
+func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime)) // test recorders have none
+	}
+}
+
 // endConnection makes an answer the last one of its connection unless the whole request
 // was read: the rest of the body would be taken for the next call. It must be called
 // before the headers are written.
--- a/internal/proxy/caller.go
+++ b/internal/proxy/caller.go
@@ -57,10 +57,12 @@
 	c := &call{proxy: p, w: w, r: r, state: newCallState()}
 	if !p.inFlight.begin() {
 		w.Header()["Connection"] = []string{"close"}
+		boundUnreadBody(w, r)
 		c.fail(ReasonDraining, 0)
 		return
 	}
 	if reason := c.prepare(time.Now()); reason != "" {
+		boundUnreadBody(w, r)
 		c.fail(reason, 0)
 		return
 	}
--- a/internal/proxy/peer.go
+++ b/internal/proxy/peer.go
@@ -37,11 +37,13 @@
 	h := &hop{proxy: p, w: w, r: r, state: newCallState()}
 	if !p.inFlight.begin() {
 		w.Header()["Connection"] = []string{"close"}
+		boundUnreadBody(w, r)
 		h.fail(&result{kind: resultNotRun, reason: ReasonDraining})
 		return
 	}
 	o, sv, ok := h.parse(time.Now())
 	if !ok {
+		boundUnreadBody(w, r)
 		h.fail(&result{kind: resultNotRun, reason: ReasonBadRequest})
 		return
 	}
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -317,13 +317,19 @@
 }
 
 // Guards against a caller that gets no answer because the rest of its body is late: the
-// answer that says so must not wait for it.
+// answer must not wait for it, whether the node needs the body or refuses the call by
+// its head.
 func TestLateBodyIsAnswered(t *testing.T) {
-	m := newMesh(t, rules.Rule{Prefix: "/", Timeout: 200 * time.Millisecond})
-	n := m.node("a", "dc1")
-	m.target(n, "t", 4, func(http.ResponseWriter, *http.Request) { t.Error("the target got a call without its whole body") })
-	resp, body, err := sendSlowly(t, n, "POST /orders HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n", []string{"part"}, 0)
-	if err != nil || resp.StatusCode != ReasonBody.status() || !strings.Contains(body, outcomeNotRun) {
-		t.Errorf("got %v %q %v", resp, body, err)
+	for _, tc := range []struct {
+		path   string
+		reason Reason
+	}{{"/orders", ReasonBody}, {"/menus", ReasonNoRoute}} {
+		m := newMesh(t, rules.Rule{Prefix: "/orders", Timeout: 200 * time.Millisecond})
+		n := m.node("a", "dc1")
+		m.target(n, "t", 4, func(http.ResponseWriter, *http.Request) { t.Error("the target got a call without its whole body") })
+		resp, body, err := sendSlowly(t, n, "POST "+tc.path+" HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n", []string{"part"}, 0)
+		if err != nil || resp.StatusCode != tc.reason.status() || !resp.Close || !strings.Contains(body, outcomeNotRun) {
+			t.Errorf("%s: got %v %q %v", tc.path, resp, body, err)
+		}
 	}
 }
