Answer the first call of a connection during a stop of nutmeghoistd

A caller that had opened its connection before a stop closed the listeners, and sent its call after, saw the connection closed without an answer.

The cause: once Shutdown of net/http has begun, a request that is read is dropped. Connections without a request are left open for that, up to an age of 5 s, and then not answered. Draining does not help: it ends at once when no call is in flight.

A stop now first closes the listener, lets each answer end its connection, and waits for the first request of the connections that have had none, up to the same age. They are refused as draining. Only then Shutdown begins. It takes no longer than before, since Shutdown waits for the same connections. Requests on idle connections that are closed at that moment are not answered, as before.

Before, TestFirstCallOfAConnectionIsAnsweredDuringAStop got an unexpected EOF 300 ms after the stop began; now it passes with the race detector.

--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -19,6 +19,10 @@
 	maxTime    = 30 * time.Second
 	maxSilence = 5 * time.Second
 
+	// maxUnusedTime is how old a connection without a request is at most that a stop
+	// waits for, as in Shutdown.
+	maxUnusedTime = 5 * time.Second
+
 	bufferSize   = 16 << 10
 	pollInterval = 10 * time.Millisecond
 )
@@ -31,6 +35,7 @@
 type Listener struct {
 	net.Listener
 	closing atomic.Int64 // closed connections that are still read
+	unused  sync.Map     // connections that have had no request, with the time since when
 }
 
 // NewListener wraps a listener. Its connections must have a method CloseWrite, like
@@ -60,16 +65,47 @@
 	return nil
 }
 
-// Stop ends an HTTP server on this listener. It waits for the requests in flight, and for
-// answers to reach peers that are still sending. It closes the connections that remain
-// when ctx ends.
+// ConnState is the ConnState of an HTTP server on this listener. Stop needs it.
+func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		l.unused.Store(c, time.Now())
+		return
+	}
+	l.unused.Delete(c)
+}
+
+// Stop ends an HTTP server on this listener. It waits for the requests in flight, for
+// the first request of connections that were accepted before, and for answers to reach
+// peers that are still sending. It closes the connections that remain when ctx ends.
 func (l *Listener) Stop(ctx context.Context, s *http.Server) {
+	_ = l.Close() // Shutdown reports the same error
+	s.SetKeepAlivesEnabled(false)
+	l.waitForFirstRequests(ctx)
 	if s.Shutdown(ctx) != nil {
 		_ = s.Close()
 	}
 	_ = l.Wait(ctx) // the rest is cut at the end of ctx
 }
 
+// waitForFirstRequests waits until each connection has got a request: once Shutdown has
+// begun, net/http drops the requests that it reads without an answer.
+func (l *Listener) waitForFirstRequests(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for isUnused := true; isUnused; {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		isUnused = false
+		l.unused.Range(func(_, since any) bool {
+			isUnused = time.Since(since.(time.Time)) < maxUnusedTime
+			return !isUnused
+		})
+	}
+}
+
 type writeCloser interface{ CloseWrite() error }
 
 type conn struct {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -31,10 +32,14 @@
 	tcp      *linger.Listener // below TLS, if any
 }
 
-func (s *server) serve() error { return s.http.Serve(s.listener) }
+func (s *server) serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return http.ErrServerClosed
+}
 
-// stop waits for requests in flight, and for answers to reach callers that are still
-// sending. It closes the requests that remain when ctx ends.
+// stop ends the server as linger.Listener.Stop does.
 func (s *server) stop(ctx context.Context) { s.tcp.Stop(ctx, s.http) }
 
 // listen opens all listeners. On an error it closes those already open.
@@ -79,7 +84,7 @@
 	}
 	return &server{listener: l, tcp: lingering, http: &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: n.log.Std("", 0),
+		ErrorLog: n.log.Std("", 0), ConnState: lingering.ConnState,
 	}}, nil
 }
 
--- a/internal/node/listen_test.go
+++ b/internal/node/listen_test.go
@@ -137,3 +137,32 @@
 		}
 	}
 }
+
+// Guards against a call that is read and dropped without an answer because it is the
+// first of its connection, which was opened before the stop began.
+func TestFirstCallOfAConnectionIsAnsweredDuringAStop(t *testing.T) {
+	s := serveRefusals(t)
+	c, err := net.Dial("tcp", s.listener.Addr().String())
+	check(t, err)
+	defer c.Close()
+	time.Sleep(50 * time.Millisecond) // until it is accepted
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.stop(t.Context())
+	}()
+	time.Sleep(300 * time.Millisecond)
+	_, err = io.WriteString(c, "GET /orders HTTP/1.1\r\nHost: x\r\n\r\n")
+	check(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	check(t, err)
+	if resp.StatusCode != http.StatusServiceUnavailable || !resp.Close {
+		t.Errorf("got status %d, end of the connection announced: %t", resp.StatusCode, resp.Close)
+	}
+	_ = c.Close()
+	select {
+	case <-stopped:
+	case <-time.After(3 * time.Second):
+		t.Error("the stop did not end with the last call")
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -528,7 +528,12 @@
 	listener *linger.Listener
 }
 
-func (h *httpServer) run() error { return h.server.Serve(h.listener) }
+func (h *httpServer) run() error {
+	if err := h.server.Serve(h.listener); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return http.ErrServerClosed
+}
 
 func (s *Sidecar) httpServers() (map[string]*httpServer, error) {
 	out := make(map[string]*httpServer)
@@ -544,7 +549,8 @@
 		if err != nil {
 			return nil, err
 		}
-		out[name] = &httpServer{listener: linger.NewListener(l), server: &http.Server{Handler: h.handler, ReadHeaderTimeout: 5 * time.Second}}
+		lingering := linger.NewListener(l)
+		out[name] = &httpServer{listener: lingering, server: &http.Server{Handler: h.handler, ReadHeaderTimeout: 5 * time.Second, ConnState: lingering.ConnState}}
 	}
 	return out, nil
 }
