--- a/internal/soak/uploadcheck.go
+++ b/internal/soak/uploadcheck.go
@@ -49,9 +49,9 @@
 	if stop, ok := j.stopBefore(o); ok {
 		when = fmt.Sprintf("begun %s and cut %s after SIGTERM", o.begin.Sub(stop).Round(time.Millisecond), o.end.Sub(stop).Round(time.Millisecond))
 	}
-	return fmt.Sprintf("upload %s at %s on %s has no whole answer: %s, sent whole: %v, runs: %d, chunks: %v, expects: %v, reused: %v, %d bytes in %s, timeout %s, cut after %s: %v%s",
+	return fmt.Sprintf("upload %s at %s on %s has no whole answer: %s, sent whole: %v, runs: %d, chunks: %v, expects: %v, reused: %v, %d bytes in %s, timeout %s, first write after %s, cut after %s: %v%s",
 		o.id, at, o.node.host, when, u.whole, len(runs), u.chunked, u.expects, o.reused, u.size, u.pace.Round(time.Millisecond),
-		u.timeout, o.end.Sub(o.begin).Round(time.Millisecond), o.cause, j.explanation(o))
+		u.timeout, u.firstWrite, o.end.Sub(o.begin).Round(time.Millisecond), o.cause, j.explanation(o))
 }
 
 // excuse returns why an upload may have no whole answer, or "".
--- a/internal/soak/uploads.go
+++ b/internal/soak/uploads.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -68,6 +69,8 @@
 	timeout   time.Duration // of the caller
 	neverRead bool
 	whole     bool // all of it was sent
+	// firstWrite is the time from the begin of the call to the end of the first write.
+	firstWrite time.Duration
 	// sent is when its last byte was sent, or would have been if the connection had lasted.
 	sent time.Time
 }
@@ -120,9 +123,10 @@
 		pause.For(ctx, 50*time.Millisecond)
 		return
 	}
+	body := uploadBody(id, out.upload.size)
 	out.processNumber, out.begin = c.process, time.Now()
 	_ = c.conn.SetDeadline(out.begin.Add(out.upload.timeout + time.Second)) // an error makes the read fail
-	if err := out.upload.send(c.conn, id, out.begin); err != nil {
+	if err := out.upload.send(c.conn, id, body, out.begin); err != nil {
 		out.cause = err
 		c.close()
 	} else if out.upload.neverRead {
@@ -174,7 +178,7 @@
 }
 
 // send sends the upload.
-func (u *upload) send(conn net.Conn, id string, begin time.Time) error {
+func (u *upload) send(conn net.Conn, id string, body []byte, begin time.Time) error {
 	names := platform.Headers
 	length := fmt.Sprintf("Content-Length: %d\r\n", u.size)
 	if u.chunked {
@@ -183,10 +187,10 @@
 	if u.expects {
 		length += "Expect: 100-continue\r\n"
 	}
-	w := bufio.NewWriter(conn)
+	w := bufio.NewWriter(&firstWriteTimer{Writer: conn, begin: begin, took: &u.firstWrite})
 	fmt.Fprintf(w, "POST %s%s HTTP/1.1\r\nHost: mesh.example\r\n%s: %s\r\n%s: %d\r\n%s: forged\r\n%s: %s\r\n%s\r\n",
 		uploadPrefix, id, names.RequestID, id, names.DeadlineMs, u.timeout.Milliseconds(), names.CallerService, names.APIKey, u.key, length)
-	body, steps := uploadBody(id, u.size), int(u.pace/uploadStep)+1
+	steps := int(u.pace/uploadStep) + 1
 	for step := range steps {
 		u.write(w, body[u.size*step/steps:u.size*(step+1)/steps])
 		if step == steps-1 && u.chunked {
@@ -206,6 +210,21 @@
 	return nil
 }
 
+// firstWriteTimer measures the time until the first write has returned.
+type firstWriteTimer struct {
+	io.Writer
+	begin time.Time
+	took  *time.Duration
+}
+
+func (t *firstWriteTimer) Write(b []byte) (int, error) {
+	n, err := t.Writer.Write(b)
+	if *t.took == 0 {
+		*t.took = time.Since(t.begin)
+	}
+	return n, err
+}
+
 // write writes a part of the body. Errors of a bufio.Writer are kept until Flush.
 func (u *upload) write(w *bufio.Writer, part []byte) {
 	if !u.chunked {
