Ask for evidence before a rollout is completed

On a service with little traffic a bad version was completed after a handful of calls: the share and the completion followed the time alone, and the tests for failures say nothing below two or three of them. With 2 calls a second, 4% of them for half of 16 s are less than one call.

A version with few calls now gets up to half of the calls early, until it has had 30, which is less than what the bounds allow a bad version beyond its share. It is completed at the usual time once it has had 60 calls or is clear by odds that compare both versions; otherwise the full share waits up to 92% of the time, and a version with failures is then rolled back unless the odds are for it. One without a failure is completed. Decide holds the whole decision without a clock or a network; the coordinator and the tests use the same one. A coordinator that has just taken over rolls nothing back by few calls before the hosts have sent theirs. The log of a step names the calls of the old version, the odds and the rate.

--- a/internal/control/coordinator.go
+++ b/internal/control/coordinator.go
@@ -5,7 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -503,15 +503,15 @@
 		return
 	}
 	elapsed := time.Since(r.acceptedAt)
-	reason, doubtful, sum := c.judge(r)
+	e := c.evaluate(r, hosts)
 	if s := c.agent.Snapshot(); s != nil && s.Services[service] != nil && s.Services[service].NextEvacuated {
-		doubtful = true // its old targets would be stopped, and the new ones get no calls
+		e.Doubtful = true // its old targets would be stopped, and the new ones get no calls
 	}
-	if reason == "" && doubtful && !rollout.MayHold(&r.order, elapsed) {
-		reason = fmt.Sprintf("in doubt until the end: %d of %d calls failed", sum.Failed, sum.Calls)
-	}
-	if reason != "" {
-		c.agent.addVeto(service, r.order.To, r.order.Revision, reason)
+	decision := rollout.Decide(&r.order, r.progress.Permille, elapsed, time.Since(r.shareChangedAt), &e)
+	// The hosts may not have had the time to send their counts to this coordinator.
+	mayMiss := r.progress.Permille > 0 && time.Since(r.claimedAt) < rollout.MinStageTime
+	if decision.State == rollout.RolledBack && (e.Bad != "" || !mayMiss) {
+		c.agent.addVeto(service, r.order.To, r.order.Revision, decision.Reason)
 	}
 	c.agent.mu.Lock()
 	evidence, vetoed := c.agent.vetoOf(service, r.order.Revision)
@@ -522,24 +522,25 @@
 	case vetoed:
 		next.State, next.Permille = rollout.RolledBack, 0
 		c.settle(ctx, r, next, evidence)
-	case r.progress.Permille > 0 && time.Since(r.claimedAt) < rollout.MinStageTime:
-		// The hosts have not had the time to send their counts to this coordinator.
-	case !doubtful && r.progress.Permille == 1000 && rollout.MayComplete(&r.order, elapsed, time.Since(r.shareChangedAt)) && c.allConfirmed(r, hosts, elapsed):
-		next.State = rollout.Completed
-		c.settle(ctx, r, next, "")
+	case mayMiss || decision.State == rollout.RolledBack:
+	case decision.State == rollout.Completed:
+		if c.allConfirmed(r, hosts, elapsed) {
+			next.State = rollout.Completed
+			c.settle(ctx, r, next, "")
+		}
 	default:
-		if doubtful {
+		if e.Doubtful {
 			c.agent.count("rollouts.held")
 		}
-		share := rollout.NextShare(&r.order, r.progress.Permille, elapsed, time.Since(r.shareChangedAt), doubtful)
-		if share == r.progress.Permille {
+		if decision.Permille == r.progress.Permille {
 			return
 		}
 		next.Step++
-		next.Permille = share
+		next.Permille = decision.Permille
 		r.progress, r.shareChangedAt = next, time.Now()
-		c.agent.cfg.Log.Info().Str("service", string(service)).Str("to", string(r.order.To)).Int("permille", share).Bool("doubtful", doubtful).
-			Int64("elapsed_ms", next.ElapsedMs).Int64("new_calls", sum.Calls).Int64("new_failed", sum.Failed).Msg("rollout step")
+		c.agent.cfg.Log.Info().Str("service", string(service)).Str("to", string(r.order.To)).Int("permille", next.Permille).Bool("doubtful", e.Doubtful).
+			Int64("elapsed_ms", next.ElapsedMs).Int64("new_calls", e.New.Calls).Int64("new_failed", e.New.Failed).
+			Int64("old_calls", e.Old.Calls).Int64("old_failed", e.Old.Failed).Float64("odds", math.Round(100*e.Odds)/100).Float64("per_second", math.Round(10*e.PerSecond)/10).Msg("rollout step")
 		c.publish(next)
 	}
 }
@@ -622,23 +623,23 @@
 	c.publishFinal(p, version)
 }
 
-// judge evaluates the counts of all hosts. It returns the evidence that the new
-// version is bad, or "", whether the version is in doubt, and the counts of its
-// calls.
-func (c *coordinator) judge(r *activeRollout) (string, bool, rollout.Counts) {
+// evaluate returns what the counts of all hosts say. The rate of the calls is unknown
+// while counts of a live host are missing.
+func (c *coordinator) evaluate(r *activeRollout, hosts []membership.Host) rollout.Evidence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sum := rollout.Tally{Routes: make(map[string]rollout.VersionCounts)}
 	for _, t := range r.tallies {
 		sum.Merge(t)
 	}
-	var total rollout.Counts
-	for _, p := range sum.Routes {
-		total.Calls += p.New.Calls
-		total.Failed += p.New.Failed
-	}
 	r.history.Add(time.Now(), sum.Routes)
-	return r.history.Judge(), r.history.ShouldHold(), total
+	e := r.history.Evidence()
+	for i := range hosts {
+		if hosts[i].Status == membership.StatusAlive && r.tallies[hosts[i].ID] == nil {
+			e.PerSecond = 0
+		}
+	}
+	return e
 }
 
 // allConfirmed reports whether every live host has confirmed the step in force and
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -122,25 +122,6 @@
 	maxHoldPermille = 120
 )
 
-// NextShare returns the share that follows the current one, which has been in
-// force for inForce. It skips no stage. With hold, the share is not raised, and is
-// lowered to maxHoldPermille when it is higher.
-func NextShare(o *Order, current int, elapsed, inForce time.Duration, hold bool) int {
-	if hold {
-		return min(current, maxHoldPermille)
-	}
-	scheduled := ScheduledShare(o, elapsed)
-	if scheduled <= current || current > 0 && inForce < MinStageTime {
-		return current
-	}
-	for _, s := range schedule {
-		if s.permille > current {
-			return s.permille
-		}
-	}
-	return current
-}
-
 const (
 	// minCompletePart is the part of Order.Within after which a rollout may complete,
 	// and watchPart the part for which the version is watched at the full share.
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -80,7 +80,7 @@
 		"full share":                           {1000, at(0.9), time.Second, false, 1000},
 	}
 	for name, tc := range cases {
-		if got := NextShare(o, tc.current, tc.elapsed, tc.inForce, tc.hold); got != tc.want {
+		if got := nextShare(o, tc.current, tc.elapsed, tc.inForce, &Evidence{Doubtful: tc.hold}); got != tc.want {
 			t.Errorf("%s: %d, want %d", name, got, tc.want)
 		}
 	}
@@ -262,15 +262,13 @@
 			continue
 		}
 		h.Add(time.Unix(0, 0).Add(elapsed), maps.Clone(tally.Routes))
-		doubtful := h.ShouldHold()
-		if h.Judge() != "" || doubtful && !MayHold(o, elapsed) {
-			return float64(exposed) / calls, true
+		e := h.Evidence()
+		d := Decide(o, permille, elapsed, elapsed-changed, &e)
+		if d.State.IsFinal() {
+			return float64(exposed) / calls, d.State == RolledBack
 		}
-		if permille == 1000 && !doubtful && MayComplete(o, elapsed, elapsed-changed) {
-			return float64(exposed) / calls, false
-		}
-		if next := NextShare(o, permille, elapsed, elapsed-changed, doubtful); next != permille {
-			permille, changed = next, elapsed
+		if d.Permille != permille {
+			permille, changed = d.Permille, elapsed
 		}
 	}
 	return float64(exposed) / calls, false
