Hold the share of a version by the odds of few calls

The odds of few calls hold the share now as well, above e^0.7. TestShareIsHeldByFewCalls fails without that in these three cases.

--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -18,6 +18,9 @@
 	// of its rollout ends. Lower values take good versions back more often, by failures
 	// that any version has; higher ones complete more of the bad versions.
 	completeOdds = -0.5
+	// holdOdds is the same for a version whose share is not raised. Lower values make good
+	// versions late whose first calls fail by chance.
+	holdOdds = 0.7
 	// decidePart is the part of Order.Within up to which the full share waits for more
 	// evidence. It leaves time for the write of the final state.
 	decidePart = 0.92
@@ -77,11 +80,11 @@
 }
 
 // nextShare returns the share that follows the current one. It skips no stage. While the
-// version is in doubt, the share is not raised, and is lowered when it is higher than
-// maxHoldPermille or, with little traffic, than what gathers evidence.
+// version is in doubt or rather bad, the share is not raised, and is lowered when it is
+// higher than maxHoldPermille or, with little traffic, than what gathers evidence.
 func nextShare(o *Order, current int, elapsed, inForce time.Duration, e *Evidence) int {
 	early := earlyShare(o, elapsed, e)
-	if e.Doubtful {
+	if e.Doubtful || e.Odds > holdOdds {
 		return min(current, max(maxHoldPermille, early))
 	}
 	allowed := max(ScheduledShare(o, elapsed), early)
--- a/pkg/rollout/decide_test.go
+++ b/pkg/rollout/decide_test.go
@@ -159,3 +159,24 @@
 		}
 	}
 }
+
+// Guards against the full share of a version that has failed half of some dozen calls,
+// beside an old one that fails too: the counts are those of two rollouts of the soak.
+func TestShareIsHeldByFewCalls(t *testing.T) {
+	o := &Order{Within: 8 * time.Second}
+	for name, c := range map[string]struct {
+		counts  VersionCounts
+		current int
+		want    int
+	}{
+		"4 of 6":        {VersionCounts{New: Counts{Calls: 6, Failed: 4}, Old: Counts{Calls: 16, Failed: 4}}, 500, 500},
+		"17 of 32":      {VersionCounts{New: Counts{Calls: 32, Failed: 17}, Old: Counts{Calls: 20, Failed: 7}}, 250, 120},
+		"20 of 40":      {VersionCounts{New: Counts{Calls: 40, Failed: 20}, Old: Counts{Calls: 31, Failed: 9}}, 500, 120},
+		"both the same": {VersionCounts{New: Counts{Calls: 20, Failed: 4}, Old: Counts{Calls: 20, Failed: 4}}, 500, 1000},
+	} {
+		e := Evidence{New: c.counts.New, Old: c.counts.Old, Odds: c.counts.odds(), PerSecond: 4}
+		if d := Decide(o, c.current, 5650*time.Millisecond, time.Second, &e); d.Permille != c.want {
+			t.Errorf("%s: %d, want %d (odds %.2f)", name, d.Permille, c.want, e.Odds)
+		}
+	}
+}
