Discard the body of a refused call with Expect: 100-continue once it is sent

Where such a request ends was taken for unknown, which bounds each pause. Once its first byte has arrived, the body is known as that of any refused call.

TestRefusalReachesACallerThatPausesInItsBody failed before (broken pipe).

--- a/internal/entry/refusalend_test.go
+++ b/internal/entry/refusalend_test.go
@@ -92,3 +92,22 @@
 		t.Errorf("%d of %d bytes were read: %v", n, len(body), err)
 	}
 }
+
+// Guards against a caller that loses the response to a call with Expect: 100-continue
+// because it pauses while it sends the body all the same.
+func TestRefusalReachesACallerThatPausesInItsBody(t *testing.T) {
+	_, address := startServer(t, echo)
+	c, r := dial(t, address)
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: m\r\nExpect: 100-continue\r\nContent-Length: 20000\r\n\r\n%s", strings.Repeat("x", 10000))
+	time.Sleep(3 * unknownLingerTimeout / 2)
+	for range 10 {
+		if _, err := io.WriteString(c, strings.Repeat("x", 1000)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Error(resp, err)
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -307,6 +307,7 @@
 	last     bool  // the connection closes after this call
 	response chan *Response
 	unread   io.Reader // body of a refused call that the caller still sends
+	withheld bool      // the caller may not send it, since it has asked for 100 Continue
 	ended    *callEnd  // guarded by callerConn.mu
 }
 
@@ -363,18 +364,19 @@
 			}
 			continue
 		}
-		rest := restBody
-		if pc.unread == nil {
-			pc.last, rest = true, restUnknown
+		pc.last = pc.last || pc.unread == nil
+		if pc.unread == nil || pc.withheld {
+			c.setRest(restUnknown)
+		} else {
+			c.setRest(restBody)
 		}
-		c.setRest(rest)
 		c.enqueue(pc)
 		c.server.Buffers.Hold(int64(len(refusal.Body)))
 		pc.response <- refusal
 		if pc.unread == nil {
 			return true
 		}
-		discarded := c.discardBody(pc.unread)
+		discarded := c.discardBody(pc)
 		c.recordRead(pc, discarded)
 		if !discarded {
 			c.setRest(restUnknown)
@@ -602,12 +604,9 @@
 }
 
 // refuseBody makes the call the last one of its connection, of which the rest of the body
-// is discarded, unless the caller waits for 100 Continue before it sends it.
+// is discarded.
 func (pc *pipelinedCall) refuseBody(req *http.Request) {
-	pc.last = true
-	if !awaitsContinue(req) {
-		pc.unread = req.Body
-	}
+	pc.last, pc.unread, pc.withheld = true, req.Body, awaitsContinue(req)
 }
 
 func awaitsContinue(req *http.Request) bool {
@@ -627,16 +626,26 @@
 		return nil
 	}
 	refusal := c.server.Screen(c.callCtx, pc.req)
-	if refusal != nil && !waits {
+	switch {
+	case refusal != nil && waits:
+		pc.refuseBody(req)
+	case refusal != nil:
 		pc.unread = req.Body
 	}
 	return refusal
 }
 
 // discardBody reads the body of a refused call, so that the connection can be used again.
-func (c *callerConn) discardBody(body io.Reader) bool {
+func (c *callerConn) discardBody(pc *pipelinedCall) bool {
 	c.setReadDeadline(time.Now().Add(bodyReadTimeout))
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxBodyBytes+1))
+	if pc.withheld {
+		if _, err := c.r.Peek(1); err != nil {
+			return false
+		}
+		c.setRest(restBody)
+		c.setReadDeadline(time.Now().Add(bodyReadTimeout))
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(pc.unread, maxBodyBytes+1))
 	return err == nil && n <= maxBodyBytes
 }
 
