Give callers of uploads their whole time to read an answer

The soak's own process had got no processor time, and a read whose deadline has passed does not look at what has arrived. The deadline is now set when the read begins, and each write has its own. A connection that the node closes is reported as before.

--- a/internal/soak/uploads.go
+++ b/internal/soak/uploads.go
@@ -28,6 +28,7 @@
 	maxUploadBytes  = 400 << 10
 	uploadStep      = 40 * time.Millisecond // between two writes of a paced upload
 	maxChunkBytes   = 8 << 10
+	answerTime      = 5 * time.Second // for an answer after its timeout; longer than pauses of this process
 	unknownKey      = "key-of-no-team"
 )
 
@@ -125,7 +126,6 @@
 	}
 	body := uploadBody(id, out.upload.size)
 	out.processNumber, out.begin = c.process, time.Now()
-	_ = c.conn.SetDeadline(out.begin.Add(out.upload.timeout + time.Second)) // an error makes the read fail
 	if err := out.upload.send(c.conn, id, body, out.begin); err != nil {
 		out.cause = err
 		c.close()
@@ -133,6 +133,7 @@
 		pause.For(ctx, rand.N(3*time.Second))
 		c.close()
 	} else {
+		_ = c.conn.SetReadDeadline(time.Now().Add(max(time.Until(out.begin.Add(out.upload.timeout)), 0) + answerTime)) // an error makes the read fail
 		c.readAnswer(&out)
 	}
 	out.end = time.Now()
@@ -192,6 +193,7 @@
 		uploadPrefix, id, names.RequestID, id, names.DeadlineMs, u.timeout.Milliseconds(), names.CallerService, names.APIKey, u.key, length)
 	steps := int(u.pace/uploadStep) + 1
 	for step := range steps {
+		_ = conn.SetWriteDeadline(time.Now().Add(uploadTimeout)) // an error makes the write fail
 		u.write(w, body[u.size*step/steps:u.size*(step+1)/steps])
 		if step == steps-1 && u.chunked {
 			_, _ = w.WriteString("0\r\n\r\n") // the error of a bufio.Writer is kept until Flush
