Wait for a server that has not begun to accept in a shutdown

Shutdown took a server whose Run had not been scheduled yet for one that has ended, returned at once, and the close of the listener reset what waited in its queue.

A server now counts as accepting from its creation until Run ends.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -107,7 +107,7 @@
 	draining       atomic.Bool
 	shuttingDown   atomic.Bool
 	ending         atomic.Bool  // the calls that have not ended are answered without a target's response
-	accepting      atomic.Bool  // Run accepts connections
+	accepting      atomic.Bool  // Run accepts connections, or will
 	pendingCalls   atomic.Int64 // calls read and not answered yet
 	mu             sync.Mutex
 	conns          map[*callerConn]bool
@@ -141,12 +141,13 @@
 
 // NewServer returns a server on an open listener.
 func NewServer(l net.Listener, handle func(context.Context, *Request) *Response, limits func() (traffic.Limits, bool)) *Server {
-	return &Server{OnRefusal: func(string) {}, listener: l, handle: handle, limits: limits, conns: make(map[*callerConn]bool), maxIdleTimeout: defaultIdleTimeout}
+	s := &Server{OnRefusal: func(string) {}, listener: l, handle: handle, limits: limits, conns: make(map[*callerConn]bool), maxIdleTimeout: defaultIdleTimeout}
+	s.accepting.Store(true)
+	return s
 }
 
 // Run accepts connections until Close.
 func (s *Server) Run() error {
-	s.accepting.Store(true)
 	defer s.accepting.Store(false)
 	looks := 0
 	for {
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -263,3 +263,23 @@
 	}
 	<-ended
 }
+
+// Guards against connections in the listen queue that are reset because the server has
+// not begun to accept when it shuts down.
+func TestShutdownBeforeTheFirstAcceptCutsNoCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(l, echo, func() (traffic.Limits, bool) { return traffic.Limits{}, false })
+	c, r := dial(t, l.Addr().String())
+	_, _ = io.WriteString(c, "GET /a HTTP/1.1\r\nHost: m\r\n\r\n")
+	ended := make(chan error, 1)
+	time.AfterFunc(20*time.Millisecond, func() { ended <- s.Run() })
+	s.Shutdown(shutdownLimit)
+	s.Close()
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the call in the listen queue got no response: %v", err)
+	}
+	<-ended
+}
