Keep the timer of a silent target from a call's changed state

A timer that fires at that moment would call nil and end the process. The timer now has the function itself.

--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -99,7 +99,8 @@
 	if c.cancelAttempt != nil {
 		timeout := c.watched.Stat.AttemptTimeout(time.Until(c.deadline))
 		if timeout > 0 {
-			c.silenceTimer = time.AfterFunc(timeout, func() { c.cancelAttempt(errSilent) })
+			cancel := c.cancelAttempt // the attempt can end as the timer fires
+			c.silenceTimer = time.AfterFunc(timeout, func() { cancel(errSilent) })
 		}
 	}
 	return c.state.apply(eventDispatchAgain)
