Share the stand-in of a peer between the tests of hop

Three tests had an accept loop of their own. drainTime of the client, which has nothing to do with the drain of a server, is now fullBufferTime. No change of behaviour.

--- a/internal/hop/blocked_test.go
+++ b/internal/hop/blocked_test.go
@@ -7,41 +7,19 @@
 	"time"
 )
 
-// startSlowNode accepts connections, answers their hello and reads piece bytes every
-// interval.
+// startSlowNode reads piece bytes of each connection every interval.
 func startSlowNode(t *testing.T, piece int, interval time.Duration) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
+	return startPeer(t, func(c *conn) {
+		defer c.Close()
+		_ = c.Conn.(*net.TCPConn).SetReadBuffer(16 << 10) // a failure makes the peer faster only
+		buf := make([]byte, piece)
 		for {
-			raw, err := l.Accept()
-			if err != nil {
+			time.Sleep(interval)
+			if _, err := c.r.Read(buf); err != nil {
 				return
 			}
-			_ = raw.(*net.TCPConn).SetReadBuffer(16 << 10) // a failure makes the peer faster only
-			go func() {
-				defer raw.Close()
-				c := newConn(raw)
-				_, _ = c.r.Discard(1) // the preamble
-				if _, _, err := c.readFrame(); err != nil {
-					return
-				}
-				_ = c.writeFrame(frameHelloAck, encodeUint(0)) // a failure shows at the peer
-				buf := make([]byte, piece)
-				for {
-					time.Sleep(interval)
-					if _, err := c.r.Read(buf); err != nil {
-						return
-					}
-				}
-			}()
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a call that ends long after its context because a message to a slow node
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -55,9 +55,9 @@
 	// backgroundBytes is the size of a body from which a request is written in the
 	// background. A smaller one mostly fits in the socket's buffer.
 	backgroundBytes = 16 << 10
-	// drainTime is how long after the write of such a request the socket's buffer can still
-	// be full, so that others are written in the background as well.
-	drainTime = time.Second
+	// fullBufferTime is how long the socket's buffer can still be full after the write of
+	// such a request. Until then others are written in the background as well.
+	fullBufferTime = time.Second
 )
 
 // Errors of a call without a response.
@@ -368,7 +368,7 @@
 func (c *clientConn) startWrite(call *pendingCall, r *Request) <-chan error {
 	written := make(chan error, 1)
 	if len(r.Body) < backgroundBytes && c.conn.mu.TryLock() {
-		if time.Since(c.largeWritten) > drainTime {
+		if time.Since(c.largeWritten) > fullBufferTime {
 			defer c.conn.mu.Unlock()
 			written <- c.writeIfPending(call, r)
 			return written
--- a/internal/hop/slow_test.go
+++ b/internal/hop/slow_test.go
@@ -61,9 +61,9 @@
 	})
 }
 
-// startSilentNode accepts connections, answers their hello and reads nothing more. It
-// closes each after the given time.
-func startSilentNode(t *testing.T, closeAfter time.Duration) (address string) {
+// startPeer accepts connections, answers their hello, and passes each to handle, which may
+// return before the connection ends.
+func startPeer(t *testing.T, handle func(*conn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -76,17 +76,25 @@
 			if err != nil {
 				return
 			}
-			c := newConn(raw)
-			_, _ = c.r.Discard(1) // the preamble
-			if _, _, err := c.readFrame(); err == nil {
-				_ = c.writeFrame(frameHelloAck, encodeUint(0)) // a failure shows at the peer
-			}
-			time.AfterFunc(closeAfter, func() { _ = c.Close() })
+			go func() {
+				c := newConn(raw)
+				_, _ = c.r.Discard(1) // the preamble
+				if _, _, err := c.readFrame(); err == nil {
+					_ = c.writeFrame(frameHelloAck, encodeUint(0)) // a failure shows at the peer
+				}
+				handle(c)
+			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// startSilentNode reads nothing after the hello of a connection, and closes each after the
+// given time.
+func startSilentNode(t *testing.T, closeAfter time.Duration) (address string) {
+	return startPeer(t, func(c *conn) { time.AfterFunc(closeAfter, func() { _ = c.Close() }) })
+}
+
 // Guards against a call that is answered with "unknown" because its connection closed,
 // although the node had not received the whole of it.
 func TestCallThatIsNotSentWholeHasNotRun(t *testing.T) {
--- a/internal/hop/waiting_test.go
+++ b/internal/hop/waiting_test.go
@@ -10,28 +10,11 @@
 	"time"
 )
 
-// startNode accepts one connection, answers its hello, and passes it to the test.
+// startNode passes the connections that it accepts to the test.
 func startNode(t *testing.T) (address string, accepted <-chan *conn) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
 	conns := make(chan *conn, 1)
-	go func() {
-		raw, err := l.Accept()
-		if err != nil {
-			return
-		}
-		c := newConn(raw)
-		_, _ = c.r.Discard(1) // the preamble
-		if _, _, err := c.readFrame(); err == nil {
-			_ = c.writeFrame(frameHelloAck, encodeUint(0)) // a failure shows at the peer
-		}
-		conns <- c
-	}()
-	return l.Addr().String(), conns
+	return startPeer(t, func(c *conn) { conns <- c }), conns
 }
 
 // cloggedConn is a connection with a small call that the node has read and a large one of
