Review case 7: a bad version is completed when its witnesses are killed

The counts of a rollout live in the processes that made the calls, and a new coordinator takes a version without counts for a good one.

--- a/review/_lab2/server.go
+++ b/review/_lab2/server.go
@@ -31,6 +31,7 @@
 	born     time.Time
 	work     atomic.Int64 // time that a request takes
 	onRun    func(run)
+	fails    func(run) bool // says whether the answer is a failure; may be nil
 	draining atomic.Bool
 	stopped  atomic.Bool
 
@@ -40,17 +41,30 @@
 	sequence uint64
 }
 
+// startServer starts a server of the machine's service in its first version.
 func (m *machine) startServer(id string, work time.Duration, onRun func(run)) (*server, error) {
-	s := &server{machine: m, id: id, service: m.service, version: "v1", born: time.Now(), onRun: onRun, conns: make(map[net.Conn]bool)}
+	s, err := m.newServer(id, "v1", work, onRun)
+	if err == nil {
+		s.open()
+	}
+	return s, err
+}
+
+// newServer returns a server that open starts.
+func (m *machine) newServer(id, version string, work time.Duration, onRun func(run)) (*server, error) {
+	s := &server{machine: m, id: id, service: m.service, version: version, born: time.Now(), onRun: onRun, conns: make(map[net.Conn]bool)}
 	s.setWork(work)
 	l, err := net.Listen("tcp", m.at(portServer).String())
 	if err != nil {
 		return nil, err
 	}
 	s.listener = l
+	return s, nil
+}
+
+func (s *server) open() {
 	go s.accept()
 	go s.beat()
-	return s, nil
 }
 
 func (s *server) setWork(d time.Duration) { s.work.Store(int64(d)) }
@@ -101,10 +115,15 @@
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id)
 			continue
 		}
-		s.onRun(run{id: id, method: req.Method, uri: req.RequestURI, caller: req.Header.Get(names.CallerService), server: s.id, service: s.service, at: time.Now()})
+		begun := run{id: id, method: req.Method, uri: req.RequestURI, caller: req.Header.Get(names.CallerService), server: s.id, service: s.service, at: time.Now()}
+		s.onRun(begun)
+		status := http.StatusOK
+		if s.fails != nil && s.fails(begun) {
+			status = http.StatusInternalServerError
+		}
 		time.Sleep(time.Duration(s.work.Load()))
 		body := fmt.Sprintf("%s by %s of %s\n", id, s.id, s.service)
-		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp.%s\r\nContent-Length: %d\r\n\r\n%s", names.RequestID, id, names.Stamp, s.id, len(body), body); err != nil {
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: stamp.%s\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), names.RequestID, id, names.Stamp, s.id, len(body), body); err != nil {
 			return
 		}
 	}
