--- a/review/_lab2/memory.go
+++ b/review/_lab2/memory.go
@@ -25,7 +25,7 @@
 	keptClients    = 24 // on each machine
 	lookupWork     = 150 * time.Millisecond
 	lookupDeadline = time.Second
-	rounds         = 6
+	rounds         = 12
 	// noLossUpTo is how often the rule LOST lets a machine close a kept connection without
 	// an answer to a request that it has passed on.
 	noLossUpTo = 3
@@ -252,7 +252,7 @@
 			}
 		}
 		orders.Wait()
-		time.Sleep(touchTime)
+		time.Sleep(touchTime / 2)
 	}
 	close(stop)
 	clients.Wait()
