Take a reset during an upload for what it is, not for the end of the answer

Callers of the sidecar got a part of an answer as a whole one: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: Linux reports a reset once, to the system call that comes first. Bodies from 16 KB on are written beside the reading of the answer; when writev got ECONNRESET, the kernel had cleared the error, and the next read returned 0 bytes, as it does after the end of the stream. A body without a length ends there.

response.Conn keeps the error of a write. A read that meets the end of the stream ends the write in progress, which is of no use any more, waits for its error, and returns it if the connection had broken before its end.

The fuzz test makes its connection as the code does.

--- a/internal/exchange/conncheck.go
+++ b/internal/exchange/conncheck.go
@@ -8,7 +8,7 @@
 	if t.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := t.Conn.(syscall.Conn)
+	sc, ok := t.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,6 +22,7 @@
 	"nutmeghoist.example/nutmeghoist/internal/bounded"
 	"nutmeghoist.example/nutmeghoist/internal/header"
 	"nutmeghoist.example/nutmeghoist/internal/listencheck"
+	"nutmeghoist.example/nutmeghoist/internal/response"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/traffic"
 )
@@ -134,7 +135,7 @@
 
 // targetConn is a connection to the target. One call uses it at a time.
 type targetConn struct {
-	net.Conn
+	*response.Conn
 	input       *bounded.HeadReader
 	r           *bufio.Reader
 	reused      bool
@@ -221,8 +222,9 @@
 }
 
 func newTargetConn(raw net.Conn) *targetConn {
-	input := bounded.NewHeadReader(raw)
-	return &targetConn{Conn: raw, input: input, r: bufio.NewReaderSize(input, 4<<10), idleTimeout: maxIdleTime}
+	conn := response.NewConn(raw)
+	input := bounded.NewHeadReader(conn)
+	return &targetConn{Conn: conn, input: input, r: bufio.NewReaderSize(input, 4<<10), idleTimeout: maxIdleTime}
 }
 
 // Listening reports whether something accepts connections at the target's address, or
@@ -309,9 +311,9 @@
 func (c *Client) writeRequest(conn *targetConn, call *Call) error {
 	head := c.encodeHead(call)
 	if len(call.Body) < earlyResponseBytes {
-		return header.Write(conn.Conn, head, call.Body)
+		return conn.WriteMessage(head, call.Body)
 	}
-	go func() { _ = header.Write(conn.Conn, head, call.Body) }() // ends when the connection closes
+	go func() { _ = conn.WriteMessage(head, call.Body) }() // ends with the response or the connection
 	return nil
 }
 
--- a/internal/exchange/fuzz_test.go
+++ b/internal/exchange/fuzz_test.go
@@ -27,8 +27,8 @@
 		}()
 		c := NewClient("", names)
 		c.Buffers = bounded.NewBudget(1 << 20)
-		input := bounded.NewHeadReader(near)
-		conn := &targetConn{Conn: near, input: input, r: bufio.NewReader(input), reused: reused}
+		conn := newTargetConn(near)
+		conn.reused = reused
 		call := getCall("a")
 		res := c.exchange(t.Context(), conn, call)
 		if res.Kind == Answered && (res.Header.Get("Call-Name") != "a" || res.Header.Get("Proof") == "") {
--- /dev/null
+++ b/internal/response/conn.go
@@ -0,0 +1,77 @@
+// Package response reads the responses of targets over connections that may break, and
+// tells a whole response from a part of one.
+package response
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"nutmeghoist.example/nutmeghoist/internal/header"
+)
+
+// Conn is the client's side of a connection on which a response may end with the
+// connection. Its Read returns io.EOF only when the peer has sent the end of the stream.
+//
+// The kernel reports a reset once, to the system call that comes first. When a write gets
+// it, the reads after it see the end of the stream as if the peer had sent one.
+type Conn struct {
+	net.Conn
+
+	mu     sync.Mutex // held during a write
+	broken error      // the connection broke before the peer has sent the end of the stream
+}
+
+// NewConn wraps a connection.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+func (c *Conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.noteWriteError(err)
+	return n, err
+}
+
+// WriteMessage writes the head and the body of a message, as header.Write does.
+func (c *Conn) WriteMessage(head, body []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	err := header.Write(c.Conn, head, body)
+	c.noteWriteError(err)
+	return err
+}
+
+// noteWriteError keeps the error of a write to a broken connection; c.mu must be held.
+func (c *Conn) noteWriteError(err error) {
+	switch {
+	case err == nil, c.broken != nil:
+	case errors.Is(err, syscall.EPIPE): // after the end of the stream, or after a read got the reset
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
+	default:
+		c.broken = err
+	}
+}
+
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		if broken := c.writeError(); broken != nil {
+			return n, broken
+		}
+	}
+	return n, err
+}
+
+// writeError returns the error of a write to a broken connection, or nil. It ends a write
+// in progress, whose error counts too.
+func (c *Conn) writeError() error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // it fails on a closed connection, on which no write waits
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken
+}
