Take a reset during an upload for what it is in nutmeghoistd too

Callers of nutmeghoistd got a part of an answer as a whole one in the same way: http.Transport writes the body of a request beside the reading of the answer, its write takes the reset, and its read returns the end of the stream. What followed was sent to the caller in chunks with a proper end, also by the node of the target to the node of the caller.

Connections to targets and nodes are response.Conns now, so that the read returns the error of the write, and the caller's connection is cut as for any other answer that ends early.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"nutmeghoist.example/nutmeghoist/internal/response"
 )
 
 var (
@@ -46,7 +48,7 @@
 
 // trackedConn is a connection that writes only for the attempt it is bound to.
 type trackedConn struct {
-	net.Conn
+	*response.Conn
 	current atomic.Pointer[attempt]
 }
 
@@ -63,7 +65,7 @@
 		return 0, errReplay
 	}
 	n, err := c.Conn.Write(b)
-	if _, plain := c.Conn.(*net.TCPConn); first && n == 0 && err != nil && plain {
+	if _, plain := c.Conn.Conn.(*net.TCPConn); first && n == 0 && err != nil && plain {
 		// The kernel accepted no byte, so the attempt provably was not written. A
 		// TLS connection may have sent a part of its record.
 		a.writer.CompareAndSwap(c, sealMarker)
@@ -81,7 +83,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: c}, nil
+			return &trackedConn{Conn: response.NewConn(c)}, nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        maxConns,
