Keep a whole answer that nutmeghoistd reads after its upload has failed

Callers of uploads got a 502 or a cut connection although the target had sent a whole answer, with or without a length, before it stopped reading and closed the connection.

Cause: http.Transport closes the connection when a write of the request fails, and drops what it has not read of the answer. Which of the two goroutines runs first is chance.

A tracked connection now returns the error of a write once its reads have ended or it is closed. Whether anything was written is decided before that, so that "not run" stays as certain as it was.

--- a/internal/exchange/reset_test.go
+++ b/internal/exchange/reset_test.go
@@ -86,28 +86,32 @@
 	})
 }
 
-// Guards against a whole response without a length that is lost because it came before the
-// upload was in, whatever happens to the connection after the end of the response.
+// Guards against a whole response that is lost because it came before the upload was in,
+// whatever happens to the connection after its end.
 func TestWholeResponseDuringAnUpload(t *testing.T) {
-	for name, end := range map[string]func(*net.TCPConn){
-		"then closed": func(conn *net.TCPConn) { _ = conn.CloseWrite() }, // the close resets it
-		"then closed later": func(conn *net.TCPConn) {
+	for name, tc := range map[string]struct {
+		response string
+		end      func(*net.TCPConn)
+	}{
+		"then closed": {headWithoutLength + "menu", func(conn *net.TCPConn) { _ = conn.CloseWrite() }}, // the close resets it
+		"then closed later": {headWithoutLength + "menu", func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
 			time.Sleep(3 * time.Millisecond)
-		},
-		"then reset": func(conn *net.TCPConn) {
+		}},
+		"then reset": {headWithoutLength + "menu", func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
 			_ = conn.SetLinger(0)
-		},
-		"then silent": func(conn *net.TCPConn) {
+		}},
+		"then silent": {headWithoutLength + "menu", func(conn *net.TCPConn) {
 			_ = conn.CloseWrite()
 			time.Sleep(100 * time.Millisecond) // the upload fills the buffers and waits
-		},
+		}},
+		"with a length, then reset": {rawResponse(200, "b", "", "menu"), func(conn *net.TCPConn) { _ = conn.SetLinger(0) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			forEachUpload(t, func(t *testing.T, size int, reused, idempotent bool) {
 				for range 4 {
-					c := startEarlyTarget(t, reused, headWithoutLength+"menu", end)
+					c := startEarlyTarget(t, reused, tc.response, tc.end)
 					res := c.Do(t.Context(), uploadCall("b", size, idempotent))
 					if res.Kind != Answered || res.Status != 200 || string(res.Body) != "menu" {
 						t.Errorf("got kind %d, status %d, reason %q, body %q (%v)", res.Kind, res.Status, res.Reason, res.Body, res.Err)
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -70,6 +70,9 @@
 		// TLS connection may have sent a part of its record.
 		a.writer.CompareAndSwap(c, sealMarker)
 	}
+	if err != nil {
+		c.AwaitEnd() // http.Transport drops the response when a write fails
+	}
 	return n, err
 }
 
--- a/internal/proxy/reset_test.go
+++ b/internal/proxy/reset_test.go
@@ -122,3 +122,33 @@
 		})
 	}
 }
+
+// Guards against a whole response that is lost because it came before the upload was in,
+// whatever happens to the connection after its end.
+func TestWholeResponseDuringAnUpload(t *testing.T) {
+	for name, tc := range map[string]struct {
+		response string
+		end      func(*net.TCPConn)
+	}{
+		"then closed": {headWithoutLength + "menu", func(c *net.TCPConn) { _ = c.CloseWrite() }},
+		"then closed later": {headWithoutLength + "menu", func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(3 * time.Millisecond)
+		}},
+		"then silent": {headWithoutLength + "menu", func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(100 * time.Millisecond)
+		}},
+		"with a length, then reset": {strings.Replace(goodAnswer, "good", "menu", 1), func(c *net.TCPConn) { _ = c.SetLinger(0) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachUpload(t, tc.response, tc.end, func(t *testing.T, call func() (int, string, error)) {
+				for range 3 {
+					if status, body, err := call(); err != nil || status != 200 || body != "menu" {
+						t.Errorf("got status %d, body %q, %v", status, body, err)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -24,10 +24,16 @@
 
 	mu     sync.Mutex // held during a write
 	broken error      // the connection broke before the peer has sent the end of the stream
+
+	ended chan struct{} // closed after the last read
+	end   func()
 }
 
 // NewConn wraps a connection.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+func NewConn(c net.Conn) *Conn {
+	ended := make(chan struct{})
+	return &Conn{Conn: c, ended: ended, end: sync.OnceFunc(func() { close(ended) })}
+}
 
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -57,7 +63,26 @@
 	}
 }
 
+// AwaitEnd waits until a read has failed, or the connection is closed. A client that gives
+// up a response because its request could not be written waits for it first: the peer may
+// have sent a whole response before it stopped reading.
+func (c *Conn) AwaitEnd() { <-c.ended }
+
+// Close ends reads and writes in progress.
+func (c *Conn) Close() error {
+	defer c.end()
+	return c.Conn.Close()
+}
+
 func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.read(b)
+	if err != nil {
+		c.end()
+	}
+	return n, err
+}
+
+func (c *Conn) read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
 		if broken := c.writeError(); broken != nil {
