Take an answer whose head breaks the grammar for none

Callers of the sidecar got answers of targets in trouble whose heads held field names with blanks: with that line passed on, without the length that it was to give, so that what followed counted as the body, or as "not run" on the word of such a head.

Cause: http.ReadResponse keeps names with blanks, joins a line that begins with a blank or a tab to the one before it, ends the head at a line feed alone (as in a name that begins with one), and takes control bytes in the reason phrase, other major versions, two blanks before the status, a transfer encoding beside a length, and one in HTTP/1.0, which it ignores.

response.Read checks each line of a head, and of a trailer section, against RFC 9110 and RFC 9112 before net/http parses it, and reads the body. A line that breaks the grammar makes the whole answer garbled: outcome unknown, no signals, the connection closed. Stricter than RFC 9112 requires, on purpose: a line feed alone and a status line without the blank after the status are refused as well. A head has 64 KB, as before, now without the bytes behind it.

Control bytes in names were refused before, except at the start of a line. TestValidHeads has what must not be refused.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -32,8 +32,7 @@
 	// responseGrace is how long after the deadline a late response of the target
 	// is still accepted.
 	responseGrace = 50 * time.Millisecond
-	// maxHeadBytes bounds the head of a response, and maxBodyBytes its body.
-	maxHeadBytes = 64 << 10
+	// maxBodyBytes bounds the body of a response.
 	maxBodyBytes = 8 << 20
 	// maxIdleTime bounds how long an idle connection is kept. Targets close idle
 	// connections after some seconds. A Keep-Alive header of the target can
@@ -136,7 +135,6 @@
 // targetConn is a connection to the target. One call uses it at a time.
 type targetConn struct {
 	*response.Conn
-	input       *bounded.HeadReader
 	r           *bufio.Reader
 	reused      bool
 	carried     map[uint64]bool // hashes of the IDs of the calls that were sent on it
@@ -223,8 +221,7 @@
 
 func newTargetConn(raw net.Conn) *targetConn {
 	conn := response.NewConn(raw)
-	input := bounded.NewHeadReader(conn)
-	return &targetConn{Conn: conn, input: input, r: bufio.NewReaderSize(input, 4<<10), idleTimeout: maxIdleTime}
+	return &targetConn{Conn: conn, r: bufio.NewReaderSize(conn, 4<<10), idleTimeout: maxIdleTime}
 }
 
 // Listening reports whether something accepts connections at the target's address, or
@@ -326,16 +323,14 @@
 
 // readResponse reads one response with its body, which is in memory once.
 func (c *Client) readResponse(conn *targetConn, call *Call) (*http.Response, []byte, error) {
-	conn.input.BeginHead(maxHeadBytes)
-	resp, err := http.ReadResponse(conn.r, &http.Request{Method: call.Method})
-	conn.input.EndHead()
+	resp, err := response.Read(conn.r, call.Method)
 	if err != nil {
-		if conn.input.Err != nil {
-			err = conn.input.Err // the parser hides it
-		}
 		return nil, nil, err
 	}
-	if resp.StatusCode < 200 {
+	switch {
+	case resp.StatusCode == http.StatusSwitchingProtocols: // which no call has asked for
+		return nil, nil, response.ErrMalformed
+	case resp.StatusCode < 200:
 		return resp, nil, nil
 	}
 	body, err := bounded.ReadBody(resp.Body, resp.ContentLength, maxBodyBytes, c.Buffers)
