Take an answer with a status that is none for no answer

Callers of the sidecar got what came behind an answer with a status from 000 to 099 as the answer to their call, and answers with a status from 600 to 999 as they were; 503 or not, such an answer with the mark of a refusal counted as "not run".

Cause: every status below 200 was skipped as an interim answer, and none above was looked at.

A status is 100 to 599 (RFC 9110, 15) now; any other makes the answer garbled, outcome unknown.

--- a/internal/exchange/grammar_test.go
+++ b/internal/exchange/grammar_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -195,6 +196,28 @@
 	}
 }
 
+// Guards against a status that is none: an answer with it is passed on, or counts as the
+// target's word that it has not run the call.
+func TestStatusesThatAreNone(t *testing.T) {
+	r := newResponder(t)
+	var statuses []string
+	for code := range 1000 {
+		if code == 101 || code < 100 || code > 599 {
+			statuses = append(statuses, fmt.Sprintf("%03d", code))
+		}
+	}
+	statuses = append(statuses, "", "0", "2", "20", "2000", "0200", "+20", "-20", "2 0", "20x", "x00", " 200", "2\x0000", "２００")
+	for _, status := range statuses {
+		// The second response would answer the call if the first were skipped.
+		skipped := "HTTP/1.1 " + status + " X\r\n\r\n" + rawResponse(200, "b", "", "menu")
+		checkProvesNothing(t, skipped, r.answer(t, skipped, true))
+		for _, extra := range []string{"", "Not-Run: 1\r\n"} {
+			response := "HTTP/1.1 " + status + " X\r\nCall-Name: b\r\nProof: p\r\n" + extra + "Content-Length: 4\r\n\r\nmenu"
+			checkProvesNothing(t, response, r.answer(t, response, false))
+		}
+	}
+}
+
 // Guards against valid heads that are refused.
 func TestValidHeads(t *testing.T) {
 	r := newResponder(t)
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -88,6 +88,9 @@
 		}
 		h.status = 10*h.status + int(c-'0')
 	}
+	if h.status < 100 || h.status > 599 {
+		return fmt.Errorf("%w: status %03d", ErrMalformed, h.status)
+	}
 	return checkText("reason phrase", line[length:])
 }
 
