Take an answer whose head breaks the grammar for none in nutmeghoistd

Callers of nutmeghoistd got answers of targets in trouble with heads as in the sidecar: framed by other fields than the target's, or as "not run" on the word of such a head, and answers with a status from 600 to 999. Lines with broken names themselves were not passed on, since net/http drops them when it writes; a status below 200 was no answer before, and stays none.

Cause: http.Transport parses answers as http.ReadResponse does.

A connection to a target or to another node checks the bytes of each head as http.Transport reads them, from the moment at which the connection is chosen for a call until the final head has ended. A read that would return the rest of a line that breaks the grammar, or a status that is none, fails instead, which makes the call's outcome unknown (broken_link, as for other bytes that are no answer). A trailer field whose name is none cuts the answer off; a folded line in a trailer section is still joined, as net/http does.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"nutmeghoist.example/nutmeghoist/internal/response"
 )
 
 // failureAnswer is the body of an answer that the node itself generates.
@@ -51,7 +53,7 @@
 }
 
 var (
-	errEarlyEnd   = errors.New("answer ended before it was complete")
+	errEarlyEnd   = errors.New("answer ended before it was complete, or its end is malformed")
 	errCallerGone = errors.New("caller stopped reading the answer")
 )
 
@@ -78,6 +80,9 @@
 		return err
 	}
 	for name, v := range resp.Trailer {
+		if !response.IsFieldName(name) {
+			return errEarlyEnd
+		}
 		h[http.TrailerPrefix+name] = v
 	}
 	return nil
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -40,6 +40,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			if c, ok := i.Conn.(*trackedConn); ok {
+				c.ExpectResponse()
 				c.current.Store(a)
 			}
 		},
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -6,16 +6,18 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/internal/header"
 )
 
-// Conn is the client's side of a connection on which a response may end with the
-// connection. Its Read returns io.EOF only when the peer has sent the end of the stream.
+// Conn is the client's side of a connection. Its Read returns io.EOF only when the peer has
+// sent the end of the stream, and no head that breaks the grammar, see ExpectResponse.
 //
 // The kernel reports a reset once, to the system call that comes first. When a write gets
 // it, the reads after it see the end of the stream as if the peer had sent one.
@@ -27,6 +29,40 @@
 
 	ended chan struct{} // closed after the last read
 	end   func()
+
+	head atomic.Pointer[expectedHead] // nil if heads are not checked
+}
+
+// expectedHead is the check of the head of one final response and of the interim ones
+// before it.
+type expectedHead struct {
+	check headCheck   // used by reads only
+	ended atomic.Bool // what follows is the body
+}
+
+// ExpectResponse makes reads check the head of the next response. It is called before a
+// request is sent. A read that would return the rest of a line that breaks the grammar
+// returns ErrMalformed instead.
+func (c *Conn) ExpectResponse() {
+	if h := c.head.Load(); h == nil || h.ended.Load() {
+		c.head.Store(&expectedHead{})
+	}
+}
+
+func (h *expectedHead) feed(p []byte) error {
+	for len(p) > 0 && !h.ended.Load() {
+		n, ended, err := h.check.feed(p)
+		if err != nil {
+			return err
+		}
+		p = p[n:]
+		if ended {
+			isInterim := h.check.status < http.StatusOK && h.check.status != http.StatusSwitchingProtocols
+			h.check = headCheck{}
+			h.ended.Store(!isInterim)
+		}
+	}
+	return nil
 }
 
 // NewConn wraps a connection.
@@ -89,6 +125,11 @@
 			return n, broken
 		}
 	}
+	if h := c.head.Load(); h != nil {
+		if bad := h.feed(b[:n]); bad != nil {
+			return 0, bad
+		}
+	}
 	return n, err
 }
 
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -97,13 +97,8 @@
 // checkField checks field-name ":" OWS field-value OWS.
 func (h *headCheck) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || len(name) == 0 {
-		return fmt.Errorf("%w: line without a field name", ErrMalformed)
-	}
-	for _, c := range name {
-		if !isToken[c] {
-			return fmt.Errorf("%w: octet 0x%02x in a field name", ErrMalformed, c)
-		}
+	if !ok || !IsFieldName(string(name)) {
+		return fmt.Errorf("%w: field name", ErrMalformed)
 	}
 	switch {
 	case strings.EqualFold(string(name), "Content-Length"):
@@ -114,6 +109,16 @@
 	return checkText("field value", value)
 }
 
+// IsFieldName reports whether a text is the name of a field.
+func IsFieldName(name string) bool {
+	for _, c := range []byte(name) {
+		if !isToken[c] {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // checkFraming rejects fields that contradict each other on where the body ends. The
 // values of each are checked by net/http.
 func (h *headCheck) checkFraming() error {
