Take an answer of the store whose head breaks the grammar for none

A commit whose answer had a broken head counted as written (200), as refused by its condition (412), or as not written (429, 503, 507), and one with a status such as 000 or 101 as failed for good; rows of such an answer counted as read.

response.Transport checks the heads that an http.Transport reads. Such an answer leaves the outcome of a commit unknown, so that it is read back, and a read gets "unavailable". 101 is refused with the statuses that are none, as no request asks for it; the special cases of exchange and proxy are gone.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -327,10 +327,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	switch {
-	case resp.StatusCode == http.StatusSwitchingProtocols: // which no call has asked for
-		return nil, nil, response.ErrMalformed
-	case resp.StatusCode < 200:
+	if resp.StatusCode < 200 {
 		return resp, nil, nil
 	}
 	body, err := bounded.ReadBody(resp.Body, resp.ContentLength, maxBodyBytes, c.Buffers)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -94,13 +94,8 @@
 	var a attempt
 	ctx, started := req.Context(), time.Now()
 	resp, err := t.RoundTrip(req.WithContext(a.withTrace(ctx)))
-	if err == nil && resp.StatusCode >= http.StatusOK {
-		return resp, result{conn: a.writer.Load()}
-	}
 	if err == nil {
-		// Not a final answer: an unrequested upgrade or an invalid status.
-		_ = resp.Body.Close()
-		return nil, result{kind: resultLost, reason: ReasonBrokenLink}
+		return resp, result{conn: a.writer.Load()}
 	}
 	reason := ReasonBrokenLink
 	switch cause := context.Cause(ctx); {
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -57,7 +57,7 @@
 		}
 		p = p[n:]
 		if ended {
-			isInterim := h.check.status < http.StatusOK && h.check.status != http.StatusSwitchingProtocols
+			isInterim := h.check.status < http.StatusOK
 			h.check = headCheck{}
 			h.ended.Store(!isInterim)
 		}
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 
 	"nutmeghoist.example/nutmeghoist/internal/bounded"
@@ -88,7 +89,7 @@
 		}
 		h.status = 10*h.status + int(c-'0')
 	}
-	if h.status < 100 || h.status > 599 {
+	if h.status < 100 || h.status > 599 || h.status == http.StatusSwitchingProtocols { // no request asks for it
 		return fmt.Errorf("%w: status %03d", ErrMalformed, h.status)
 	}
 	return checkText("reason phrase", line[length:])
