Keep a health probe from trusting an answer whose head breaks the grammar

A target in trouble whose probe was answered with a broken head counted as healthy, and became ready in nutmeghoistd. Found by going through all places that read answers.

--- a/internal/announce/run.go
+++ b/internal/announce/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/response"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 )
@@ -120,9 +121,9 @@
 // newHTTPProbe returns a Probe that requests the health path and /load. It opens
 // at most one connection to each target, separate from the connections of calls.
 func newHTTPProbe() Probe {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: response.NewTransport(&http.Transport{
 		MaxConnsPerHost: maxProbeConns, MaxIdleConnsPerHost: maxProbeConns, IdleConnTimeout: probeIdleTimeout,
-	}}
+	})}
 	return func(ctx context.Context, t membership.Target, healthPath string) ProbeResult {
 		var h ProbeResult
 		_, h.Healthy = get(ctx, client, "http://"+t.Address+healthPath)
