Reset the connection of an HTTP/1.0 caller whose answer is cut

Cause: such an answer ends with the connection, and the connections of callers are closed with the end of the stream, so that other answers are not lost.

The connection is reset instead.

--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -143,6 +143,21 @@
 	return nil
 }
 
+// Reset closes a connection at once, so that the peer gets an error instead of the end of
+// the stream. What the peer has not received yet may be lost.
+func Reset(c net.Conn) {
+	if lingering, ok := c.(*conn); ok {
+		if lingering.closed.Swap(true) {
+			return
+		}
+		c = lingering.Conn
+	}
+	if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
+		_ = tcp.SetLinger(0) // it fails on a connection that is broken already
+	}
+	_ = c.Close() // as above
+}
+
 // discard reads until the peer closes the connection or a bound is reached.
 func (c *conn) discard() {
 	buffer := buffers.Get().(*[]byte)
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/linger"
 	"nutmeghoist.example/nutmeghoist/pkg/admission"
 	"nutmeghoist.example/nutmeghoist/pkg/move"
 	"nutmeghoist.example/nutmeghoist/pkg/retry"
@@ -212,10 +213,23 @@
 	if err != nil {
 		c.proxy.counters.inc(kindAborted, abortReason(kind))
 		c.body.aborted.Store(true)
-		panic(http.ErrAbortHandler)
+		c.abort()
 	}
 }
 
+// abort cuts the connection of a caller whose answer cannot be completed. It does not
+// return.
+func (c *call) abort() {
+	if !c.r.ProtoAtLeast(1, 1) {
+		// Without a length, an answer in HTTP/1.0 ends with the connection. Only a reset
+		// tells a part of it from the whole.
+		if conn, _, err := http.NewResponseController(c.w).Hijack(); err == nil {
+			linger.Reset(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func abortReason(k move.OutcomeKind) Reason {
 	if k == move.OutcomeCancelled {
 		return ReasonCancelled
