Let the soak's targets send broken answers

Targets of real processes now send, in place of a tenth of their answers and of half of those to uploads, for some time each: heads whose field names hold an octet that they may not hold (of any field, of the length, beside "not run", in an interim answer), statuses that are none, and a part of an answer without a length before a reset while the upload is being written. Some uploads of such runs are 0.4 to 4 MB, so that they do not fit in the kernel's buffers. Callers read heads by the grammar, and what breaks it is a violation.

The schedule has a source of its own, so that the other faults of a seed stay as they were; that of the older answer faults draws as before.

--- a/cmd/nutmeghoist-soak/main.go
+++ b/cmd/nutmeghoist-soak/main.go
@@ -44,14 +44,14 @@
 	}
 	runs := make([]soak.Options, 0, o.Seeds)
 	for seed := o.Seed; seed < o.Seed+o.Seeds; seed++ {
-		options := soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration, AnswerFaults: true, RateLimits: true, StoreRestores: true, CrashingRequests: true, ColdTargets: true, Evacuations: true}
+		options := soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration, AnswerFaults: true, BrokenAnswers: true, RateLimits: true, StoreRestores: true, CrashingRequests: true, ColdTargets: true, Evacuations: true}
 		if o.Departures {
 			// What only the store or only the processes know is lost for good when it loses it
 			// or they all end.
 			options.Departures, options.StoreRestores, options.CrashingRequests = true, false, false
 		}
 		if o.Uploads {
-			options = soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration, Uploads: true}
+			options = soak.Options{Seed: seed, Nodes: o.Nodes, Duration: o.Duration, BrokenAnswers: true, Uploads: true}
 		}
 		runs = append(runs, options)
 	}
--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -23,10 +23,9 @@
 	endlessBody
 	lateCopy // a second copy of the answer, when the connection may be in use again
 	lateCopyWithoutID
-	answerFaultCount
 )
 
-var answerFaultNames = [...]string{"none", "answer-endless-head", "answer-endless-body", "answer-twice", "answer-twice-without-id"}
+var answerFaultNames = []string{"none", "answer-endless-head", "answer-endless-body", "answer-twice", "answer-twice-without-id"}
 
 const (
 	// maxEndlessTime is the time within which a node must close a connection on which
@@ -85,18 +84,19 @@
 }
 
 // injectAnswerFaults starts faults of targets' answers at random times for the
-// duration. Its schedule has a source of its own, so that the other faults of a seed
-// are the same with and without it.
-func (c *cluster) injectAnswerFaults(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(c.options.Seed, 1))
+// duration. names are those of the faults, of which the first is none; set starts one at a
+// target. The schedule has a source of its own, so that the other faults of a seed are the
+// same with and without it.
+func (c *cluster) injectAnswerFaults(ctx context.Context, source uint64, names []string, set func(t *target, fault int32)) {
+	rng := rand.New(rand.NewPCG(c.options.Seed, source))
 	for end := time.Now().Add(c.options.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		n := c.nodes[rng.IntN(len(c.nodes))]
-		fault := 1 + answerFault(rng.IntN(int(answerFaultCount)-1))
+		fault := 1 + rng.IntN(len(names)-1)
 		duration := time.Duration(500+rng.IntN(2500)) * time.Millisecond
-		entry := c.journal.beginFault(answerFaultNames[fault], n, n)
-		n.eachServingTarget(func(t *target) { t.answers.Store(int32(fault)) })
+		entry := c.journal.beginFault(names[fault], n, n)
+		n.eachServingTarget(func(t *target) { set(t, int32(fault)) })
 		pause.For(ctx, duration)
-		n.eachServingTarget(func(t *target) { t.answers.Store(int32(noAnswerFault)) })
+		n.eachServingTarget(func(t *target) { set(t, 0) })
 		c.journal.endFault(entry)
 	}
 }
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/internal/response"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/pause"
 	"nutmeghoist.example/nutmeghoist/platform"
@@ -114,12 +115,12 @@
 // readAnswer reads the answer to a call that has been sent, and records it.
 func (c *caller) readAnswer(out *outcome) {
 	names := platform.Headers
-	resp, err := http.ReadResponse(c.reader, nil)
+	resp, err := response.Read(c.reader, http.MethodGet)
 	for err == nil && resp.StatusCode == http.StatusContinue {
-		resp, err = http.ReadResponse(c.reader, nil)
+		resp, err = response.Read(c.reader, http.MethodGet)
 	}
 	if err != nil {
-		out.cause = err
+		out.cause, out.malformed = err, errors.Is(err, response.ErrMalformed)
 		var timeout net.Error
 		out.timeout = errors.As(err, &timeout) && timeout.Timeout()
 		c.close()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -58,6 +58,8 @@
 		j.addViolationLocked("order %s at %s ran %d times", o.id, at, len(runs))
 	case o.unsafe && o.status == 503 && len(runs) > 0:
 		j.addViolationLocked("order %s at %s was refused as not run but ran on %s", o.id, at, runs[0].target.id)
+	case o.malformed:
+		j.addViolationLocked("call %s at %s on %s got bytes that are no answer: %v", o.id, at, o.node.host, o.cause)
 	case o.status == 200 && !o.complete:
 		j.addViolationLocked("call %s at %s got an answer that is incomplete or belongs to another call", o.id, at)
 	case o.status == 404 && o.addedRoute && o.begin.After(o.node.cluster.config.ackedAt(o.version).Add(configApplyTime)) && !j.hadFault(o.node, o.begin.Add(-faultMargin-configApplyTime), o.end, nil):
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -35,6 +35,7 @@
 		"order ran twice":        {outcome: with(good, func(o *outcome) { o.unsafe = true }), runs: []run{ran, ran}, want: "ran 2 times"},
 		"false refusal":          {outcome: with(good, func(o *outcome) { o.unsafe, o.status = true, 503 }), runs: []run{ran}, want: "refused as not run"},
 		"answer of another call": {outcome: with(good, func(o *outcome) { o.complete = false }), runs: []run{ran}, want: "belongs to another call"},
+		"no answer":              {outcome: with(good, func(o *outcome) { o.status, o.complete, o.malformed = 0, false, true }), runs: []run{ran}, want: "bytes that are no answer"},
 		"rejected":               {outcome: with(good, func(o *outcome) { o.status = 404 }), want: "was rejected with status 404"},
 		"new route unknown":      {outcome: with(good, func(o *outcome) { o.status, o.addedRoute, o.version = 404, true, 3 }), want: "is unknown"},
 		"new route unknown on a node that was cut off": {
--- a/internal/soak/cold.go
+++ b/internal/soak/cold.go
@@ -37,6 +37,9 @@
 	if c.options.Uploads {
 		addUploads(config)
 	}
+	if c.options.BrokenAnswers {
+		config.Limits.BodyBytes = maxLargeUploadBytes
+	}
 	return config
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -197,6 +197,7 @@
 			t.losesAnswers.Store(false)
 			t.truncatesAnswers.Store(false)
 			t.answers.Store(0)
+			t.broken.Store(0)
 			t.uploads.Store(int32(answersUploads))
 		})
 		for _, b := range c.nodes {
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -65,6 +65,7 @@
 	status        int // HTTP status; 0 if the connection ended without an answer
 	timeout       bool
 	complete      bool // the answer is complete and belongs to the call
+	malformed     bool // what came is no answer; status is 0
 	// What the answer says of its target, with status 200.
 	target                 mesh.TargetID
 	saysLimit, saysLeaving bool
--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -50,4 +50,12 @@
 		Options: Options{Seed: 3, Nodes: 8, Duration: 6 * time.Second, Uploads: true},
 		Cause:   "as before, and at any time for uploads with Expect: 100-continue",
 	},
+	{
+		Options: Options{Seed: 47106, Nodes: 6, Duration: 8 * time.Second, BrokenAnswers: true, Uploads: true},
+		Cause:   "a part of an answer was passed on as the whole",
+	},
+	{
+		Options: Options{Seed: 47123, Nodes: 6, Duration: 8 * time.Second, BrokenAnswers: true, Uploads: true},
+		Cause:   "answers with broken heads were passed on, or taken for the word of a target that it had not run an order, which ran again",
+	},
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,6 +33,9 @@
 	Slot     int           // 0 to 255; concurrent runs need different slots
 	// AnswerFaults adds targets that send bytes without end, or an answer twice.
 	AnswerFaults bool
+	// BrokenAnswers adds targets that send bytes that are no answer, or a part of one, and
+	// larger uploads.
+	BrokenAnswers bool
 	// StoreRestores adds a store that comes back from older copies.
 	StoreRestores bool
 	// RateLimits adds targets that name a rate limit for some time.
@@ -120,7 +123,14 @@
 	}
 	wg.Go(func() { c.config.run(callerCtx) })
 	if o.AnswerFaults {
-		wg.Go(func() { c.injectAnswerFaults(ctx) })
+		wg.Go(func() {
+			c.injectAnswerFaults(ctx, 1, answerFaultNames, func(t *target, fault int32) { t.answers.Store(fault) })
+		})
+	}
+	if o.BrokenAnswers {
+		wg.Go(func() {
+			c.injectAnswerFaults(ctx, 7, brokenAnswerNames, func(t *target, fault int32) { t.broken.Store(fault) })
+		})
 	}
 	if o.StoreRestores {
 		wg.Go(func() { c.injectRestores(ctx) })
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -38,6 +38,7 @@
 	losesAnswers     atomic.Bool  // a tenth of the calls get no answer
 	truncatesAnswers atomic.Bool  // a tenth of the answers are cut short
 	answers          atomic.Int32 // an answerFault
+	broken           atomic.Int32 // a brokenAnswer
 	rateLimit        atomic.Int64 // calls a second that its answers name; 0 for none
 	uploads          atomic.Int32 // an uploadFault
 
@@ -240,6 +241,10 @@
 	if t.failing.Load() && rand.IntN(2) == 0 {
 		status = 500
 	}
+	if broken := t.takeBroken(10); broken != noBrokenAnswer {
+		broken.send(t, c, id)
+		return false
+	}
 	body := answerBody(id, t.id)
 	switch {
 	case t.losesAnswers.Load() && rand.IntN(10) == 0:
--- a/internal/soak/uploads.go
+++ b/internal/soak/uploads.go
@@ -28,8 +28,11 @@
 	maxUploadBytes  = 400 << 10
 	uploadStep      = 40 * time.Millisecond // between two writes of a paced upload
 	maxChunkBytes   = 8 << 10
-	answerTime      = 5 * time.Second // for an answer after its timeout; longer than pauses of this process
-	unknownKey      = "key-of-no-team"
+	// Some uploads of runs with broken answers do not fit in the buffers of the kernel, so
+	// that a node is still writing when the target resets the connection.
+	maxLargeUploadBytes = 4 << 20
+	answerTime          = 5 * time.Second // for an answer after its timeout; longer than pauses of this process
+	unknownKey          = "key-of-no-team"
 )
 
 // teamKeys are the keys of the teams in runs with uploads. The ward has a limit, which
@@ -76,7 +79,7 @@
 	sent time.Time
 }
 
-func newUpload() *upload {
+func (c *cluster) newUpload() *upload {
 	u := &upload{
 		key: teamKeys["clinic"][0], size: minUploadBytes + rand.IntN(maxUploadBytes-minUploadBytes),
 		chunked: rand.IntN(2) == 0, expects: rand.IntN(10) == 0, timeout: uploadTimeout, neverRead: rand.IntN(20) == 0,
@@ -87,7 +90,9 @@
 	case 1, 2:
 		u.key = teamKeys["ward"][0]
 	}
-	if rand.IntN(4) != 0 {
+	if c.options.BrokenAnswers && rand.IntN(8) == 0 {
+		u.size = maxUploadBytes + rand.IntN(maxLargeUploadBytes-maxUploadBytes)
+	} else if rand.IntN(4) != 0 {
 		u.pace = 100*time.Millisecond + rand.N(2900*time.Millisecond)
 	}
 	if rand.IntN(4) == 0 {
@@ -118,7 +123,7 @@
 
 // placeUpload sends one upload and records its outcome.
 func (c *caller) placeUpload(ctx context.Context, id string) {
-	out := outcome{id: id, node: c.node, unsafe: true, upload: newUpload(), path: uploadPrefix + id}
+	out := outcome{id: id, node: c.node, unsafe: true, upload: c.node.cluster.newUpload(), path: uploadPrefix + id}
 	out.reused = c.stillOpen()
 	if !out.reused && !c.connectToProcess() {
 		pause.For(ctx, 50*time.Millisecond)
--- a/internal/soak/uploadtargets.go
+++ b/internal/soak/uploadtargets.go
@@ -40,7 +40,11 @@
 	if rand.IntN(2) == 0 {
 		fault = answersUploads
 	}
-	if fault != earlyAnswers && !t.readUpload(req, id) {
+	broken := t.takeBroken(2)
+	if broken != noBrokenAnswer {
+		fault = answersUploads
+	}
+	if fault != earlyAnswers && broken != resetPart && !t.readUpload(req, id) {
 		return false
 	}
 	t.mu.Lock()
@@ -55,6 +59,10 @@
 	if err != nil || remainingMS > int(uploadTimeout.Milliseconds())+500 {
 		journal.addViolation("upload %s: target %s received a deadline of %q ms", id, t.id, req.Header.Get(names.DeadlineMs))
 	}
+	if broken != noBrokenAnswer {
+		broken.send(t, c, id)
+		return false
+	}
 	deadline := time.Now().Add(time.Duration(remainingMS) * time.Millisecond)
 	work := time.Duration((0.5 + rand.Float64()) * float64(meanServiceTime) * float64(t.slowFactor.Load()))
 	switch {
