--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -1,12 +1,11 @@
-// Package response reads the responses of targets over connections that may break, and
-// tells a whole response from a part of one.
+// Package response reads HTTP/1.1 responses. It tells a whole response from the part of one
+// that a broken connection leaves, and from bytes that are no response.
 package response
 
 import (
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -33,38 +32,6 @@
 	head atomic.Pointer[expectedHead] // nil if heads are not checked
 }
 
-// expectedHead is the check of the head of one final response and of the interim ones
-// before it.
-type expectedHead struct {
-	check headCheck   // used by reads only
-	ended atomic.Bool // what follows is the body
-}
-
-// ExpectResponse makes reads check the head of the next response. It is called before a
-// request is sent. A read that would return the rest of a line that breaks the grammar
-// returns ErrMalformed instead.
-func (c *Conn) ExpectResponse() {
-	if h := c.head.Load(); h == nil || h.ended.Load() {
-		c.head.Store(&expectedHead{})
-	}
-}
-
-func (h *expectedHead) feed(p []byte) error {
-	for len(p) > 0 && !h.ended.Load() {
-		n, ended, err := h.check.feed(p)
-		if err != nil {
-			return err
-		}
-		p = p[n:]
-		if ended {
-			isInterim := h.check.status < http.StatusOK
-			h.check = headCheck{}
-			h.ended.Store(!isInterim)
-		}
-	}
-	return nil
-}
-
 // NewConn wraps a connection.
 func NewConn(c net.Conn) *Conn {
 	ended := make(chan struct{})
@@ -93,7 +60,7 @@
 	switch {
 	case err == nil, c.broken != nil:
 	case errors.Is(err, syscall.EPIPE): // after the end of the stream, or after a read got the reset
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed): // this side has ended the write
 	default:
 		c.broken = err
 	}
