Check heads from the moment at which a connection is opened

A target that answers before it gets the request could have its head read before the connection was chosen for the call, and so unchecked, if http.Transport took it for the answer all the same.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -87,7 +87,9 @@
 			if err != nil {
 				return nil, err
 			}
-			return &trackedConn{Conn: response.NewConn(c)}, nil
+			conn := response.NewConn(c)
+			conn.ExpectResponse() // the first may come before the request
+			return &trackedConn{Conn: conn}, nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        maxConns,
--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -78,3 +80,39 @@
 		}
 	})
 }
+
+// Guards against a head that is not checked since it comes before the request.
+func TestHeadBeforeTheRequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX Menu: rope\r\nContent-Length: 0\r\n\r\n")
+			defer c.Close()
+		}
+	}()
+	transport := NewTransport(&http.Transport{})
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		time.Sleep(time.Millisecond) // the head is there when the first read begins
+		return c, err
+	}
+	for range 200 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp, err := transport.RoundTrip(req); err == nil {
+			_ = resp.Body.Close() // it is empty
+			t.Errorf("got %v", resp.Header)
+		}
+	}
+}
--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -22,7 +22,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(c), nil
+		conn := NewConn(c)
+		conn.ExpectResponse() // the first may come before the request
+		return conn, nil
 	}
 	return Transport{t}
 }
