Give each call of the tests of uploads a mesh of its own

Trace: its three calls shared a mesh. A target that sends a whole answer with a length and resets the connection a moment later leaves a connection that was kept, and the next call on it is refused as not run, or unknown.

Each call now has its own mesh and target, and every answer has to arrive, as before.

--- a/internal/proxy/reset_test.go
+++ b/internal/proxy/reset_test.go
@@ -55,7 +55,9 @@
 }
 
 // forEachUpload runs a test for each size of an upload, at a target of the same host and
-// behind another node, with a call function whose target ends its connection with end.
+// behind another node, with a call function whose target ends its connection with end. Each
+// call has a mesh of its own: one on a kept connection that the target has reset since is
+// refused as not run, which is true and not what is tested.
 func forEachUpload(t *testing.T, response string, end func(*net.TCPConn), f func(t *testing.T, call func() (int, string, error))) {
 	for _, size := range uploadSizes {
 		for _, hops := range []string{"direct", "through a node"} {
@@ -63,13 +65,13 @@
 				for _, method := range []string{"POST", "PUT"} {
 					t.Run(fmt.Sprintf("%d bytes,%s,reused=%v,%s", size, hops, reused, method), func(t *testing.T) {
 						t.Parallel()
-						m := newMesh(t, rules.Rule{Prefix: "/", Timeout: 10 * time.Second})
-						entry, owner := m.node("a", "dc1"), m.node("b", "dc1")
-						if hops == "direct" {
-							owner = entry
-						}
-						m.add(owner, "t", 4, newEarlyTarget(t, response, end))
 						f(t, func() (int, string, error) {
+							m := newMesh(t, rules.Rule{Prefix: "/", Timeout: 10 * time.Second})
+							entry, owner := m.node("a", "dc1"), m.node("b", "dc1")
+							if hops == "direct" {
+								owner = entry
+							}
+							m.add(owner, "t", 4, newEarlyTarget(t, response, end))
 							if reused {
 								if _, _, err := readCall(m, entry, "POST", "/a", 0); err != nil {
 									t.Fatal(err)
