--- a/review/_lab3/server.go
+++ b/review/_lab3/server.go
@@ -144,7 +144,7 @@
 	s.mu.Lock()
 	s.ran = append(s.ran, run{id, req.Method, req.RequestURI, req.Header.Get("Caller-Service"), begun})
 	s.mu.Unlock()
-	s.lab.log("server runs", "server", s.id, "service", s.service, "id", id, "path", req.RequestURI, "deadline_ms", req.Header.Get("Deadline-Ms"))
+	s.lab.log("server runs", "server", s.id, "service", s.service, "id", id, "path", req.RequestURI, "caller", req.Header.Get("Caller-Service"), "deadline_ms", req.Header.Get("Deadline-Ms"))
 	if ms, err := strconv.Atoi(req.Header.Get("Deadline-Ms")); err == nil && time.Duration(ms)*time.Millisecond < s.work {
 		time.Sleep(time.Duration(ms) * time.Millisecond)
 		_, err := fmt.Fprintf(c, "HTTP/1.1 504 Gateway Timeout\r\nRequest-Id: %s\r\nResponse-Stamp: %s\r\nContent-Length: 0\r\n\r\n", id, s.id)
@@ -160,6 +160,18 @@
 	return err == nil
 }
 
+// crash ends the server for good: its connections and its listener are closed.
+func (s *server) crash() {
+	s.stopped.Store(true)
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.lab.log("server crashed", "server", s.id)
+}
+
 // runs returns the runs so far.
 func (s *server) runs() []run {
 	s.mu.Lock()
