--- a/review/_lab3/memory.go
+++ b/review/_lab3/memory.go
@@ -39,7 +39,7 @@
 	burstTime     = 3 * time.Second
 	burstRequests = 51
 	burstPeriod   = 8 * time.Second
-	bursts        = 8
+	bursts        = 11
 )
 
 // memory checks Fault while clients send bodies within MaxBodyBytes: a process whose memory
