--- a/review/_lab3/lab.go
+++ b/review/_lab3/lab.go
@@ -51,8 +51,8 @@
 	beatInterval  = 1500 * time.Millisecond
 	serverSlots   = 9
 	maxServerConn = 110
-	memoryMB      = 134
-	maxFiles      = 4100
+	memoryMB      = 134  // MemoryMb
+	maxFiles      = 4100 // MaxFds
 )
 
 // lab is one run of a case.
@@ -183,10 +183,9 @@
 	store   string // address of the store as the node knows it
 	first   bool   // Bootstrap
 
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	done  chan struct{}
-	ended bool
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
 }
 
 func (l *lab) addNode(index int, zone, service, store string) *node {
@@ -199,26 +198,63 @@
 	l, path := n.lab, filepath.Join(n.lab.dir, n.name+".conf")
 	var b bytes.Buffer
 	for _, line := range [][2]any{
-		{"Self.Node", n.name}, {"Self.Role", "node"}, {"Self.MachineClass", "sidecar"}, {"Self.Serves", "sidecar"},
-		{"Self.Ip", l.ip(n.index)}, {"Self.Zone", n.zone}, {"Self.Region", "sierra-norte"}, {"Self.LossCounted", false},
-		{"Self.Bootstrap", n.first}, {"Self.Limits.CpuShare", 0.32}, {"Self.Limits.CpuCores", 1}, {"Self.Limits.MemoryMb", memoryMB},
-		{"Self.Limits.MaxFds", maxFiles}, {"Self.Limits.LinkMbps", "1000.0"}, {"Self.Limits.DiskMb", 0},
-		{"Self.AppAddr", l.addr(n.index, portApp)}, {"Self.Service", n.service},
-		{"Network.Listen.Inbound", l.addr(n.index, portInbound)}, {"Network.Listen.Outbound", l.addr(n.index, portCaller)},
-		{"Network.Listen.Ready", l.addr(n.index, portReady)}, {"Network.Listen.Control", l.addr(n.index, portControl)},
-		{"Network.PortRange", "7380,7395"}, {"Network.SeedAddrs", ""},
-		{"Platform.Discovery", "static"}, {"Platform.Entry", "static"}, {"Platform.BeatInterval", "1500ms"},
-		{"Platform.Platform.Address", n.store}, {"Platform.Platform.form", "table"}, {"Platform.Platform.WritesPerS", 400},
-		{"Platform.Platform.ReadsPerS", 2000}, {"Platform.Platform.Tx", "8ms"}, {"Platform.Platform.PartWritesS", 150},
-		{"Platform.Platform.RowBytes", 65536}, {"Platform.Platform.Across", false}, {"Platform.Platform.History", "20s"},
+		{"Self.Node", n.name},
+		{"Self.Role", "node"},
+		{"Self.MachineClass", "sidecar"},
+		{"Self.Serves", "sidecar"},
+		{"Self.Ip", l.ip(n.index)},
+		{"Self.Zone", n.zone},
+		{"Self.Region", "sierra-norte"},
+		{"Self.LossCounted", false},
+		{"Self.Bootstrap", n.first},
+		{"Self.Limits.CpuShare", 0.32},
+		{"Self.Limits.CpuCores", 1},
+		{"Self.Limits.MemoryMb", memoryMB},
+		{"Self.Limits.MaxFds", maxFiles},
+		{"Self.Limits.LinkMbps", "1000.0"},
+		{"Self.Limits.DiskMb", 0},
+		{"Self.AppAddr", l.addr(n.index, portApp)},
+		{"Self.Service", n.service},
+		{"Network.Listen.Inbound", l.addr(n.index, portInbound)},
+		{"Network.Listen.Outbound", l.addr(n.index, portCaller)},
+		{"Network.Listen.Ready", l.addr(n.index, portReady)},
+		{"Network.Listen.Control", l.addr(n.index, portControl)},
+		{"Network.PortRange", "7380,7395"},
+		{"Network.SeedAddrs", ""},
+		{"Platform.Discovery", "static"},
+		{"Platform.Entry", "static"},
+		{"Platform.BeatInterval", "1500ms"},
+		{"Platform.Platform.Address", n.store},
+		{"Platform.Platform.form", "table"},
+		{"Platform.Platform.WritesPerS", 400},
+		{"Platform.Platform.ReadsPerS", 2000},
+		{"Platform.Platform.Tx", "8ms"},
+		{"Platform.Platform.PartWritesS", 150},
+		{"Platform.Platform.RowBytes", 65536},
+		{"Platform.Platform.Across", false},
+		{"Platform.Platform.History", "20s"},
 		{"Terms.Contracts", "base,drain,config,cost,retry,recover,rollout,platform"},
-		{"Terms.FaultTolerance.Machines", 1}, {"Terms.FaultTolerance.Zones", 1}, {"Terms.FaultTolerance.Regions", 0},
-		{"Terms.ContractParams.SeedLag", "3s"}, {"Terms.ContractParams.AddrReuse", "2s"}, {"Terms.ContractParams.Touch", "3000ms"},
-		{"Terms.ContractParams.Ack", "4000ms"}, {"Terms.ContractParams.CatchUp", "4s"}, {"Terms.ContractParams.Drain", "2000ms"},
-		{"Terms.ContractParams.Grace", "6s"}, {"Terms.ContractParams.LossSlack", "200ms"}, {"Terms.ContractParams.ConfigApply", "2000ms"},
-		{"Terms.ContractParams.RevertSlack", "250ms"}, {"Terms.ContractParams.Outer", "5000ms"}, {"Terms.ContractParams.RetryBudgetRatio", 0.2},
-		{"Terms.ContractParams.BudgetWindow", "10s"}, {"Terms.ContractParams.BudgetSlack", 58}, {"Terms.ContractParams.ExposeShare", 0.1},
-		{"Terms.ContractParams.ExposeSlack", 50}, {"Terms.ContractParams.Rollback", "5000ms"}, {"Terms.ContractParams.Recover", "15s"},
+		{"Terms.FaultTolerance.Machines", 1},
+		{"Terms.FaultTolerance.Zones", 1},
+		{"Terms.FaultTolerance.Regions", 0},
+		{"Terms.ContractParams.SeedLag", "3s"},
+		{"Terms.ContractParams.AddrReuse", "2s"},
+		{"Terms.ContractParams.Touch", "3000ms"},
+		{"Terms.ContractParams.Ack", "4000ms"},
+		{"Terms.ContractParams.CatchUp", "4s"},
+		{"Terms.ContractParams.Drain", "2000ms"},
+		{"Terms.ContractParams.Grace", "6s"},
+		{"Terms.ContractParams.LossSlack", "200ms"},
+		{"Terms.ContractParams.ConfigApply", "2000ms"},
+		{"Terms.ContractParams.RevertSlack", "250ms"},
+		{"Terms.ContractParams.Outer", "5000ms"},
+		{"Terms.ContractParams.RetryBudgetRatio", 0.2},
+		{"Terms.ContractParams.BudgetWindow", "10s"},
+		{"Terms.ContractParams.BudgetSlack", 58},
+		{"Terms.ContractParams.ExposeShare", 0.1},
+		{"Terms.ContractParams.ExposeSlack", 50},
+		{"Terms.ContractParams.Rollback", "5000ms"},
+		{"Terms.ContractParams.Recover", "15s"},
 	} {
 		fmt.Fprintf(&b, "%v=%v\n", line[0], line[1])
 	}
@@ -255,22 +291,6 @@
 	return nil
 }
 
-func (n *node) pid() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.cmd.Process.Pid
-}
-
-func (n *node) signal(s syscall.Signal) {
-	n.mu.Lock()
-	cmd := n.cmd
-	n.mu.Unlock()
-	if cmd != nil {
-		n.lab.log("signal", "node", n.name, "signal", s)
-		_ = cmd.Process.Signal(s) // it may have ended
-	}
-}
-
 // end kills the process.
 func (n *node) end() {
 	n.mu.Lock()
--- a/review/_lab3/server.go
+++ b/review/_lab3/server.go
@@ -15,6 +15,9 @@
 	"time"
 )
 
+// idleTime is how long a server keeps an idle connection.
+const idleTime = 10 * time.Second
+
 // server is a stand-in of an application server, as PROTOCOL.md describes one.
 type server struct {
 	lab      *lab
@@ -24,7 +27,6 @@
 	version  string
 	born     int64
 	work     time.Duration
-	idle     time.Duration // Keep-Alive timeout, whole seconds; 0 for 10 s without the header
 	listener net.Listener
 
 	// grey is how many of 100 requests fail after they have run.
@@ -112,12 +114,8 @@
 		s.mu.Unlock()
 	}()
 	r := bufio.NewReader(c)
-	idle := s.idle
-	if idle == 0 {
-		idle = 10 * time.Second
-	}
 	for {
-		_ = c.SetReadDeadline(time.Now().Add(idle))
+		_ = c.SetReadDeadline(time.Now().Add(idleTime))
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -166,11 +164,7 @@
 		return err == nil
 	}
 	body := fmt.Sprintf("%s by %s of %s\n", id, s.id, s.service)
-	extra := ""
-	if s.idle > 0 {
-		extra = fmt.Sprintf("Keep-Alive: timeout=%d\r\n", int(s.idle/time.Second))
-	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, s.id, extra, len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", id, s.id, len(body), body)
 	return err == nil
 }
 
