Take a stamped 421 without a mark for an unknown outcome

Callers could have an order run twice: a response 421 with the stamp of a target that has run the call, and without the mark that it has not, was taken for the refusal of another target, and the order was sent to the next one.

Cause: any 421 counted as proof. PROTOCOL.md gives that proof to the mark alone ("No other response states this"); RULES.md adds the status 421 for a target that is not the expected one. Such a target has not run the call and has no stamp for it. With a stamp and no mark the response shows neither.

Such a response is now unknown: an order ends with 502, an idempotent call goes to another target. Marked and unstamped ones go elsewhere as before.

Tests: two cases of TestResponseClassification and one of TestLateCopiesOnAReusedConnection failed before. Three checks used a stamped 421 without a mark as the refusal of another target: the one of TestLateCopiesOnAReusedConnection now has it unstamped and marked, and the stamped one as unknown; TestValidHeads expects unknown; the one of TestSignalsComeFromTheTargetsOwnAnswers holds unchanged.

--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -137,7 +137,9 @@
 		{"misdirected with the first ID", rawResponse(421, "a", "", ""), Answered},
 		{"shed with the first ID", rawResponse(503, "a", notRun, ""), Answered},
 		{"success with the first ID", rawResponse(200, "a", "", "rope"), Answered},
-		{"misdirected with the second ID", rawResponse(421, "b", "", ""), NotRun},
+		{"misdirected with the second ID", "HTTP/1.1 421 X\r\nCall-Name: b\r\nContent-Length: 0\r\n\r\n", NotRun},
+		{"misdirected with the second ID, marked", rawResponse(421, "b", notRun, ""), NotRun},
+		{"misdirected with the second ID, stamped", rawResponse(421, "b", "", ""), Unknown},
 		{"shed with the second ID", rawResponse(503, "b", notRun, ""), NotRun},
 	}
 	for _, tc := range cases {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -104,7 +104,7 @@
 const (
 	Unreachable      Reason = "target_unreachable" // no connection
 	Shed             Reason = "target_shed"        // the target refused without running the call
-	Misdirected      Reason = "target_replaced"    // another target now has the address
+	Misdirected      Reason = "target_replaced"    // another target may now have the address
 	ConnectionBroken Reason = "connection_broken"  // reset or closed before a complete response
 	Malformed        Reason = "answer_garbled"     // not a complete, valid response of the target
 	Oversized        Reason = "answer_oversized"   // head or body exceeds its bound
@@ -372,18 +372,23 @@
 
 // classify returns the result of a complete response. On a connection that was
 // used before, a response without the call's ID proves nothing: it can be a late
-// second copy of the response to an earlier call.
+// second copy of the response to an earlier call. A target that is not the expected one
+// has not run the call, which its status says without a mark. With a stamp but no mark the
+// response can also be that of a target that has run it.
 func (c *Client) classify(resp *http.Response, body []byte, call *Call, reusedConn bool) Result {
 	res := Result{Kind: Answered, Status: resp.StatusCode, Header: resp.Header, Body: body, Sent: true, Signals: c.signalsOf(resp.Header)}
 	ids := resp.Header.Values(c.names.RequestID)
 	idMatches := len(ids) == 1 && ids[0] == call.ID
 	isOwn := idMatches || len(ids) == 0 && !reusedConn
+	marked, stamped := resp.Header.Get(c.names.NotRun) != "", resp.Header.Get(c.names.Stamp) != ""
 	switch {
-	case isOwn && resp.StatusCode == http.StatusMisdirectedRequest:
+	case isOwn && resp.StatusCode == http.StatusMisdirectedRequest && (marked || !stamped):
 		return Result{Kind: NotRun, Reason: Misdirected, Sent: true}
-	case isOwn && resp.Header.Get(c.names.NotRun) != "":
+	case isOwn && resp.StatusCode == http.StatusMisdirectedRequest:
+		return unknownResult(Misdirected, errors.New("a misdirected call has a stamp and no mark that it has not run"))
+	case isOwn && marked:
 		return Result{Kind: NotRun, Reason: Shed, Sent: true, Signals: c.signalsOf(resp.Header)}
-	case !idMatches, resp.Header.Get(c.names.Stamp) == "", resp.Header.Get("Content-Encoding") != "":
+	case !idMatches, !stamped, resp.Header.Get("Content-Encoding") != "":
 		return unknownResult(Malformed, errors.New("response lacks the request ID or stamp, or its body is encoded"))
 	}
 	return res
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -97,6 +97,10 @@
 		{"encoded body", rawResponse(200, "a", "Content-Encoding: gzip\r\n", "menu"), false, Unknown, Malformed, ""},
 		{"shed", "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false, NotRun, Shed, ""},
 		{"misdirected", "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n", false, NotRun, Misdirected, ""},
+		{"misdirected, marked", rawResponse(421, "a", "Not-Run: 1\r\n", ""), false, NotRun, Misdirected, ""},
+		{"misdirected, stamped without a mark", rawResponse(421, "a", "", ""), false, Unknown, Misdirected, ""},
+		{"shed with a stamp", rawResponse(503, "a", "Not-Run: 1\r\n", ""), false, NotRun, Shed, ""},
+		{"failure with the status of a refusal", rawResponse(503, "a", "", "no"), false, Answered, "", "no"},
 		{"unmarked refusal", "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", false, Unknown, Malformed, ""},
 	}
 	for _, tc := range cases {
--- a/internal/exchange/grammar_test.go
+++ b/internal/exchange/grammar_test.go
@@ -225,8 +225,8 @@
 	for code := 200; code < 600; code++ {
 		want, body := Answered, "menu"
 		switch code {
-		case http.StatusMisdirectedRequest:
-			want, body = NotRun, ""
+		case http.StatusMisdirectedRequest: // stamped, without a mark
+			want, body = Unknown, ""
 		case http.StatusNoContent, http.StatusNotModified:
 			body = ""
 		}
