Keep a target's refusal mark from callers of nutmeghoistd

A target that relays the answer of another target could promise for its own call what only the other one knew: Target-Not-Run was passed on with answers other than 503, and its node would take it for the target's own statement if the status is changed to 503 on the way. An order would then be sent to a second target.

Cause: the header is a statement to the node beside the target, and copyHeaders passed it on like any other. It skips it now, as it does the headers of the call path. The contract with targets is the same.

Test: TestRefusalMarksAreNotPassedOn, which failed before for each status, directly and through another node.

--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -28,7 +28,7 @@
 	headerRuleHost = "Nutmeghoist-Rule-Host"      // host of the rule, unless it is any
 	headerLoad     = "Nutmeghoist-Load"           // the target's load at its host and the call's queue time
 
-	headerTargetNotRun = "Target-Not-Run" // set by a target that refused a call without running it
+	headerTargetNotRun = "Target-Not-Run" // set by a target that refused a call without running it, for its own node only
 )
 
 const headerPrefix = "Nutmeghoist-"
@@ -40,11 +40,11 @@
 }
 
 // copyHeaders copies the end-to-end headers. It skips the headers of the call
-// path, which each node sets itself.
+// path, which each node sets itself, and what a target says to its node.
 func copyHeaders(dst, src http.Header) {
 	connection := src["Connection"]
 	for k, v := range src {
-		if hopByHop[k] || strings.HasPrefix(k, headerPrefix) || (len(connection) > 0 && listsHeader(connection, k)) {
+		if hopByHop[k] || k == headerTargetNotRun || strings.HasPrefix(k, headerPrefix) || (len(connection) > 0 && listsHeader(connection, k)) {
 			continue
 		}
 		dst[k] = v
