Promise callers of orders nothing that a target has not promised

Cause: a target that runs an order and fails it with a 503 of its own, without the mark that it has not run, was answered for with that status. To a caller 503, 429, 408 and 421 are promises, whoever they come from. internal/exchange is right to call it an answer; the entry made it a promise.

Change: a target's own answer with such a status to a call that must not run twice ends with 502, without the target's stamp, headers and body. It counts as before against the target and its version, keeps its token of the team's limit, and is a failed call for the one that waits for it. Marked refusals go elsewhere and keep their Retry-After; idempotent calls get the target's answer unchanged.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -69,6 +69,9 @@
 	// reasonEvacuated means that the data centre of the target, or those of all targets
 	// of the service, are evacuated. Owners use it as well.
 	reasonEvacuated = "evacuated"
+	// reasonUnprovenRefusal means that the target's own status would promise the caller
+	// that the call has not run.
+	reasonUnprovenRefusal = "unproven_refusal"
 )
 
 // Local runs calls at the target of this host.
@@ -242,6 +245,7 @@
 	tried        routing.PreviousAttempts
 	serverError  *hop.Response // returned when no later attempt succeeds
 	reason       string
+	targetStatus int               // of the answer that was withheld for reasonUnprovenRefusal
 	evacuated    []mesh.DataCentre // that an owner has named
 	retryAfter   time.Duration     // the earliest that a target named; 0 when none did
 	lastTarget   mesh.TargetID
@@ -594,8 +598,25 @@
 	return true
 }
 
-// targetResponse returns the target's response in the form for the caller.
+// promisesNotRun reports whether a status promises the caller that its call has not run
+// and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// targetResponse returns the target's response in the form for the caller. Owners report
+// a target's refusals as not run, so that an answer with the status of one may have run.
+// The caller of a non-idempotent call would repeat it; it gets a status that promises
+// nothing instead, without the target's stamp and headers such as Retry-After.
 func (c *call) targetResponse(resp *hop.Response) *Response {
+	if !c.route.Idempotent && promisesNotRun(resp.Status) {
+		c.mayHaveRun, c.targetStatus = true, resp.Status
+		return c.localResponse(http.StatusBadGateway, reasonUnprovenRefusal, 0)
+	}
 	c.reason, c.answered = "", true
 	h := resp.Header
 	if h == nil {
@@ -690,6 +711,9 @@
 	if retryAfter := response.Header.Get("Retry-After"); retryAfter != "" {
 		line = line.Str("retry_after", retryAfter)
 	}
+	if c.targetStatus != 0 {
+		line = line.Int("target_status", c.targetStatus)
+	}
 	line.Bool("nested", c.isNested()).Bool("caller_left", c.callerLeft()).Msg("call ended")
 }
 
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -111,6 +111,7 @@
 	full := &hop.Response{Outcome: hop.NotRun, Reason: "queue_full", RetryAfterMs: 120}
 	shed := &hop.Response{Outcome: hop.NotRun, Reason: "target_shed", SentToTarget: true}
 	broken := &hop.Response{Outcome: hop.Answered, Status: 500, Header: http.Header{"Proof": {"p"}}, SentToTarget: true}
+	ownRefusal := &hop.Response{Outcome: hop.Answered, Status: 503, Header: http.Header{"Proof": {"p"}, "Retry-After": {"1"}}, SentToTarget: true}
 	cases := []struct {
 		name    string
 		path    string          // /menus/ is idempotent, /orders/ is not
@@ -129,6 +130,9 @@
 		{"order not admitted, then answered", "/orders/1", []*hop.Response{full, nil}, 200, 2},
 		{"order shed, then answered", "/orders/1", []*hop.Response{shed, nil}, 200, 2},
 		{"order not admitted, then lost", "/orders/1", []*hop.Response{full, lost, nil}, 502, 2},
+		{"order failed with the status of a refusal", "/orders/1", []*hop.Response{ownRefusal, nil}, 502, 1},
+		{"order shed, then failed with the status of a refusal", "/orders/1", []*hop.Response{shed, ownRefusal, nil}, 502, 2},
+		{"lookup failed with the status of a refusal, then answered", "/menus/1", []*hop.Response{ownRefusal, nil}, 200, 2},
 		{"order shed twice", "/orders/1", []*hop.Response{shed, shed, nil}, 503, 2},
 		{"nowhere admitted", "/orders/1", []*hop.Response{full, full, full, nil}, 503, 3},
 	}
@@ -467,6 +471,36 @@
 	}
 }
 
+// Guards against a failed order that no longer counts against its target and its version,
+// gives its token back to its team, or is no failure for the call that waited for it, since
+// the caller is told that it may have run.
+func TestUnprovenRefusalCountsAsAFailure(t *testing.T) {
+	for status, result := range map[int]rollout.Result{503: rollout.Failed, 429: rollout.Succeeded, 421: rollout.Succeeded, 408: rollout.Succeeded} {
+		owner := &scriptedOwner{script: func(int, *hop.Request) *hop.Response {
+			return &hop.Response{Outcome: hop.Answered, Status: status, Stamp: "s", Header: http.Header{"Retry-After": {"1"}}, SentToTarget: true}
+		}}
+		e := newEntry(owner, 1)
+		observer := &attemptObserver{}
+		e.cfg.Observer = observer
+		e.cfg.ParentID = func(id string) string { parent, _, _ := strings.Cut(id, "."); return parent }
+		r := requestFor("/orders/1")
+		r.Header.Set("Call-Name", "running.1")
+		resp := e.Handle(t.Context(), r)
+		if resp.Status != 502 || len(resp.Header) != 1 || len(resp.Body) != 0 || !resp.PassedOn {
+			t.Errorf("%d: got %+v", status, resp)
+		}
+		if len(observer.results) != 1 || observer.results[0] != result {
+			t.Errorf("%d: the version's results are %v, want %v", status, observer.results, result)
+		}
+		if len(owner.nestedFailures) != 1 {
+			t.Errorf("%d: the call that waited is not told", status)
+		}
+		if n := metrics.GetOrRegisterCounter("unknown.unproven_refusal", e.cfg.Metrics).Count(); n != 1 {
+			t.Errorf("%d: counted %d times", status, n)
+		}
+	}
+}
+
 // TestRepeatedRunsPayForTheirCalls guards against calls of a repeated run that add to the retry budget of the service that they reach, where they are repeats, and against an attempt that is not known as one.
 func TestRepeatedRunsPayForTheirCalls(t *testing.T) {
 	shed := func(_ int, r *hop.Request) *hop.Response {
--- a/internal/sidecar/mesh_test.go
+++ b/internal/sidecar/mesh_test.go
@@ -159,6 +159,7 @@
 // callResult is what a caller observes.
 type callResult struct {
 	status     int // 0 without an answer
+	stamp      string
 	retryAfter string
 	took       time.Duration
 }
@@ -192,7 +193,7 @@
 	if _, err := io.ReadAll(resp.Body); err != nil {
 		status = 0
 	}
-	return callResult{status, resp.Header.Get("Retry-After"), time.Since(began)}
+	return callResult{status, resp.Header.Get(names.Stamp), resp.Header.Get("Retry-After"), time.Since(began)}
 }
 
 // crashes records the ends of targets under a request whose path contains "crash".
@@ -301,6 +302,12 @@
 			time.Sleep(lateServiceTime)
 		}
 		names := platform.Headers
+		if status, mark := refusalOf(req.URL.Path); status != 0 {
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 %d No\r\n%s: %s\r\n%s: s\r\n%sRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", status, names.RequestID, req.Header.Get(names.RequestID), names.Stamp, mark); err != nil {
+				return
+			}
+			continue
+		}
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 2\r\n\r\nok", names.RequestID, req.Header.Get(names.RequestID), names.Stamp); err != nil {
 			return
 		}
