Take the rows of hosts for addresses to dial, not for live hosts

Cause: a row outlives its host, and a host that starts took each row for the record of a live one. After a restart of all, nobody remembers which have ended. The followers of the operators' table were chosen among ended hosts, so that nobody followed it; backup reads were spaced for all rows; links were spent on silent addresses; shares of retries and team limits counted all rows.

Change: a row makes no host record. A host that starts dials those that the rows name, first its neighbours among them, as before, then the others by turns of the latest and oldest rows, in growing numbers; who answers, or is known to one who answers, is a member. Where most do not answer, the host writes its row again, so that others that start see it among the latest. Hosts that failed last are dialled first, so that one that is started again is found soon. For a second rows are presumed alive where that saves calls of the store. Hosts of a data centre that may be cut off still count in shares.

Tests that failed before: TestEndedHostsAreNotAliveAfterARestart with 30, 300 and 2,000 rows, TestOneHostStartsAmongRowsOfEndedHosts in all forms. TestHostsThatAreCutOffKeepTheirShares held before and guards the shares.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -209,11 +209,16 @@
 
 // SharingHosts returns the number of hosts among which an allowance for all of them is
 // divided, and false while this host has not learned it. Hosts that have failed count:
-// seen from the other side of a cut, this one has.
+// seen from the other side of a cut, this one has. So do those that this host knows by
+// their rows alone, while they may be alive.
 func (a *Agent) SharingHosts() (int, bool) {
-	return max(1, int(a.sharingHosts.Load())), a.hostsLearned.Load() || a.gossip.LinkCount() > 0
+	return max(1, int(a.sharingHosts.Load())+a.UnconfirmedHosts()), a.hostsLearned.Load() || a.gossip.LinkCount() > 0
 }
 
+// UnconfirmedHosts returns the number of hosts that this one knows by their rows alone and
+// that may be alive.
+func (a *Agent) UnconfirmedHosts() int { return a.gossip.UnconfirmedHosts() }
+
 // SetTargets publishes the targets of this host to the mesh.
 func (a *Agent) SetTargets(list []membership.Target) {
 	a.members.UpdateSelf(func(h *membership.Host) { h.Targets = list })
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 	"nutmeghoist.example/nutmeghoist/pkg/mesh"
 	"nutmeghoist.example/nutmeghoist/pkg/pause"
@@ -55,6 +56,15 @@
 	// delay doubles with each attempt, up to maxRejoinDelay.
 	minRejoinDelay = 2 * time.Second
 	maxRejoinDelay = 30 * time.Second
+	// announceDelay is how long after it has read the rows a host looks whether its
+	// neighbours among them answer.
+	announceDelay = 500 * time.Millisecond
+	// announceTime is how long it looks, and announcePoll is the time between two looks.
+	announceTime = 2 * time.Second
+	announcePoll = 300 * time.Millisecond
+	// minUnreachable is the number of hosts that must not have answered before a host
+	// announces itself anew.
+	minUnreachable = 4
 	// lateHeartbeats is longer than a heartbeat of a target takes to arrive.
 	lateHeartbeats = time.Minute
 	// The back-off between calls to a store that does not answer. maxBackoff is
@@ -83,6 +93,9 @@
 	// checkRows means that the rows of other hosts are to be checked at the next join,
 	// since the store was restored.
 	checkRows bool
+	// announce means that the next join writes the row of this host anew, and announced
+	// that one has.
+	announce, announced bool
 }
 
 // storeLoop reads the store until the context ends. Two hosts of each data centre
@@ -90,24 +103,31 @@
 // rarely, as a backup.
 func (a *Agent) storeLoop(ctx context.Context) {
 	f := &follower{agent: a, rejoinDelay: minRejoinDelay, departuresKnown: a.cfg.FirstStart}
-	nextBackup := time.Now()
+	backup := backupTimer{due: true}
 	for ctx.Err() == nil {
 		f.rejoinIfIsolated()
+		f.announceAmongStaleRows()
 		if !f.departuresKnown && !f.unknownSince.IsZero() && time.Since(f.unknownSince) > lateHeartbeats {
 			f.joined = false
 		}
 		if a.storeDoubted.Swap(false) {
 			f.markLost(nil)
-			nextBackup = time.Now()
+			backup.due = true
 		}
 		if a.ordersDoubted.Swap(false) {
-			nextBackup = time.Now()
+			backup.due = true
 		}
 		following := a.isStoreFollower() || f.isAlone()
 		if following && f.joined && a.history.takeRowsUnchecked() {
 			f.joined, f.checkRows = false, true
 		}
-		if wait := time.Until(nextBackup); !following && f.joined && wait > 0 {
+		if wait := f.searchWait(); wait > 0 {
+			if !pause.For(ctx, wait) {
+				return
+			}
+			continue
+		}
+		if wait := backup.wait(len(a.localHosts())); !following && f.joined && wait > 0 {
 			if !a.awaitChange(ctx, min(wait, maxFollowerCheckPeriod)) {
 				return
 			}
@@ -120,12 +140,12 @@
 		if err := f.poll(ctx, wait); err != nil {
 			f.handleFailure(ctx, err)
 			if !following {
-				nextBackup = time.Now().Add(a.backupReadDelay()) // the followers keep retrying
+				backup = newBackupTimer() // the followers keep retrying
 			}
 			continue
 		}
 		f.handleSuccess()
-		nextBackup = time.Now().Add(a.backupReadDelay())
+		backup = newBackupTimer()
 		if following && !pause.For(ctx, feedPause) {
 			return
 		}
@@ -150,13 +170,27 @@
 	return true
 }
 
-func (a *Agent) backupReadDelay() time.Duration {
-	hosts := len(a.localHosts())
-	return time.Duration(rand.ExpFloat64() * float64(max(1, hosts)) * float64(backupReadPeriod))
+// backupTimer tells when a host that does not follow the store reads it. The time depends
+// on the number of hosts that share the reads, which can change before it is over.
+type backupTimer struct {
+	due   bool
+	since time.Time
+	share float64 // of the mean time, exponentially distributed
+}
+
+func newBackupTimer() backupTimer { return backupTimer{since: time.Now(), share: rand.ExpFloat64()} }
+
+// wait returns the time until the next read in a data centre of so many live hosts.
+func (t *backupTimer) wait(hosts int) time.Duration {
+	if t.due {
+		return 0
+	}
+	return time.Until(t.since.Add(time.Duration(t.share * float64(max(1, hosts)) * float64(backupReadPeriod))))
 }
 
 // localHosts returns the live hosts of this data centre, this host included, in
-// the order in which they become the store's follower.
+// the order in which they become the store's follower. Right after the start, hosts of
+// which only the rows are known count as well.
 func (a *Agent) localHosts() []membership.Host {
 	var out []membership.Host
 	for _, h := range a.members.Hosts() {
@@ -164,6 +198,11 @@
 			out = append(out, h)
 		}
 	}
+	for _, h := range a.gossip.Presumed() {
+		if h.DataCentre == a.cfg.Self.DataCentre {
+			out = append(out, h)
+		}
+	}
 	slices.SortFunc(out, func(x, y membership.Host) int {
 		if x.Detached != y.Detached {
 			if x.Detached {
@@ -221,7 +260,7 @@
 		f.settled = true
 		// The join has shown the other hosts of the data centre. A host that is started
 		// again must read the orders: the row of a rollout may name it as coordinator.
-		if f.agent.cfg.FirstStart && !f.agent.isStoreFollower() && (f.agent.awaitConfig(ctx, peerConfigTimeout) || f.agent.gossip.LinkCount() > 0) {
+		if f.agent.cfg.FirstStart && f.leavesReading(ctx) {
 			return nil
 		}
 	}
@@ -252,6 +291,17 @@
 	return nil
 }
 
+// leavesReading reports whether other hosts read the configuration at the first start of
+// the whole system. A host that was found before it had read the rows knows the others
+// only after it has waited.
+func (f *follower) leavesReading(ctx context.Context) bool {
+	a := f.agent
+	if !f.hostsReadAt.IsZero() && a.isStoreFollower() {
+		return false
+	}
+	return (a.awaitConfig(ctx, peerConfigTimeout) || a.gossip.LinkCount() > 0) && !a.isStoreFollower()
+}
+
 // awaitConfig waits for a configuration from other hosts and reports whether there
 // is one.
 func (a *Agent) awaitConfig(ctx context.Context, limit time.Duration) bool {
@@ -325,6 +375,40 @@
 	}
 }
 
+// searchWait returns how long to wait before the next look at whether this host finds live
+// hosts among the rows, or 0 when that is settled.
+func (f *follower) searchWait() time.Duration {
+	since := time.Since(f.hostsReadAt)
+	if !f.joined || !f.settled || f.announced || since > announceTime {
+		return 0
+	}
+	pending, _ := f.agent.gossip.SearchState()
+	switch {
+	case pending == 0:
+		return 0
+	case since < announceDelay:
+		return announceDelay - since
+	case f.agent.gossip.LinkCount() == 0:
+		return announcePoll
+	}
+	return 0
+}
+
+// announceAmongStaleRows makes a host that finds few live ones among the rows write its own
+// anew and read them again. Of hosts that do so at the same time, each sees the rows of
+// those before it among the latest.
+func (f *follower) announceAmongStaleRows() {
+	since := time.Since(f.hostsReadAt)
+	if !f.joined || f.announced || since < announceDelay || since > announceTime {
+		return
+	}
+	pending, unreachable := f.agent.gossip.SearchState()
+	if pending > 0 && unreachable >= max(minUnreachable, len(f.agent.members.Hosts())) {
+		f.joined, f.announce, f.announced = false, true, true
+		f.agent.count("hosts.announced_anew")
+	}
+}
+
 // join reads the rows of all hosts and writes the row of this host if it is
 // missing or out of date. Of two hosts that start at the same time, at least one
 // must see the other's row, so a host that saw none reads again after it has
@@ -343,15 +427,16 @@
 		self.StoreEra = f.agent.storeEra()
 	}
 	rowPresent := rows[self.ID].callAddress == self.CallAddress && (f.unknownSince.IsZero() || rows[self.ID].era == self.StoreEra)
-	if !rowPresent {
+	if !rowPresent || f.announce {
 		if err := f.writeRow(ctx, &self); err != nil {
 			return err
 		}
-		if len(f.agent.members.Hosts()) == 1 {
+		if len(f.agent.members.Hosts()) == 1 && len(f.agent.gossip.Presumed()) == 0 || f.announce {
 			if _, err := f.readHosts(ctx); err != nil {
 				return err
 			}
 		}
+		f.announce = false
 	}
 	if f.checkRows {
 		if err := f.restoreRows(ctx, rows); err != nil {
@@ -361,7 +446,7 @@
 	}
 	f.joined = true
 	f.agent.hostsLearned.Store(true)
-	f.agent.cfg.Log.Info().Int("hosts", len(f.agent.members.Hosts())).Bool("row_written", !rowPresent).Msg("joined through the store")
+	f.agent.cfg.Log.Info().Int("hosts", len(f.agent.members.Hosts())).Int("rows", len(rows)).Bool("row_written", !rowPresent).Msg("joined through the store")
 	return nil
 }
 
@@ -372,7 +457,15 @@
 	era         uint64 // in which the host wrote it
 }
 
-// readHosts merges the rows of all hosts into the host records and returns them.
+func newHostRow(row *platform.Row, h *membership.Host) hostRow {
+	return hostRow{h.CallAddress, row.Version, max(platform.FirstEra, h.StoreEra)}
+}
+
+func isDecisionRow(row *platform.Row) bool { return strings.HasPrefix(row.Key, decisionPrefix) }
+
+// readHosts reads the rows of all hosts and returns them. A row outlives its host: it
+// becomes no host record, but makes this host look for the one that it names. Its own row
+// tells of its earlier processes.
 func (f *follower) readHosts(ctx context.Context) (map[mesh.HostID]hostRow, error) {
 	rows, version, err := f.agent.cfg.Store.Rows(ctx, hostTable)
 	if err != nil {
@@ -380,7 +473,7 @@
 	}
 	f.agent.history.observe(platform.EraOf(version), "store")
 	f.hostsReadAt = time.Now()
-	var hosts []membership.Host
+	var hosts []distribution.Candidate
 	var guilty, departed, decided []platform.Row
 	present := make(map[mesh.HostID]hostRow, len(rows))
 	for _, row := range rows {
@@ -391,7 +484,7 @@
 		case f.agent.departures.IsRow(&row):
 			departed = append(departed, row)
 			continue
-		case strings.HasPrefix(row.Key, decisionPrefix):
+		case isDecisionRow(&row):
 			decided = append(decided, row)
 			continue
 		}
@@ -401,16 +494,20 @@
 			f.agent.cfg.Log.Error().Str("row", row.Key).AnErr("cause", err).Msg("host row cannot be read")
 			continue
 		}
-		present[h.ID] = hostRow{h.CallAddress, row.Version, max(platform.FirstEra, h.StoreEra)}
+		present[h.ID] = newHostRow(&row, &h)
 		h.StoreEra = 0 // only answers of the store and the hosts themselves tell the era in force
-		hosts = append(hosts, h)
+		if h.ID == f.agent.cfg.Self.ID {
+			f.agent.members.Merge([]membership.Host{h})
+			continue
+		}
+		hosts = append(hosts, distribution.Candidate{Host: h, Version: row.Version})
 	}
 	f.loadDepartures(departed, present[f.agent.cfg.Self.ID].era)
 	f.agent.gossip.SpreadSuspects(f.agent.guilty.Load(guilty))
 	if f.checkRows {
 		f.agent.guilty.Restore(guilty)
 	}
-	f.agent.members.Merge(hosts)
+	f.agent.gossip.Discover(hosts)
 	f.agent.loadDecisions(decided)
 	return present, nil
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -239,6 +239,7 @@
 	gauge("buffers.bytes", s.buffers.Used)
 	gauge("targets.cold", func() int64 { return int64(s.owner.ColdTargets()) })
 	gauge("hosts.live", func() int64 { return int64(s.control.LiveHosts()) })
+	gauge("hosts.unconfirmed", func() int64 { return int64(s.control.UnconfirmedHosts()) })
 	gauge("hosts.sharing", func() int64 {
 		hosts, learned := s.control.SharingHosts()
 		if !learned {
--- a/pkg/distribution/connect.go
+++ b/pkg/distribution/connect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,7 +30,10 @@
 	// startJitter is the jitter of a host without any link, which receives
 	// nothing until it has one. The bound on accepted links still spreads the
 	// dials when many hosts start at once.
-	startJitter      = 100 * time.Millisecond
+	startJitter = 100 * time.Millisecond
+	// recencyExponent makes rejoin dial the hosts more often that have failed last: one
+	// that is started again is found soon, however many have ended before it.
+	recencyExponent  = 4
 	brokenLinkJitter = 100 * time.Millisecond
 )
 
@@ -45,7 +49,7 @@
 			return
 		}
 		delay = relinkJitter
-		g.reconcileLinks(g.cfg.Members.Hosts())
+		g.reconcileLinks(g.withPresumed(g.cfg.Members.Hosts()))
 		select {
 		case <-ctx.Done():
 			return
@@ -152,7 +156,7 @@
 }
 
 func (g *Gossip) needsLink(id mesh.HostID, urgent bool) bool {
-	h, ok := g.cfg.Members.Get(id)
+	h, _, ok := g.target(id)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.links[id] != nil || !ok || h.Status >= membership.StatusFailed {
@@ -164,9 +168,10 @@
 // dialHost makes one attempt to open a link to a host and reports whether no
 // further attempt is needed.
 func (g *Gossip) dialHost(ctx context.Context, id mesh.HostID, suspectOnFailure bool) bool {
-	h, _ := g.cfg.Members.Get(id)
+	h, isCandidate, _ := g.target(id)
 	err := g.dial(ctx, Endpoint{Host: id, Address: h.PeerAddress})
 	if err == nil {
+		g.discovery.setState(id, candidateReached)
 		return true
 	}
 	if ctx.Err() != nil {
@@ -181,6 +186,11 @@
 	} else {
 		g.fault(FaultDialFailed, id, err)
 	}
+	if isCandidate && (suspectOnFailure || isTimeout(err)) && !errors.Is(err, ErrBusy) {
+		g.discovery.setState(id, candidateUnreachable)
+		signal(g.relinkPending)
+		return true // rejoin dials it again
+	}
 	if suspectOnFailure && !errors.Is(err, ErrBusy) {
 		g.cfg.Members.Suspect(id)
 	}
@@ -213,8 +223,8 @@
 }
 
 // rejoin regularly dials hosts other than the known live ones: seeds that are
-// not the address of a known host, and failed hosts, since a partition may have
-// healed.
+// not the address of a known host, candidates that did not answer, and failed hosts,
+// since a partition may have healed.
 func (g *Gossip) rejoin(ctx context.Context) {
 	for {
 		hosts := g.cfg.Members.Hosts()
@@ -236,7 +246,8 @@
 }
 
 // rejoinEndpoint returns a random endpoint for rejoin to dial. Half of the time
-// it prefers data centres of which no host is reachable.
+// it prefers data centres of which no host is reachable, and hosts that have failed to
+// other endpoints.
 func (g *Gossip) rejoinEndpoint(hosts []membership.Host) (Endpoint, bool) {
 	live := make(map[mesh.DataCentre]bool)
 	addresses := make(map[string]bool)
@@ -246,28 +257,40 @@
 			addresses[h.PeerAddress] = true
 		}
 	}
-	var candidates, isolated []Endpoint
-	for _, s := range g.cfg.Seeds {
-		if !addresses[s] {
-			candidates = append(candidates, Endpoint{Address: s})
+	var failed, isolated []Endpoint
+	for _, h := range g.cfg.Members.FailedHosts() {
+		e := Endpoint{Host: h.ID, Address: h.PeerAddress}
+		failed = append(failed, e)
+		if !live[h.DataCentre] {
+			isolated = append(isolated, e)
 		}
 	}
-	for _, h := range g.cfg.Members.FailedHosts() {
+	var others []Endpoint
+	for _, h := range g.discovery.unreachable() {
 		e := Endpoint{Host: h.ID, Address: h.PeerAddress}
-		candidates = append(candidates, e)
+		others = append(others, e)
 		if !live[h.DataCentre] {
 			isolated = append(isolated, e)
 		}
 	}
-	if len(candidates) == 0 {
+	for _, s := range g.cfg.Seeds {
+		if !addresses[s] {
+			others = append(others, Endpoint{Address: s})
+		}
+	}
+	if len(failed)+len(others) == 0 {
 		return Endpoint{}, false
 	}
 	var selected Endpoint
 	g.withRand(func(r *rand.Rand) {
 		if len(isolated) > 0 && r.IntN(2) == 0 {
-			candidates = isolated // only half of the time, since the data centre may be shut down for good
+			failed = isolated // only half of the time, since the data centre may be shut down for good
+		}
+		if len(failed) == 0 || len(others) > 0 && r.IntN(2) == 0 {
+			selected = others[r.IntN(len(others))]
+			return
 		}
-		selected = candidates[r.IntN(len(candidates))]
+		selected = failed[int(float64(len(failed))*math.Pow(r.Float64(), recencyExponent))]
 	})
 	return selected, true
 }
--- a/pkg/distribution/floor.go
+++ b/pkg/distribution/floor.go
@@ -100,12 +100,14 @@
 }
 
 // neighbourLinks returns the open links. They are complete when the host records
-// have been synchronised with some peer and each live neighbour has a link.
+// have been synchronised with some peer, each live neighbour has a link, and no candidate
+// is still to be dialled.
 func (g *Gossip) neighbourLinks() (links []*link, complete bool) {
 	wanted := membership.Neighbours(g.cfg.Members.Hosts(), g.self)
+	pending, _ := g.SearchState()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	complete = g.synced && len(g.links) > 0
+	complete = g.synced && len(g.links) > 0 && pending == 0
 	for _, h := range wanted {
 		if h.Status == membership.StatusAlive && g.links[h.ID] == nil {
 			complete = false
--- a/pkg/distribution/gossip.go
+++ b/pkg/distribution/gossip.go
@@ -47,6 +47,8 @@
 	fetchPending  chan struct{}
 	relinkPending chan struct{}
 	tasks         sync.WaitGroup
+
+	discovery discovery
 }
 
 // New returns an engine that is not yet running.
@@ -71,6 +73,7 @@
 		vetoPending:   make(chan struct{}, 1),
 		fetchPending:  make(chan struct{}, 1),
 		relinkPending: make(chan struct{}, 1),
+		discovery:     discovery{wakeup: make(chan struct{}, 1)},
 	}
 	g.cfg.Suspects.OnChange(func(records []suspect.Record) { g.spreadSuspects(records, nil) })
 	return g, nil
@@ -84,7 +87,7 @@
 	g.mu.Unlock()
 	group.Go(func() error { return g.cfg.Transport.Serve(ctx, g) })
 	for _, loop := range []func(context.Context){
-		g.propagateRecords, g.maintainLinks, g.tick, g.rejoin, g.deliverHeads, g.deliverVetoes, g.fetchHeads,
+		g.propagateRecords, g.maintainLinks, g.discover, g.tick, g.rejoin, g.deliverHeads, g.deliverVetoes, g.fetchHeads,
 	} {
 		group.Go(func() error { g.runLoop(ctx, loop); return nil })
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -146,13 +146,32 @@
 	return next
 }
 
-// FailedHosts returns the failed hosts whose records are still kept. A
-// successful dial to one of them shows that a partition has healed. Callers must
-// not modify the records.
+// FailedHosts returns the failed hosts whose records are still kept, the one that has
+// failed last first. A successful dial to one of them shows that a partition has healed.
+// Callers must not modify the records.
 func (t *Table) FailedHosts() []Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.collect(func(e *entry) bool { return e.host.Status == StatusFailed })
+	var failed []*entry
+	for _, e := range t.sorted {
+		if e.host.Status == StatusFailed {
+			failed = append(failed, e)
+		}
+	}
+	slices.SortStableFunc(failed, func(a, b *entry) int { return b.statusSince.Compare(a.statusSince) })
+	hosts := make([]Host, 0, len(failed))
+	for _, e := range failed {
+		hosts = append(hosts, e.host)
+	}
+	return hosts
+}
+
+// Knows reports whether the table has a record of a host of at least an incarnation.
+func (t *Table) Knows(id mesh.HostID, incarnation uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.hosts[id]
+	return e != nil && e.host.Incarnation >= incarnation
 }
 
 // Get returns the record of a host, unless it failed or left longer ago than
