Renew the rows of hosts, and delete those of hosts that have ended

The hosts' table only grew: each host that was ever started left a row, and each target that has left one of its departure, since a departure is deleted with the next one of the same host. Every process that starts reads them all, 500 a call, and dials the hosts that they name.

Change: a host writes its row again every 20 minutes on average. One host reads the table as often, and deletes what it has seen unchanged for an hour while no live record showed the host, and departures, which hold for 10 minutes. It goes by row versions and its own clock, so that clocks of hosts and restores of the store do not matter. Each deletion is conditional on the version that was read. Rows of decisions, of requests that end targets and of other writers stay.

Before, nothing deleted or renewed rows.

--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -96,17 +96,20 @@
 	// announce means that the next join writes the row of this host anew, and announced
 	// that one has.
 	announce, announced bool
+	rowEra              uint64 // which this process has written in its row or found there
+	rows                rowKeeper
 }
 
 // storeLoop reads the store until the context ends. Two hosts of each data centre
 // follow the changes. The others receive them by gossip and read the store
 // rarely, as a backup.
 func (a *Agent) storeLoop(ctx context.Context) {
-	f := &follower{agent: a, rejoinDelay: minRejoinDelay, departuresKnown: a.cfg.FirstStart}
+	f := &follower{agent: a, rejoinDelay: minRejoinDelay, departuresKnown: a.cfg.FirstStart, rows: newRowKeeper()}
 	backup := backupTimer{due: true}
 	for ctx.Err() == nil {
 		f.rejoinIfIsolated()
 		f.announceAmongStaleRows()
+		f.keepRows(ctx)
 		if !f.departuresKnown && !f.unknownSince.IsZero() && time.Since(f.unknownSince) > lateHeartbeats {
 			f.joined = false
 		}
@@ -426,11 +429,13 @@
 	if f.departuresKnown {
 		self.StoreEra = f.agent.storeEra()
 	}
+	f.rowEra = rows[self.ID].era
 	rowPresent := rows[self.ID].callAddress == self.CallAddress && (f.unknownSince.IsZero() || rows[self.ID].era == self.StoreEra)
 	if !rowPresent || f.announce {
 		if err := f.writeRow(ctx, &self); err != nil {
 			return err
 		}
+		f.rowEra = self.StoreEra
 		if len(f.agent.members.Hosts()) == 1 && len(f.agent.gossip.Presumed()) == 0 || f.announce {
 			if _, err := f.readHosts(ctx); err != nil {
 				return err
@@ -439,7 +444,7 @@
 		f.announce = false
 	}
 	if f.checkRows {
-		if err := f.restoreRows(ctx, rows); err != nil {
+		if err := f.restoreRows(ctx, rows, false); err != nil {
 			return err
 		}
 		f.checkRows = false
@@ -580,9 +585,9 @@
 }
 
 // restoreRows writes the rows of live hosts that the store has lost: those of this data
-// centre, and of data centres in which no host can reach the store. A host that starts
-// later finds the mesh by them.
-func (f *follower) restoreRows(ctx context.Context, rows map[mesh.HostID]hostRow) error {
+// centre, and of data centres in which no host can reach the store, or everywhere. A host
+// that starts later finds the mesh by them.
+func (f *follower) restoreRows(ctx context.Context, rows map[mesh.HostID]hostRow, everywhere bool) error {
 	hosts := f.agent.members.Hosts()
 	attached := make(map[mesh.DataCentre]bool)
 	for i := range hosts {
@@ -594,7 +599,7 @@
 	for i := range hosts {
 		h := &hosts[i]
 		if h.ID == self.ID || h.Status != membership.StatusAlive || rows[h.ID].callAddress == h.CallAddress ||
-			h.DataCentre != self.DataCentre && attached[h.DataCentre] {
+			!everywhere && h.DataCentre != self.DataCentre && attached[h.DataCentre] {
 			continue
 		}
 		condition := platform.Condition{Key: hostTable + "/" + string(h.ID), Version: rows[h.ID].version}
