Take the rows of hosts of nutmeghoistd for addresses to dial as well

In the test, of three nodes among 200 rows of ended hosts, none knew after 10 s which ones live; polls of the head are spaced for all of them, and links are spent on them.

Change: the rows go to distribution.Discover, as in the node of the platform. Two things had relied on the rows as records and keep what they need: a node that still looks for hosts is no candidate for reports, and a data centre of which only rows are known must confirm a report, since it may be cut off. Polls are spaced for the presumed hosts in the first second.

Shown by the test only; no run with processes of this program was made for it.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"nutmeghoist.example/nutmeghoist/pkg/chart"
@@ -258,7 +259,7 @@
 
 func (n *Node) pollDelay() time.Duration {
 	live := 0
-	for _, h := range n.members.Hosts() {
+	for _, h := range slices.Concat(n.members.Hosts(), n.gossip.Presumed()) {
 		if h.DataCentre == n.settings.DataCentre && h.Status <= membership.StatusSuspect {
 			live++
 		}
--- a/internal/node/confirm.go
+++ b/internal/node/confirm.go
@@ -152,10 +152,10 @@
 }
 
 // dataCentres returns all known data centres. A data centre whose hosts have all
-// failed is included while their records are kept, because it may be
-// partitioned for hours and continue to serve calls.
+// failed, or of which only rows are known, is included while their records are kept,
+// because it may be partitioned for hours and continue to serve calls.
 func (n *Node) dataCentres() []mesh.DataCentre {
-	var dcs []mesh.DataCentre
+	dcs := n.gossip.UnconfirmedDataCentres()
 	for _, h := range slices.Concat(n.members.Hosts(), n.members.FailedHosts()) {
 		dcs = append(dcs, h.DataCentre)
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"nutmeghoist.example/nutmeghoist/pkg/distribution"
 	"nutmeghoist.example/nutmeghoist/pkg/membership"
 )
 
@@ -62,15 +63,26 @@
 		n.log.Debug().Err(err).Msg("host rows not read")
 	}
 	// After an error, hosts contains the rows that could be decoded. The rows are
-	// used only for the addresses of hosts: liveness is detected by links, so a
-	// status other than alive is not merged.
-	alive := hosts[:0]
+	// used only for the addresses of hosts: whether one is alive shows when it answers.
+	// The row of this host tells of its earlier process.
+	var candidates []distribution.Candidate
 	for _, h := range hosts {
-		if h.Status == membership.StatusAlive {
-			alive = append(alive, h)
+		switch {
+		case h.Status != membership.StatusAlive:
+		case h.ID == n.settings.Host:
+			n.members.Merge([]membership.Host{h})
+		default:
+			candidates = append(candidates, distribution.Candidate{Host: h})
 		}
 	}
-	n.members.Merge(alive)
+	n.gossip.Discover(candidates)
+}
+
+// knowsHosts reports whether this host has looked for all hosts that the rows name. Until
+// then it cannot tell which ones have to confirm a report.
+func (n *Node) knowsHosts() bool {
+	pending, _ := n.gossip.SearchState()
+	return pending == 0
 }
 
 // vetoLoop stores the vetoes issued by this host and retries until each has its
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -46,8 +46,11 @@
 // isReportCandidate reports whether this host is among the first alive or
 // suspect hosts when ordered by the hash of their IDs. The two sides of a
 // partition may choose different candidates; the lease still admits only one
-// writer.
+// writer. A host that still looks for others is none.
 func (n *Node) isReportCandidate() bool {
+	if !n.knowsHosts() {
+		return false
+	}
 	hosts := slices.DeleteFunc(slices.Clone(n.members.Hosts()), func(h membership.Host) bool { return h.Status > membership.StatusSuspect })
 	slices.SortFunc(hosts, func(a, b membership.Host) int {
 		if xxhash.Sum64String(string(a.ID)) < xxhash.Sum64String(string(b.ID)) {
