Leave hosts that have stopped out of the shares of the others

Callers of limited teams were refused, and calls not repeated, though there was room: hosts that had stopped still counted for 10 minutes among those that share the limits and the budget of retries. After a release that replaces half of the hosts each one takes two thirds of its part.

Cause: a host that does not answer counts since it may be cut off. One that had said before that it stops has ended, but becomes a failed one like any other.

Change: the table remembers that a host was leaving when it failed, and SharingHosts leaves such hosts out. They are still dialled as failed ones, so that one that is started again while the store is away is found. Hosts that failed without a word count as before.

Test: TestStoppedHostsDoNotShare.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -210,7 +210,7 @@
 // SharingHosts returns the number of hosts among which an allowance for all of them is
 // divided, and false while this host has not learned it. Hosts that have failed count:
 // seen from the other side of a cut, this one has. So do those that this host knows by
-// their rows alone, while they may be alive.
+// their rows alone, while they may be alive. Hosts that have stopped do not.
 func (a *Agent) SharingHosts() (int, bool) {
 	return max(1, int(a.sharingHosts.Load())+a.UnconfirmedHosts()), a.hostsLearned.Load() || a.gossip.LinkCount() > 0
 }
--- a/internal/control/rows.go
+++ b/internal/control/rows.go
@@ -123,8 +123,8 @@
 }
 
 // sweepsRows reports whether this host deletes the rows of ended hosts: it is the one of
-// the lowest hash among those that reach the store. Two that each take themselves for it
-// do no harm.
+// the lowest name among the first followers of the data centres. Two that each take
+// themselves for it do no harm.
 func (a *Agent) sweepsRows() bool {
 	var first mesh.HostID
 	for id := range storeFollowers(a.members.Hosts()) {
--- a/internal/control/sharing_test.go
+++ b/internal/control/sharing_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -49,3 +50,44 @@
 		}
 	})
 }
+
+// Guards against hosts that have stopped and still count, for minutes, among those that
+// share: each that is left takes too little.
+func TestStoppedHostsDoNotShare(t *testing.T) {
+	meshTest(t, func(t *testing.T) {
+		m := startMesh(t)
+		defer m.stopAll()
+		time.Sleep(5 * time.Second)
+		for i := range 30 {
+			m.start(mesh.HostID(fmt.Sprint("added", i)), dataCentres[i%3])
+		}
+		time.Sleep(5 * time.Second)
+		added := m.order[9:]
+		for _, id := range added {
+			m.nodes[id].Leave()
+		}
+		time.Sleep(2 * time.Second)
+		for _, id := range added[1:] {
+			m.stopNode(id)
+		}
+		m.net.SetImpairment(func(from, to mesh.HostID) memnet.Impairment {
+			return memnet.Impairment{Lost: (from == "h8") != (to == "h8")}
+		})
+		time.Sleep(12 * time.Second)
+		for _, id := range m.order[:8] {
+			if got, _ := m.nodes[id].SharingHosts(); got != 10 { // 8, one that is cut off, one that still stops
+				t.Errorf("%s shares with %d hosts, not 10", id, got)
+			}
+		}
+		m.net.SetImpairment(func(_, _ mesh.HostID) memnet.Impairment { return memnet.Impairment{} })
+		m.stopNode(added[0])
+		time.Sleep(20 * time.Second)
+		m.start(added[1], dataCentres[1])
+		time.Sleep(3 * time.Second)
+		for _, id := range m.order[:9] {
+			if got, _ := m.nodes[id].SharingHosts(); got != 10 { // one has been started again
+				t.Errorf("%s shares with %d hosts after the cut, not 10", id, got)
+			}
+		}
+	})
+}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -57,6 +57,7 @@
 	version     uint64    // table version at the last change of the record
 	statusSince time.Time // when the status last changed
 	suspected   time.Time // zero unless suspected; also set for leaving hosts
+	stopped     bool      // see HasStopped
 	// former is the newest record of an earlier process of the host that holds what the
 	// present process does not know, with what the records before it held.
 	former *Host
@@ -166,6 +167,15 @@
 	return hosts
 }
 
+// HasStopped reports whether a host has failed or left after it had said that it stops. It
+// is not merely cut off.
+func (t *Table) HasStopped(id mesh.HostID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.hosts[id]
+	return e != nil && e.stopped
+}
+
 // Knows reports whether the table has a record of a host of at least an incarnation.
 func (t *Table) Knows(id mesh.HostID, incarnation uint64) bool {
 	t.mu.Lock()
@@ -286,6 +296,7 @@
 			}
 			e.former = &former
 		}
+		e.stopped = h.Status.isTerminal() && (e.stopped || e.host.Status == StatusLeaving)
 		if e.host.Status != h.Status {
 			e.statusSince = now
 		}
