Give restarted hosts of a test their targets before they read the store

Trace: the test started a host and then gave it its targets, at the same virtual moment. Callers do not see this moment: calls wait at the start of a node until it has a target (TestCallsWaitForStartup).

The test says that the hosts are started with the targets that they had; they have them now before they run. What is checked is the same.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -161,6 +161,11 @@
 }
 
 func (m *testMesh) start(id mesh.HostID, dc mesh.DataCentre) *testNode {
+	return m.startWith(id, dc, nil)
+}
+
+// startWith starts a host whose targets have announced themselves before it reads the store.
+func (m *testMesh) startWith(id mesh.HostID, dc mesh.DataCentre, targets []membership.Target) *testNode {
 	n := &testNode{store: &gatedStore{Store: m.store}, done: make(chan struct{})}
 	address := string(id) + ":1"
 	var err error
@@ -191,6 +196,9 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
+	if targets != nil {
+		n.SetTargets(targets)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	m.mu.Lock()
--- a/internal/control/decisions_test.go
+++ b/internal/control/decisions_test.go
@@ -89,7 +89,7 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	for _, id := range ids {
-		m.start(id, m.nodes[id].cfg.Self.DataCentre).SetTargets(targets[id])
+		m.startWith(id, m.nodes[id].cfg.Self.DataCentre, targets[id])
 	}
 }
 
